--- /dev/null
+++ b/libs/base/include/base/time.h
@@ -0,0 +1,28 @@
+#ifndef POMELOHALL_BASE_TIME_H_
+#define POMELOHALL_BASE_TIME_H_
+
+#include <chrono>
+
+namespace pomelohall {
+
+/// A span of time in microseconds.
+using duration = std::chrono::microseconds;
+
+/// A point on the monotonic clock. State machines receive it as an argument and
+/// never read a clock themselves.
+using instant = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+/// Reads the monotonic clock. Only code that does I/O calls this.
+inline instant MonotonicNow() {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::steady_clock::now());
+}
+
+/// Returns `span` in milliseconds as a floating point number.
+inline double ToMillis(duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_BASE_TIME_H_
