--- a/build.sh
+++ b/build.sh
@@ -13,7 +13,7 @@
 
 readonly BUILD_DIR="${BUILD_DIR:-build}"
 readonly PACKAGES=(
-  g++ cmake ninja-build ccache clang-format clang-tidy curl
+  g++ cmake ninja-build ccache clang-format clang-tidy python3
   libcaf-dev libwebsocketpp-dev nlohmann-json3-dev libvalijson-dev
   libboost-dev libboost-system-dev libcli11-dev libgoogle-glog-dev
   libexpected-dev catch2 librapidcheck-dev libxxhash-dev libssl-dev
@@ -66,7 +66,7 @@
   setup) setup ;;
   build) shift; build "$@" ;;
   test) shift; setup; build; run_tests "$@" ;;
-  demo) shift; setup; build; exec tools/demo/demo.sh "$BUILD_DIR/bin" "$@" ;;
+  demo) shift; setup; build; exec python3 tools/demo/demo.py "$BUILD_DIR/bin" "$@" ;;
   bench) shift; setup; build; exec bench/run.sh "$BUILD_DIR/bin" "$@" ;;
   matrix) shift; setup; build; exec "$BUILD_DIR/bin/fault_matrix" "$@" ;;
   format) shift; format "$@" ;;
--- /dev/null
+++ b/tests/process/fleet.py
@@ -0,0 +1,319 @@
+"""Starts and stops the programs of pomelohall on loopback.
+
+Used by the demo, the tests with real processes and the fleet benchmark. Every
+process that a fleet starts is ended by the fleet, by its process id.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+
+def free_ports(count):
+    """Returns `count` TCP ports of 127.0.0.1 that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def http(method, address, path, body=None, headers=None, timeout=10):
+    """Sends one request; returns (status, headers, body bytes)."""
+    data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+    request = urllib.request.Request(
+        f"http://{address}{path}", data=data, method=method,
+        headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.headers, answer.read()
+    except urllib.error.HTTPError as refused:
+        return refused.code, refused.headers, refused.read()
+
+
+def wait_until(condition, what, timeout=30):
+    """Polls `condition` until it is true; raises with `what` otherwise."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        try:
+            found = condition()
+            if found:
+                return found
+        except (OSError, ValueError, KeyError):
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"not reached within {timeout} s: {what}")
+
+
+class Program:
+    """One running program with its log file."""
+
+    def __init__(self, name, arguments, log_path):
+        self.name = name
+        self.arguments = arguments
+        self.log_path = log_path
+        with open(log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self, timeout=30):
+        """Sends SIGTERM and returns the exit code."""
+        if self.process.poll() is None:
+            self.process.terminate()
+        return self.process.wait(timeout)
+
+    def running(self):
+        return self.process.poll() is None
+
+
+class Daemon:
+    """Addresses and processes of one VM: a daemon and its backend server."""
+
+    def __init__(self, name, data_centre, region, service, backend_options):
+        self.name = name
+        self.data_centre = data_centre
+        self.region = region
+        self.service = service
+        self.backend_options = backend_options or []
+        self.ports = {}
+        self.backend_port = 0
+        self.program = None
+        self.backend = None
+
+    def address(self, listener):
+        return f"127.0.0.1:{self.ports[listener]}"
+
+
+class Fleet:
+    """A platform stand-in, daemons and backend servers."""
+
+    def __init__(self, bin_dir, log_level="info"):
+        self.bin_dir = os.path.abspath(bin_dir)
+        self.folder = tempfile.mkdtemp(prefix="pomelohall-")
+        self.log_level = log_level
+        self.platform = None
+        self.platform_port = 0
+        self.daemons = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.end()
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    def start_program(self, name, *arguments):
+        binary = os.path.join(self.bin_dir, arguments[0])
+        return Program(name, [binary, *arguments[1:]], self.path(name + ".log"))
+
+    # Platform ---------------------------------------------------------------
+
+    def start_platform(self):
+        self.platform_port = free_ports(1)[0]
+        self.platform = self.start_program(
+            "platform", "pomelohall-platform-stub", "--listen",
+            self.platform_address())
+        wait_until(lambda: http("GET", self.platform_address(),
+                                "/control/calls")[0] == 200, "platform up")
+
+    def platform_address(self):
+        return f"127.0.0.1:{self.platform_port}"
+
+    def platform_fault(self, mode, delay_ms=0, count=0):
+        status, _, _ = http("POST", self.platform_address(), "/control/faults",
+                            {"mode": mode, "delay_ms": delay_ms,
+                             "count": count})
+        assert status == 200, f"fault control answered {status}"
+
+    def platform_calls(self):
+        return json.loads(http("GET", self.platform_address(),
+                               "/control/calls")[2])
+
+    # Daemons ----------------------------------------------------------------
+
+    def add(self, name, data_centre, region="r1", service=None, backend=None):
+        daemon = Daemon(name, data_centre, region, service, backend)
+        self.daemons.append(daemon)
+        return daemon
+
+    def assign_ports(self):
+        ports = free_ports(5 * len(self.daemons))
+        for index, daemon in enumerate(self.daemons):
+            own = ports[5 * index:5 * index + 5]
+            daemon.ports = dict(zip(("caller", "forward", "peer", "local"),
+                                    own))
+            daemon.backend_port = own[4]
+
+    def seeds(self):
+        """Three daemons of each data centre."""
+        chosen = {}
+        for daemon in self.daemons:
+            chosen.setdefault(daemon.data_centre, []).append(
+                daemon.address("peer"))
+        return [address for group in chosen.values() for address in group[:3]]
+
+    def write_settings(self, daemon, blocked_peers=()):
+        settings = {
+            "cluster": "fleet",
+            "name": daemon.name,
+            "region": daemon.region,
+            "data_centre": daemon.data_centre,
+            "listeners": {key: daemon.address(key) for key in daemon.ports},
+            "seeds": [seed for seed in self.seeds()
+                      if seed != daemon.address("peer")],
+            "platform": {"address": self.platform_address()},
+            "log_level": self.log_level,
+        }
+        if blocked_peers:
+            settings["test"] = {"blocked_peers": list(blocked_peers)}
+        path = self.path(daemon.name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        return path
+
+    def start_daemon(self, daemon, blocked_peers=()):
+        path = self.write_settings(daemon, blocked_peers)
+        daemon.program = self.start_program(
+            daemon.name, "pomelohalld", "--settings", path)
+
+    def start_backend(self, daemon):
+        if daemon.service is None:
+            return
+        daemon.backend = self.start_program(
+            daemon.name + "-backend", "pomelohall-backend-stub",
+            "--listen", f"127.0.0.1:{daemon.backend_port}",
+            "--daemon", daemon.address("local"),
+            "--service", daemon.service, *daemon.backend_options)
+
+    def start_all(self):
+        self.start_platform()
+        self.assign_ports()
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        for daemon in self.daemons:
+            self.start_backend(daemon)
+
+    # Observation ------------------------------------------------------------
+
+    def status(self, daemon):
+        return json.loads(http("GET", daemon.address("local"), "/status")[2])
+
+    def version(self, daemon):
+        """Returns the version in force, 0 if none or not reachable."""
+        try:
+            return self.status(daemon)["version_in_force"]
+        except (OSError, ValueError):
+            return 0
+
+    def wait_version(self, version, daemons=None, timeout=40):
+        chosen = self.daemons if daemons is None else daemons
+        wait_until(lambda: all(self.version(d) >= version for d in chosen),
+                   f"version {version} in force on {len(chosen)} daemons",
+                   timeout)
+
+    def wait_members(self, count, daemons=None, timeout=40):
+        chosen = self.daemons if daemons is None else daemons
+        wait_until(lambda: all(self.status(d)["members_alive"] >= count
+                               for d in chosen),
+                   f"{count} members known to {len(chosen)} daemons", timeout)
+
+    def wait_servers(self, service, count, daemons=None, timeout=40):
+        """Waits until daemons have `count` ready servers of a service."""
+        chosen = self.daemons if daemons is None else daemons
+
+        def ready(daemon):
+            servers = self.status(daemon)["backend_servers"]
+            return servers.get(service, 0) == count
+
+        wait_until(lambda: all(ready(d) for d in chosen),
+                   f"{count} backend servers of {service}", timeout)
+
+    # Operators --------------------------------------------------------------
+
+    def command(self, *arguments, timeout=60):
+        """Runs the operators' command; returns (exit code, output)."""
+        done = subprocess.run(
+            [os.path.join(self.bin_dir, "pomelohall"), "--platform",
+             self.platform_address(), *arguments],
+            stdin=subprocess.DEVNULL, stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT, timeout=timeout, check=False)
+        return done.returncode, done.stdout.decode()
+
+    def write_config(self, config, name="config.json"):
+        path = self.path(name)
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(config, file, indent=2)
+        return path
+
+    # End --------------------------------------------------------------------
+
+    def programs(self):
+        for daemon in self.daemons:
+            if daemon.backend:
+                yield daemon.backend
+        for daemon in self.daemons:
+            if daemon.program:
+                yield daemon.program
+        if self.platform:
+            yield self.platform
+
+    def stop_all(self):
+        """Stops every program gracefully; returns {name: exit code}."""
+        codes = {}
+        for daemon in self.daemons:
+            if daemon.backend and daemon.backend.running():
+                codes[daemon.backend.name] = daemon.backend.stop()
+        running = [d.program for d in self.daemons
+                   if d.program and d.program.running()]
+        for program in running:
+            program.process.terminate()
+        for program in running:
+            codes[program.name] = program.stop()
+        if self.platform:
+            codes["platform"] = self.platform.stop()
+        return codes
+
+    def end(self):
+        """Kills what still runs."""
+        for program in self.programs():
+            if program.running():
+                program.send(signal.SIGCONT)
+                program.kill()
+
+
+def document(services):
+    """Builds a configuration.
+
+    `services`: {service: [(class, kind, path, method, within_ms, share)]}.
+    """
+    config = {"services": [], "classes": [], "routes": []}
+    for service, classes in services.items():
+        config["services"].append({"name": service})
+        for name, kind, path, method, within_ms, share in classes:
+            target = {"within_ms": within_ms, "share": share}
+            if kind == "download":
+                target["min_bytes_per_s"] = 1000000
+            config["classes"].append({"name": name, "service": service,
+                                      "kind": kind, "target": target})
+            route = {"path_prefix": path, "class": name}
+            if method:
+                route["method"] = method
+            config["routes"].append(route)
+    return config
