--- /dev/null
+++ b/libs/messages/src/cbor_check.h
@@ -0,0 +1,19 @@
+#ifndef POMELOHALL_MESSAGES_CBOR_CHECK_H_
+#define POMELOHALL_MESSAGES_CBOR_CHECK_H_
+
+#include <string_view>
+
+namespace pomelohall {
+
+/// Returns whether `frame` is exactly one CBOR item of the subset that the
+/// messages use: unsigned integers, byte and text strings, arrays and
+/// booleans, with definite lengths and at most four levels of arrays.
+///
+/// The JSON library reads nested arrays by recursion and throws on counts above
+/// the container's limit even with exceptions disabled, so that a hostile frame
+/// of nested arrays would overflow the stack.
+bool IsAcceptableCbor(std::string_view frame);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_MESSAGES_CBOR_CHECK_H_
