--- a/libs/messages/include/messages/message.h
+++ b/libs/messages/include/messages/message.h
@@ -20,6 +20,9 @@
 /// Most records of one message: twice the largest fleet.
 inline constexpr std::size_t kMaxRecordsPerMessage = 11'000;
 
+/// Most data centres that one message names.
+inline constexpr std::size_t kMaxDataCentresPerMessage = 64;
+
 /// Longest name, address or id in a message, in bytes.
 inline constexpr std::size_t kMaxTextBytes = 512;
 
@@ -77,6 +80,7 @@
 /// Records that repair a difference or fill the table of a joiner.
 struct member_sync_message {
   std::vector<member_record> records;
+  bool complete = false;  ///< The sender knows all members of the cluster.
 
   bool operator==(const member_sync_message&) const = default;
 };
@@ -182,6 +186,16 @@
   bool operator==(const slo_window_message&) const = default;
 };
 
+/// A reader's view of the other data centres, relayed over the overlay.
+struct reachability_message {
+  std::string reader;
+  std::uint64_t incarnation = 0;
+  std::uint64_t seq = 0;  ///< Grows with each message of this incarnation.
+  std::vector<std::string> unreachable;  ///< Data centres without an answer.
+
+  bool operator==(const reachability_message&) const = default;
+};
+
 /// Every message between daemons.
 using peer_message = std::variant<
     hello_message, ping_message, ping_ack_message, probe_request_message,
@@ -189,7 +203,7 @@
     offer_message, pull_message, delta_message, busy_message, ack_message,
     confirm_message, confirmed_message, fresh_query_message,
     fresh_answer_message, recover_query_message, recover_answer_message,
-    suspect_event_message, slo_window_message>;
+    suspect_event_message, slo_window_message, reachability_message>;
 
 /// Returns the name of a message for logs and metrics, for example "offer".
 std::string_view MessageName(const peer_message& message);
--- a/libs/messages/src/codec.cc
+++ b/libs/messages/src/codec.cc
@@ -19,12 +19,13 @@
 
 // Kinds are the indexes of the variant; a new message goes to its end.
 constexpr std::array<std::string_view, std::variant_size_v<peer_message>>
-    kMessageNames{
-        "hello",         "ping",           "ping_ack",      "probe_request",
-        "member_event",  "member_digest",  "member_sync",   "offer",
-        "pull",          "delta",          "busy",          "ack",
-        "confirm",       "confirmed",      "fresh_query",   "fresh_answer",
-        "recover_query", "recover_answer", "suspect_event", "slo_window"};
+    kMessageNames{"hello",         "ping",          "ping_ack",
+                  "probe_request", "member_event",  "member_digest",
+                  "member_sync",   "offer",         "pull",
+                  "delta",         "busy",          "ack",
+                  "confirm",       "confirmed",     "fresh_query",
+                  "fresh_answer",  "recover_query", "recover_answer",
+                  "suspect_event", "slo_window",    "reachability"};
 
 // Number of array elements before the fields: kind, from, incarnation.
 constexpr std::size_t kHeaderFields = 3;
@@ -127,6 +128,7 @@
 template <typename Io, is_message<member_sync_message> M>
 void Fields(Io& io, M& m) {
   RecordList(io, m.records);
+  io.Flag(m.complete);
 }
 
 template <typename Io, is_message<offer_message> M>
@@ -209,6 +211,15 @@
   io.Bytes(m.payload);
 }
 
+template <typename Io, is_message<reachability_message> M>
+void Fields(Io& io, M& m) {
+  io.Text(m.reader);
+  io.Number(m.incarnation);
+  io.Number(m.seq);
+  io.List(m.unreachable, kMaxDataCentresPerMessage,
+          [](auto& nested, auto& name) { nested.Text(name); });
+}
+
 template <std::size_t Index>
 std::optional<peer_message> ReadBody(const json& frame) {
   std::variant_alternative_t<Index, peer_message> body;
--- a/libs/messages/tests/codec_test.cc
+++ b/libs/messages/tests/codec_test.cc
@@ -44,7 +44,7 @@
           probe_request_message{.target = "t", .seq = 2},
           member_event_message{{SampleRecord()}},
           member_digest_message{.digest = "abc", .count = 3, .reply = true},
-          member_sync_message{{SampleRecord(), SampleRecord()}},
+          member_sync_message{{SampleRecord(), SampleRecord()}, true},
           offer_message{.version = 9, .digest = digest, .committed = true},
           pull_message{.base = 4},
           SampleDelta(),
@@ -58,7 +58,9 @@
           recover_answer_message{
               .id = 7, .version = 9, .recovered = true, .member_count = 3},
           suspect_event_message{.service = "s", .fingerprint = 1, .state = 2},
-          slo_window_message{.payload = std::string("\0\xff", 2)}};
+          slo_window_message{.payload = std::string("\0\xff", 2)},
+          reachability_message{
+              .reader = "r", .incarnation = 1, .seq = 2, .unreachable = {"d"}}};
 }
 
 std::string Frame(const peer_message& body) {
