--- /dev/null
+++ b/libs/routing/include/routing/server_selector.h
@@ -0,0 +1,112 @@
+#ifndef POMELOHALL_ROUTING_SERVER_SELECTOR_H_
+#define POMELOHALL_ROUTING_SERVER_SELECTOR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/error.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "routing/server_health.h"
+#include "routing/snapshot.h"
+
+namespace pomelohall {
+
+/// Settings of a server_selector.
+struct selector_options {
+  std::string local_data_centre;
+  std::string local_region;
+  /// Added to the score of a server in another data centre of the region. Twice
+  /// the 0.5 ms one-way latency between data centres.
+  duration data_centre_penalty{1'000};
+  /// Added to the score of a server in another region.
+  duration region_penalty{20'000};
+  server_health_options health;
+};
+
+/// What an attempt on a server showed.
+struct call_result {
+  /// From the first byte sent to the whole answer, or to the failure.
+  duration latency{0};
+  run_state ran = run_state::kRan;
+  bool ok = true;  ///< A whole answer arrived.
+  /// Set if `ok` is false and the reason is known.
+  std::optional<error_kind> error;
+};
+
+/// Selects the backend server for a call: power of two choices by score, local
+/// data centre first. Ejects failing servers. Not thread-safe; one instance per
+/// I/O thread.
+class server_selector {
+ public:
+  server_selector(selector_options options, std::uint64_t seed);
+
+  /// Takes a new snapshot. What was learnt about a server is kept while the
+  /// server stays in the snapshot with the same incarnation.
+  void Update(snapshot_ptr next, instant now);
+
+  /// Returns a server of `service`, or `kNoBackendServer` if the service is
+  /// unknown or every reachable server is excluded, ejected or draining.
+  /// @param excluded_members Owners that this call has already tried.
+  result<server_entry> Pick(std::string_view service,
+                            std::span<const std::string> excluded_members,
+                            instant now);
+
+  /// Counts an attempt as outstanding. Call it for every attempt on a server
+  /// returned by Pick(), and OnFinish() exactly once after it.
+  void OnStart(const std::string& member, instant now);
+
+  /// Learns from an attempt that ended. Members not in the snapshot are
+  /// ignored.
+  void OnFinish(const std::string& member, const call_result& outcome,
+                instant now);
+
+  /// Returns the number of servers of `service` that are ejected at `now`.
+  std::size_t EjectedCount(std::string_view service, instant now) const;
+
+ private:
+  /// A server of a service in the current snapshot.
+  struct candidate {
+    const server_entry* entry = nullptr;
+    server_health* health = nullptr;
+    duration penalty{0};
+  };
+  struct service_candidates {
+    std::vector<candidate> local;
+    std::vector<candidate> remote;
+  };
+
+  struct choice {
+    const candidate* server = nullptr;
+    double score = 0;
+  };
+
+  duration PenaltyOf(const server_entry& entry) const;
+  server_health& HealthOf(const server_entry& entry, instant now);
+  void DropAbsent();
+  choice BestOfTwo(const std::vector<candidate>& candidates,
+                   std::span<const std::string> excluded, instant now);
+  const candidate* RandomUsable(const std::vector<candidate>& candidates,
+                                std::span<const std::string> excluded,
+                                const candidate* not_this, instant now);
+  std::size_t EjectionRoom(const std::string& service, instant now) const;
+
+  selector_options options_;
+  random_source random_;
+  snapshot_ptr snapshot_;
+  /// Entries have stable addresses; candidates point at them.
+  std::unordered_map<std::string, server_health> health_;
+  std::map<std::string, service_candidates, std::less<>> services_;
+  std::unordered_map<std::string, std::string> service_of_member_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_ROUTING_SERVER_SELECTOR_H_
