Implement routing, policy, ledger and quarantine

Cause: the data path needs working decisions of both sides of a call. Ruled out: keeping the decision code in the data path, where retries and outcomes could only be tested with real connections. All are state machines without I/O, clock or threads. Conclusion: the data path can be written against these classes.

--- a/libs/ledger/include/ledger/key_ledger.h
+++ b/libs/ledger/include/ledger/key_ledger.h
@@ -32,8 +32,8 @@
 /// The first answer to a request, kept for resends.
 struct kept_answer {
   int status = 0;
-  std::vector<std::pair<std::string, std::string>> headers;
-  std::string body;
+  std::vector<std::pair<std::string, std::string>> headers = {};
+  std::string body = {};
   /// False if the body exceeded kMaxKeptBodyBytes or did not arrive whole; the
   /// body is then empty.
   bool complete = true;
@@ -59,7 +59,8 @@
 
 struct grant_answer {
   grant_verdict verdict = grant_verdict::kOutcomeUnknown;
-  std::optional<kept_answer> answer;  ///< Set with kFirstAnswer only.
+  std::optional<kept_answer> answer =
+      std::nullopt;  ///< Set with kFirstAnswer only.
 };
 
 /// The parts of an issued key `phk1.<member>.<incarnation>.<random>`.
@@ -119,9 +120,9 @@
     std::string key;
     key_state state = key_state::kIssued;
     instant changed_at;
-    std::string holder;           ///< Of the grant.
-    std::string released_holder;  ///< Of the last release.
-    kept_answer answer;
+    std::string holder = {};           ///< Of the grant.
+    std::string released_holder = {};  ///< Of the last release.
+    kept_answer answer = {};
     std::size_t answer_bytes = 0;
   };
 
--- a/libs/policy/include/policy/admission.h
+++ b/libs/policy/include/policy/admission.h
@@ -116,7 +116,6 @@
   double WeightOf(class_kind kind) const;
   std::optional<error> RefusalFor(const admission_request& request,
                                   instant now) const;
-  duration ExpectedWait() const;
   void Enqueue(const admission_request& request, decisions& out);
   bool ShedFor(const admission_request& request, decisions& out);
   void RefuseQueued(admission_queue& queue, ticket id, error reason,
--- a/libs/policy/include/policy/call_plan.h
+++ b/libs/policy/include/policy/call_plan.h
@@ -146,20 +146,25 @@
   };
 
   bool UsesKey() const;
+  /// When the call ends at the latest, the grace for the owner included.
+  instant DeadlineTimer() const;
+  /// Whether the attempt may not be cancelled because it may have run.
+  bool MustRunOn(const attempt_state& attempt) const;
   attempt_state* Running(std::uint32_t number);
   std::size_t RunningCount() const;
-  bool IsIdempotentCall() const { return IsIdempotent(request_.kind); }
-  actions SendNext(const error& otherwise, instant now);
+  actions SendFirst(instant now);
+  plan_action Send(server_entry server, instant now);
   void EndAttempt(attempt_state& attempt, const call_result& outcome,
                   instant now);
+  static call_result Cancelled(const attempt_state& attempt, instant now);
   void CancelOthers(std::uint32_t keep, instant now, actions& out);
   actions OnAttemptFailed(attempt_state& attempt, const error& reason,
                           instant now);
-  bool MayRetry(const error& reason, instant now);
+  actions RetryOrFail(const error& reason, instant now);
   void ScheduleHedge(instant now);
   actions Hedge(instant now);
   actions OnDeadline(instant now);
-  actions FailCaller(error reason);
+  actions FailCaller(const error& reason);
   void SettleKeyAfterFailure(actions& out);
   error Describe(const error& reason) const;
 
@@ -176,7 +181,6 @@
   std::optional<instant> hedge_at_;
   bool granted_ = false;
   bool key_settled_ = false;
-  bool caller_gone_ = false;
   /// Strongest statement about any attempt so far.
   run_state ran_ = run_state::kNotRun;
 };
--- /dev/null
+++ b/libs/quarantine/src/quarantine.cc
@@ -0,0 +1,130 @@
+#include "quarantine/quarantine.h"
+
+#include <algorithm>
+
+#include "base/digest.h"
+#include "base/name_table.h"
+
+namespace pomelohall {
+namespace {
+
+constexpr std::size_t kFingerprintBodyBytes = 4096;
+
+constexpr name_table<suspect_state, 3> kStateNames{{{
+    {suspect_state::kSuspect, "suspect"},
+    {suspect_state::kCulprit, "culprit"},
+    {suspect_state::kCleared, "cleared"},
+}}};
+
+}  // namespace
+
+std::string_view SuspectStateName(suspect_state state) {
+  return kStateNames.Name(state);
+}
+
+std::optional<suspect_state> FindSuspectState(std::string_view name) {
+  return kStateNames.Find(name);
+}
+
+quarantine::quarantine(quarantine_options options) : options_(options) {}
+
+quarantine_verdict quarantine::Check(std::string_view service,
+                                     std::uint64_t fingerprint, instant now) {
+  const auto found = FindLive(service, fingerprint, now);
+  if (found == entries_.end()) return quarantine_verdict::kAllow;
+  return found->second.state == suspect_state::kCulprit
+             ? quarantine_verdict::kRefuse
+             : quarantine_verdict::kAlone;
+}
+
+std::vector<suspect_event> quarantine::OnCrash(
+    std::string_view service, std::span<const std::uint64_t> in_flight,
+    instant now) {
+  std::vector<suspect_event> events;
+  for (const auto fingerprint : in_flight) {
+    const auto found = FindLive(service, fingerprint, now);
+    const bool known = found != entries_.end();
+    if (known && found->second.state == suspect_state::kCulprit) continue;
+    const bool alone = in_flight.size() == 1;
+    const bool guilty = alone && (known || options_.culprit_at_first_crash);
+    const auto state =
+        guilty ? suspect_state::kCulprit : suspect_state::kSuspect;
+    Set(service, fingerprint, state, now);
+    events.push_back({std::string(service), fingerprint, state});
+  }
+  return events;
+}
+
+std::vector<suspect_event> quarantine::OnSuccess(std::string_view service,
+                                                 std::uint64_t fingerprint,
+                                                 instant now) {
+  const auto found = FindLive(service, fingerprint, now);
+  if (found == entries_.end() ||
+      found->second.state == suspect_state::kCulprit) {
+    return {};
+  }
+  entries_.erase(found);
+  return {{std::string(service), fingerprint, suspect_state::kCleared}};
+}
+
+void quarantine::Apply(const suspect_event& event, instant now) {
+  const auto found = FindLive(event.service, event.fingerprint, now);
+  if (found != entries_.end() &&
+      found->second.state == suspect_state::kCulprit) {
+    return;
+  }
+  if (event.state != suspect_state::kCleared) {
+    Set(event.service, event.fingerprint, event.state, now);
+  } else if (found != entries_.end()) {
+    entries_.erase(found);
+  }
+}
+
+quarantine::entry_map::iterator quarantine::FindLive(std::string_view service,
+                                                     std::uint64_t fingerprint,
+                                                     instant now) {
+  const auto found = entries_.find(entry_key_view{service, fingerprint});
+  if (found == entries_.end() ||
+      now - found->second.since < options_.lifetime) {
+    return found;
+  }
+  entries_.erase(found);
+  return entries_.end();
+}
+
+void quarantine::Set(std::string_view service, std::uint64_t fingerprint,
+                     suspect_state state, instant now) {
+  const auto found = entries_.find(entry_key_view{service, fingerprint});
+  if (found != entries_.end()) {
+    found->second = {state, now};
+    return;
+  }
+  if (entries_.size() >= options_.max_entries) MakeRoom(now);
+  entries_.emplace(entry_key{std::string(service), fingerprint},
+                   entry{state, now});
+}
+
+void quarantine::MakeRoom(instant now) {
+  std::erase_if(entries_, [this, now](const auto& item) {
+    return now - item.second.since >= options_.lifetime;
+  });
+  if (entries_.size() < options_.max_entries) return;
+  const auto before = [](const auto& left, const auto& right) {
+    const bool left_culprit = left.second.state == suspect_state::kCulprit;
+    const bool right_culprit = right.second.state == suspect_state::kCulprit;
+    if (left_culprit != right_culprit) return right_culprit;
+    return left.second.since < right.second.since;
+  };
+  entries_.erase(std::min_element(entries_.begin(), entries_.end(), before));
+}
+
+std::uint64_t RequestFingerprint(std::string_view method,
+                                 std::string_view target, std::uint64_t length,
+                                 std::string_view body_start) {
+  auto hash = FastHash(method);
+  hash = FastHash(target, hash);
+  hash = FastHash(std::to_string(length), hash);
+  return FastHash(body_start.substr(0, kFingerprintBodyBytes), hash);
+}
+
+}  // namespace pomelohall
--- a/libs/routing/include/routing/server_health.h
+++ b/libs/routing/include/routing/server_health.h
@@ -10,10 +10,14 @@
 
 /// Settings of server_health.
 struct server_health_options {
-  /// Estimate for a server without a sample.
+  /// Estimate for a server without a sample while no other server of the
+  /// service has one.
   duration initial_latency{1'000};
   /// Time constant with which an older, higher latency is forgotten.
   duration latency_decay{5'000'000};
+  /// Time constant with which the estimate of an unused server returns to the
+  /// initial one, so that a server that was slow is tried again.
+  duration unused_decay{30'000'000};
   /// A failed attempt counts with at least this latency, so that a server that
   /// fails fast does not attract calls.
   duration failure_latency{100'000};
@@ -36,8 +40,9 @@
 /// attempts, failures and ejection. Not thread-safe.
 class server_health {
  public:
+  /// @param initial_latency Estimate until the first sample.
   server_health(const server_health_options& options, std::uint64_t incarnation,
-                bool slow_start, instant now);
+                duration initial_latency, bool slow_start, instant now);
 
   std::uint64_t Incarnation() const { return incarnation_; }
   std::uint32_t Outstanding() const { return outstanding_; }
@@ -45,6 +50,9 @@
   /// Returns (latency estimate in us) x (outstanding + 1) / slow-start factor.
   double Score(instant now) const;
 
+  /// Returns the latency estimate.
+  duration Estimate(instant now) const;
+
   /// Returns whether a call may be sent: not ejected, not draining, and not
   /// waiting for the result of a probe.
   bool Usable(instant now) const;
@@ -84,12 +92,14 @@
   void Eject(instant now);
   void Finished();
   void AddSample(double latency_us, instant now);
+  double LevelAt(instant now) const;
   double EstimateAt(instant now) const;
   double SlowStartFactor(instant now) const;
 
   const server_health_options* options_;
   std::uint64_t incarnation_;
   std::uint32_t outstanding_ = 0;
+  double initial_us_;
   double estimate_us_;
   /// Lowest recent level, towards which the estimate decays.
   double level_us_;
--- a/libs/routing/include/routing/server_selector.h
+++ b/libs/routing/include/routing/server_selector.h
@@ -38,7 +38,7 @@
   run_state ran = run_state::kRan;
   bool ok = true;  ///< A whole answer arrived.
   /// Set if `ok` is false and the reason is known.
-  std::optional<error_kind> error;
+  std::optional<error_kind> error = std::nullopt;
 };
 
 /// Selects the backend server for a call: power of two choices by score, local
@@ -47,6 +47,8 @@
 class server_selector {
  public:
   server_selector(selector_options options, std::uint64_t seed);
+  server_selector(const server_selector&) = delete;
+  server_selector& operator=(const server_selector&) = delete;
 
   /// Takes a new snapshot. What was learnt about a server is kept while the
   /// server stays in the snapshot with the same incarnation.
@@ -89,14 +91,17 @@
   };
 
   duration PenaltyOf(const server_entry& entry) const;
-  server_health& HealthOf(const server_entry& entry, instant now);
+  duration TypicalLatency(const service_entry& service, instant now) const;
+  server_health& HealthOf(const server_entry& entry, duration initial,
+                          instant now);
   void DropAbsent();
   choice BestOfTwo(const std::vector<candidate>& candidates,
                    std::span<const std::string> excluded, instant now);
   const candidate* RandomUsable(const std::vector<candidate>& candidates,
                                 std::span<const std::string> excluded,
                                 const candidate* not_this, instant now);
-  std::size_t EjectionRoom(const std::string& service, instant now) const;
+  bool MayEject(const std::string& member, instant now) const;
+  static double ScoreOf(const candidate& server, instant now);
 
   selector_options options_;
   random_source random_;
@@ -105,6 +110,7 @@
   std::unordered_map<std::string, server_health> health_;
   std::map<std::string, service_candidates, std::less<>> services_;
   std::unordered_map<std::string, std::string> service_of_member_;
+  bool first_update_ = true;
 };
 
 }  // namespace pomelohall
