--- a/libs/ledger/include/ledger/key_ledger.h
+++ b/libs/ledger/include/ledger/key_ledger.h
@@ -17,7 +17,7 @@
 namespace pomelohall {
 
 /// Largest body that is kept for resends, in bytes.
-inline constexpr std::size_t kMaxKeptBodyBytes = 64 * 1024;
+inline constexpr std::size_t kMaxKeptBodyBytes = 65'536;
 
 /// A key is forgotten this long after its last change of state.
 inline constexpr duration kKeyLifetime{600'000'000};
@@ -27,7 +27,7 @@
 
 /// Bound of the kept answers, in bytes. With about 300 bytes a key the ledger
 /// stays under 92 MB of the 256 MB that a daemon may use.
-inline constexpr std::size_t kMaxKeptBytes = 32 * 1024 * 1024;
+inline constexpr std::size_t kMaxKeptBytes = 33'554'432;
 
 /// The first answer to a request, kept for resends.
 struct kept_answer {
--- /dev/null
+++ b/libs/ledger/tests/key_ledger_test.cc
@@ -0,0 +1,151 @@
+#include "ledger/key_ledger.h"
+
+#include <catch2/catch.hpp>
+
+namespace pomelohall {
+namespace {
+
+using std::chrono::minutes;
+
+constexpr std::uint64_t kSeed = 11;
+
+class ledger_fixture {
+ protected:
+  ledger_fixture() : ledger_("plant-1.example", 42, kSeed) {}
+
+  grant_verdict Grant(std::string_view holder) {
+    return ledger_.Grant(key_, holder, now_).verdict;
+  }
+
+  instant now_{std::chrono::seconds(100)};
+  key_ledger ledger_;
+  std::string key_ = ledger_.Issue(now_);
+  const kept_answer answer_{.status = 201, .headers = {}, .body = "done"};
+};
+
+}  // namespace
+
+// Guards against a key whose home cannot be found, also with dots in a name.
+TEST_CASE_METHOD(ledger_fixture, "ParseIssuedKey_IssuedKey_GivesItsParts") {
+  const auto parsed = ParseIssuedKey(key_);
+  REQUIRE(parsed);
+  CHECK(parsed->member == "plant-1.example");
+  CHECK(parsed->incarnation == 42);
+  CHECK(ledger_.Issue(now_) != key_);
+}
+
+// Guards against a caller's own key that is taken for an issued one.
+TEST_CASE("ParseIssuedKey_OtherText_GivesNothing") {
+  const std::string random(32, 'a');
+  CHECK(ParseIssuedKey("phk1.m.1." + random));
+  for (const auto& text :
+       {std::string(), std::string("phk1."), "phk2.m.1." + random,
+        "phk1.m." + random, "phk1..1." + random, "phk1.m.x." + random,
+        "phk1.m.1x." + random, "phk1.m.1." + random + "a",
+        "phk1.m.1." + std::string(32, 'G')}) {
+    CHECK_FALSE(ParseIssuedKey(text));
+  }
+}
+
+// Guards against two calls that run with one key.
+TEST_CASE_METHOD(ledger_fixture, "Grant_SecondHolder_IsOutcomeUnknown") {
+  CHECK(Grant("one") == grant_verdict::kGranted);
+  CHECK(Grant("two") == grant_verdict::kOutcomeUnknown);
+  // A repeated question of the same call is not a resend.
+  CHECK(Grant("one") == grant_verdict::kGranted);
+}
+
+// Guards against a resend that runs again or gets another answer.
+TEST_CASE_METHOD(ledger_fixture, "Grant_AfterComplete_GivesFirstAnswer") {
+  Grant("one");
+  ledger_.Complete(key_, "one", answer_, now_);
+  ledger_.Complete(key_, "one", {.status = 500}, now_);
+  const auto again = ledger_.Grant(key_, "two", now_);
+  CHECK(again.verdict == grant_verdict::kFirstAnswer);
+  CHECK(again.answer == answer_);
+}
+
+// Guards against a request that cannot be sent again although it did not run.
+TEST_CASE_METHOD(ledger_fixture, "Grant_AfterRelease_IsGrantedAgain") {
+  Grant("one");
+  ledger_.Release(key_, "one", now_);
+  CHECK(Grant("two") == grant_verdict::kGranted);
+}
+
+// Guards against a delayed or repeated release that frees the key while a later
+// call holds it, so that a third one would run too.
+TEST_CASE_METHOD(ledger_fixture, "Release_RepeatedByOldHolder_IsIgnored") {
+  Grant("one");
+  ledger_.Release(key_, "one", now_);
+  Grant("two");
+  ledger_.Release(key_, "one", now_);
+  CHECK(Grant("three") == grant_verdict::kOutcomeUnknown);
+}
+
+// Guards against a grant that arrives after its own release and then holds the
+// key for a call that has ended.
+TEST_CASE_METHOD(ledger_fixture, "Grant_OvertakenByRelease_IsNotGranted") {
+  ledger_.Release(key_, "one", now_);
+  CHECK(Grant("one") == grant_verdict::kOutcomeUnknown);
+  CHECK(Grant("two") == grant_verdict::kGranted);
+}
+
+// Guards against a late outcome of one call that replaces that of another.
+TEST_CASE_METHOD(ledger_fixture, "Complete_ByOtherHolder_IsIgnored") {
+  Grant("one");
+  ledger_.Complete(key_, "two", answer_, now_);
+  CHECK(Grant("two") == grant_verdict::kOutcomeUnknown);
+}
+
+// Guards against a key that is granted after it was forgotten: its request may
+// have run.
+TEST_CASE_METHOD(ledger_fixture, "Grant_AfterTenMinutes_IsOutcomeUnknown") {
+  Grant("one");
+  now_ += minutes(9);
+  CHECK(Grant("one") == grant_verdict::kGranted);
+  now_ += minutes(1);
+  CHECK(Grant("one") == grant_verdict::kOutcomeUnknown);
+  CHECK(ledger_.KeyCount() == 0);
+}
+
+// Guards against keys of another start of the daemon or of another daemon.
+TEST_CASE_METHOD(ledger_fixture, "Grant_ForeignKey_IsOutcomeUnknown") {
+  key_ledger restarted("plant-1.example", 43, kSeed + 1);
+  CHECK(restarted.Grant(key_, "one", now_).verdict ==
+        grant_verdict::kOutcomeUnknown);
+}
+
+// Guards against an answer that is kept in part.
+TEST_CASE_METHOD(ledger_fixture, "Complete_LargeAnswer_RanNotKept") {
+  Grant("one");
+  auto large = answer_;
+  large.body.assign(kMaxKeptBodyBytes + 1, 'x');
+  ledger_.Complete(key_, "one", large, now_);
+  CHECK(Grant("two") == grant_verdict::kRanNotKept);
+  CHECK(ledger_.KeptBytes() == 0);
+}
+
+// Guards against memory that grows with the traffic, and against an answer that
+// makes room by making its key grantable again.
+TEST_CASE_METHOD(ledger_fixture, "Complete_ManyAnswers_StaysUnderBound") {
+  Grant("first");
+  ledger_.Complete(key_, "first", answer_, now_);
+  auto large = answer_;
+  large.body.assign(kMaxKeptBodyBytes, 'x');
+  for (std::size_t i = 0; i < 2 * kMaxKeptBytes / kMaxKeptBodyBytes; ++i) {
+    const auto key = ledger_.Issue(now_);
+    ledger_.Grant(key, "one", now_);
+    ledger_.Complete(key, "one", large, now_);
+    REQUIRE(ledger_.KeptBytes() <= kMaxKeptBytes);
+  }
+  CHECK(Grant("two") == grant_verdict::kRanNotKept);
+}
+
+// Guards against a table without a bound.
+TEST_CASE_METHOD(ledger_fixture, "Issue_TableFull_ForgetsOldest") {
+  for (std::size_t i = 0; i < kMaxLedgerKeys; ++i) ledger_.Issue(now_);
+  CHECK(ledger_.KeyCount() == kMaxLedgerKeys);
+  CHECK(Grant("one") == grant_verdict::kOutcomeUnknown);
+}
+
+}  // namespace pomelohall
--- a/libs/routing/include/routing/server_health.h
+++ b/libs/routing/include/routing/server_health.h
@@ -103,6 +103,7 @@
   double estimate_us_;
   /// Lowest recent level, towards which the estimate decays.
   double level_us_;
+  bool has_sample_ = false;
   instant sampled_at_;
   instant slow_start_from_;
   bool slow_start_;
--- a/libs/routing/src/server_health.cc
+++ b/libs/routing/src/server_health.cc
@@ -126,7 +126,9 @@
 void server_health::AddSample(double latency_us, instant now) {
   const double decayed = EstimateAt(now);
   const double level = LevelAt(now);
-  level_us_ = level + kLevelWeight * (latency_us - level);
+  level_us_ =
+      has_sample_ ? level + kLevelWeight * (latency_us - level) : latency_us;
+  has_sample_ = true;
   estimate_us_ = std::min(std::max(decayed, latency_us), kMaxEstimateUs);
   sampled_at_ = now;
 }
