Add the HTTP library for control endpoints

Cause: the daemon's local listener, the platform client and the platform stand-in need HTTP/1.1 with small bodies. Ruled out: Beast in public headers, because it adds seconds to each including file; a reply by return value, because watches answer later. Change: asynchronous server with keep-alive, limits, JSON error bodies, chunked streams and a stop that finishes requests in flight; asynchronous client with timeouts and pooled connections.

--- /dev/null
+++ b/libs/http/src/client_call.h
@@ -0,0 +1,60 @@
+#ifndef POMELOHALL_HTTP_CLIENT_CALL_H_
+#define POMELOHALL_HTTP_CLIENT_CALL_H_
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "beast_message.h"
+#include "client_core.h"
+#include "http/http_client.h"
+
+namespace pomelohall {
+
+/// One request of the client, from the connection to the callback.
+class client_call : public std::enable_shared_from_this<client_call> {
+ public:
+  client_call(std::shared_ptr<client_core> core, std::string address,
+              http_request request, instant deadline);
+
+  /// @param on_body Empty unless the body is streamed.
+  void Start(http_client::body_callback on_body, http_client::callback done);
+  void Cancel();
+
+ private:
+  using response_parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void OnConnected(const boost::system::error_code& code);
+  void Write();
+  void OnWritten(const boost::system::error_code& code);
+  void ReadHeader();
+  void OnHeader(const boost::system::error_code& code);
+  void ReadBody();
+  void OnBody(const boost::system::error_code& code);
+  bool DeliverBody();
+  void Succeed();
+  void FailWith(const boost::system::error_code& code);
+  bool MaySendAgain(const boost::system::error_code& code) const;
+  error ErrorOf(const boost::system::error_code& code) const;
+  void Finish(result<http_response> answer);
+
+  std::shared_ptr<client_core> core_;
+  std::string address_;
+  beast_request request_;
+  instant deadline_;
+  http_client::body_callback on_body_;
+  http_client::callback done_;
+  client_connection_ptr connection_;
+  std::optional<response_parser> parser_;
+  bool reused_ = false;
+  bool sent_ = false;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_HTTP_CLIENT_CALL_H_
--- /dev/null
+++ b/libs/http/src/server_session.h
@@ -0,0 +1,86 @@
+#ifndef POMELOHALL_HTTP_SERVER_SESSION_H_
+#define POMELOHALL_HTTP_SERVER_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "beast_message.h"
+#include "http/http_responder.h"
+
+namespace pomelohall {
+
+class server_core;
+
+/// One connection of the server. Handles one request at a time. All members run
+/// on the I/O thread.
+class server_session : public std::enable_shared_from_this<server_session> {
+ public:
+  server_session(boost::asio::ip::tcp::socket socket,
+                 std::shared_ptr<server_core> core);
+
+  void Start() { ReadRequest(); }
+  /// Closes if no request is in flight, otherwise after its answer.
+  void Stop();
+  void Close();
+
+  void Answer(http_response response);
+  void BeginStream(http_response head);
+  void WriteStream(std::string chunk);
+  void FinishStream();
+  void OnStreamClosed(std::function<void()> closed);
+
+  boost::asio::any_io_executor Executor() { return stream_.get_executor(); }
+
+ private:
+  enum class phase { kReading, kHandling, kAnswering, kStreaming, kClosed };
+  using stream_head =
+      boost::beast::http::response<boost::beast::http::empty_body>;
+  using stream_serializer =
+      boost::beast::http::response_serializer<boost::beast::http::empty_body>;
+  using request_parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void ReadRequest();
+  void OnRead(const boost::system::error_code& code);
+  void Handle();
+  void Refuse(const boost::system::error_code& code);
+  bool IsIdle() const;
+  void SendResponse(http_response response);
+  void OnAnswered(const boost::system::error_code& code);
+  void FlushStream();
+  void OnStreamWritten(const boost::system::error_code& code);
+  void CloseAfterPeer();
+  void DiscardInput();
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  boost::asio::steady_timer close_timer_;
+  std::shared_ptr<server_core> core_;
+  std::optional<request_parser> parser_;
+  beast_response response_;
+  std::optional<stream_head> stream_head_;
+  std::optional<stream_serializer> stream_serializer_;
+  std::string stream_queue_;    // chunks not yet handed to the socket
+  std::string stream_writing_;  // chunks being written
+  std::function<void()> stream_closed_;
+  bool stream_busy_ = false;
+  bool stream_finished_ = false;
+  bool keep_alive_ = false;
+  bool head_request_ = false;
+  phase phase_ = phase::kReading;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_HTTP_SERVER_SESSION_H_
--- /dev/null
+++ b/libs/http/tests/http_server_test.cc
@@ -0,0 +1,139 @@
+#include "http/http_server.h"
+
+#include <catch2/catch.hpp>
+
+#include "http_fixture.h"
+
+namespace pomelohall {
+
+// Guards against an error of one connection that reaches another one.
+TEST_CASE_METHOD(http_fixture,
+                 "Server_MalformedRequest_AnswersErrorAndClosesOnlyThatOne") {
+  Listen();
+  REQUIRE(Call({.target = "/a"})->body == "GET /a ");
+  const auto answer = RawExchange("NOT HTTP\r\n\r\n");
+  CHECK(answer.find("HTTP/1.1 400") == 0);
+  CHECK(answer.find("\"error\":\"invalid_request\"") != std::string::npos);
+  CHECK(Call({.target = "/b"})->body == "GET /b ");
+}
+
+TEST_CASE_METHOD(http_fixture, "Server_HeadersAboveLimit_Answers431") {
+  Listen();
+  const auto answer = RawExchange(
+      "GET / HTTP/1.1\r\nLong: " + std::string(17 * 1024, 'x') + "\r\n\r\n");
+  CHECK(answer.find("HTTP/1.1 431") == 0);
+  CHECK(answer.find("headers_too_large") != std::string::npos);
+}
+
+// Guards against a refusal that the sender cannot read, because the connection
+// was reset with its body unread.
+TEST_CASE_METHOD(http_fixture, "Server_BodyAboveLimit_SenderReads413") {
+  Listen({.max_body_bytes = 1000});
+  const auto answer =
+      Call({.method = "POST", .body = std::string(500'000, 'x')});
+  REQUIRE(answer.has_value());
+  CHECK(answer->status == 413);
+  CHECK(ParseErrorResponse(*answer).kind == error_kind::kBodyTooLarge);
+  CHECK(Call({.method = "POST", .target = "/p", .body = "x"})->status == 200);
+}
+
+TEST_CASE_METHOD(http_fixture, "Server_TwoRequestsAtOnce_AnswersBothInOrder") {
+  Listen();
+  const auto answer = RawExchange(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  const auto first = answer.find("GET /1");
+  REQUIRE(first != std::string::npos);
+  CHECK(answer.find("GET /2", first) != std::string::npos);
+}
+
+// Guards against a caller that waits for ever for a forgotten answer.
+TEST_CASE_METHOD(http_fixture, "Server_ResponderDropped_AnswersInternal") {
+  Listen();
+  const auto answer = Call({.target = "/drop"});
+  REQUIRE(answer.has_value());
+  CHECK(ParseErrorResponse(*answer).kind == error_kind::kInternal);
+}
+
+// Guards against a planned stop that cuts off a request in flight
+// (promise graceful_stop).
+TEST_CASE_METHOD(http_fixture, "Server_StopWithRequestInFlight_FinishesIt") {
+  Listen();
+  auto socket = RawConnect();
+  boost::asio::write(socket, boost::asio::buffer(std::string(
+                                 "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")));
+  held_promise_.get_future().wait();
+  const auto stopped = stopped_.get_future();
+  bool stopped_early = true;
+  OnServer([&] { server_->Stop([&] { stopped_.set_value(); }); });
+  OnServer([&] {
+    stopped_early =
+        stopped.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    held_->Send(JsonResponse(200, "kept"));
+  });
+  CHECK_FALSE(stopped_early);
+  const auto answer = ReadAll(socket);
+  CHECK(answer.find("kept") != std::string::npos);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  socket.close();
+  stopped.wait();
+}
+
+// Guards against a stop that waits for connections without a request.
+TEST_CASE_METHOD(http_fixture, "Server_StopWithIdleConnection_ClosesIt") {
+  Listen();
+  REQUIRE(Call({.target = "/a"}).has_value());
+  OnServer([&] { server_->Stop([&] { stopped_.set_value(); }); });
+  stopped_.get_future().wait();
+  const auto answer = Call({.target = "/a"});
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().kind == error_kind::kPeerUnreachable);
+  CHECK(answer.error().ran == run_state::kNotRun);
+}
+
+// Guards against a stop that waits for ever for an open watch.
+TEST_CASE_METHOD(http_fixture, "Server_StopWithOpenStream_EndsItInOrder") {
+  Listen();
+  std::string body;
+  std::optional<result<http_response>> answer;
+  client_.SendStreaming(
+      address_, {.target = "/stream"}, std::chrono::seconds(60),
+      [&](std::string_view piece) {
+        body += piece;
+        return true;
+      },
+      [&](result<http_response> got) { answer = std::move(got); });
+  RunClientUntil([&] { return !body.empty(); });
+  OnServer([&] {
+    stream_->Write("second\n");
+    server_->Stop([&] { stopped_.set_value(); });
+  });
+  RunClientUntil([&] { return answer.has_value(); });
+  CHECK(answer->has_value());
+  CHECK(body == "first\nsecond\n");
+  stopped_.get_future().wait();
+}
+
+// Guards against watches of clients that left: they would be kept for ever.
+TEST_CASE_METHOD(http_fixture, "Server_StreamClientLeaves_ReportsClosed") {
+  Listen();
+  bool done = false;
+  client_.SendStreaming(
+      address_, {.target = "/stream"}, std::chrono::seconds(60),
+      [](std::string_view) { return false; },
+      [&](const result<http_response>&) { done = true; });
+  RunClientUntil([&] { return done; });
+  OnServer([&] { stream_->OnClosed([&] { closed_.set_value(); }); });
+  closed_.get_future().wait();
+}
+
+TEST_CASE_METHOD(http_fixture, "Server_AddressInUse_FailsWithInvalidSettings") {
+  Listen();
+  const auto second =
+      http_server::Listen(client_io_, {.address = address_}, nullptr);
+  REQUIRE_FALSE(second.has_value());
+  CHECK(second.error().kind == error_kind::kInvalidSettings);
+  CHECK(second.error().message.find(address_) != std::string::npos);
+}
+
+}  // namespace pomelohall
