--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -17,8 +17,8 @@
 struct http_client_options {
   /// Idle connections kept for each address.
   std::size_t max_idle_per_address = 8;
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  std::size_t max_header_bytes = 16'384;
+  std::size_t max_body_bytes = 8'388'608;
 };
 
 /// HTTP/1.1 client with pooled keep-alive connections, one request at a time on
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -16,8 +16,8 @@
 struct http_server_options {
   /// "ip:port" to listen on; port 0 takes a free one.
   std::string address = "127.0.0.1:0";
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 64 * 1024;
+  std::size_t max_header_bytes = 16'384;
+  std::size_t max_body_bytes = 65'536;
   /// A connection without a whole request for this long is closed.
   duration idle_timeout = std::chrono::seconds(60);
 };
--- a/libs/http/src/beast_message.cc
+++ b/libs/http/src/beast_message.cc
@@ -17,8 +17,8 @@
 http_headers HeadersOf(const http::fields& fields) {
   http_headers headers;
   for (const auto& field : fields) {
-    headers.emplace_back(std::string(field.name_string()),
-                         std::string(field.value()));
+    headers.emplace_back(field.name_string().to_string(),
+                         field.value().to_string());
   }
   return headers;
 }
@@ -26,8 +26,8 @@
 }  // namespace
 
 http_request FromBeast(beast_request&& message) {
-  return {.method = std::string(message.method_string()),
-          .target = std::string(message.target()),
+  return {.method = message.method_string().to_string(),
+          .target = message.target().to_string(),
           .headers = HeadersOf(message),
           .body = std::move(message.body())};
 }
--- a/libs/http/src/server_session.cc
+++ b/libs/http/src/server_session.cc
@@ -20,8 +20,8 @@
 using boost::asio::ip::tcp;
 
 constexpr unsigned kHttp11 = 11;
-constexpr std::size_t kMaxUnreadStreamBytes = 8 * 1024 * 1024;
-constexpr std::size_t kDiscardBytes = 16 * 1024;
+constexpr std::size_t kMaxUnreadStreamBytes = 8'388'608;
+constexpr std::size_t kDiscardBytes = 16'384;
 // Time for the peer to read the last answer. Closing with unread input resets
 // the connection, and the peer would lose the answer.
 constexpr std::chrono::seconds kCloseDelay{1};
@@ -122,7 +122,7 @@
   DiscardInput();
 }
 
-void server_session::BeginStream(http_response head) {
+void server_session::BeginStream(const http_response& head) {
   if (phase_ != phase::kHandling) return;
   phase_ = phase::kStreaming;
   keep_alive_ = false;
@@ -143,7 +143,7 @@
   if (core_->Stopping()) FinishStream();
 }
 
-void server_session::WriteStream(std::string chunk) {
+void server_session::WriteStream(const std::string& chunk) {
   if (phase_ != phase::kStreaming || stream_finished_ || chunk.empty()) return;
   stream_queue_ += chunk;
   if (stream_queue_.size() > kMaxUnreadStreamBytes) return Close();
--- a/libs/http/src/server_session.h
+++ b/libs/http/src/server_session.h
@@ -35,8 +35,8 @@
   void Close();
 
   void Answer(http_response response);
-  void BeginStream(http_response head);
-  void WriteStream(std::string chunk);
+  void BeginStream(const http_response& head);
+  void WriteStream(const std::string& chunk);
   void FinishStream();
   void OnStreamClosed(std::function<void()> closed);
 
--- a/libs/http/src/session_responder.h
+++ b/libs/http/src/session_responder.h
@@ -24,11 +24,10 @@
   ~session_stream() override { SendFinish(); }
 
   void Write(std::string chunk) override {
-    boost::asio::dispatch(
-        session_->Executor(),
-        [session = session_, chunk = std::move(chunk)]() mutable {
-          session->WriteStream(std::move(chunk));
-        });
+    boost::asio::dispatch(session_->Executor(),
+                          [session = session_, chunk = std::move(chunk)] {
+                            session->WriteStream(chunk);
+                          });
   }
 
   void Finish() override { SendFinish(); }
@@ -66,11 +65,10 @@
 
   std::shared_ptr<http_stream> StartStream(http_response head) override {
     if (!answered_.exchange(true)) {
-      boost::asio::dispatch(
-          session_->Executor(),
-          [session = session_, head = std::move(head)]() mutable {
-            session->BeginStream(std::move(head));
-          });
+      boost::asio::dispatch(session_->Executor(),
+                            [session = session_, head = std::move(head)] {
+                              session->BeginStream(head);
+                            });
     }
     return std::make_shared<session_stream>(session_);
   }
