Add the platform package and the platform stand-in

Cause: acceptance, operators and the daemon need the platform's object API and a stand-in with faults. Ruled out: separate object tables for the fake store and the stand-in, because their version and conflict rules would drift apart. Change: http_object_store, fake_object_store, a shared object_table, and pomelohall-platform-stub with fault modes and call counts. Lost answers affect writes only; a wait is one call.

--- a/libs/http/include/http/http_message.h
+++ b/libs/http/include/http/http_message.h
@@ -38,6 +38,9 @@
 /// Returns the percent-decoded query parameter `name` of a target, or "".
 std::string QueryParameter(std::string_view target, std::string_view name);
 
+/// Replaces the percent-encoded bytes of `text`.
+std::string PercentDecode(std::string_view text);
+
 /// Percent-encodes `text` for use in a path segment or a query value.
 std::string PercentEncode(std::string_view text);
 
--- a/libs/http/include/http/http_responder.h
+++ b/libs/http/include/http/http_responder.h
@@ -37,6 +37,9 @@
 
   virtual void Send(http_response response) = 0;
 
+  /// Closes the connection without an answer, as a server that dies does.
+  virtual void Abort() = 0;
+
   /// Sends status and headers of `head` and leaves the body open.
   virtual std::shared_ptr<http_stream> StartStream(http_response head) = 0;
 };
--- a/libs/http/src/http_message.cc
+++ b/libs/http/src/http_message.cc
@@ -17,22 +17,6 @@
                     });
 }
 
-std::string PercentDecode(std::string_view text) {
-  std::string decoded;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    unsigned value = 0;
-    if (text[i] == '%' && i + 2 < text.size() &&
-        std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16)
-                .ptr == text.data() + i + 3) {
-      decoded.push_back(static_cast<char>(value));
-      i += 2;
-    } else {
-      decoded.push_back(text[i] == '+' ? ' ' : text[i]);
-    }
-  }
-  return decoded;
-}
-
 }  // namespace
 
 std::string_view FindHeader(const http_headers& headers,
@@ -63,6 +47,22 @@
   return {};
 }
 
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16)
+                .ptr == text.data() + i + 3) {
+      decoded.push_back(static_cast<char>(value));
+      i += 2;
+    } else {
+      decoded.push_back(text[i]);
+    }
+  }
+  return decoded;
+}
+
 std::string PercentEncode(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string encoded;
--- a/libs/http/src/session_responder.h
+++ b/libs/http/src/session_responder.h
@@ -63,6 +63,12 @@
 
   void Send(http_response response) override { SendOnce(std::move(response)); }
 
+  void Abort() override {
+    if (answered_.exchange(true)) return;
+    boost::asio::dispatch(session_->Executor(),
+                          [session = session_] { session->Close(); });
+  }
+
   std::shared_ptr<http_stream> StartStream(http_response head) override {
     if (!answered_.exchange(true)) {
       boost::asio::dispatch(session_->Executor(),
--- /dev/null
+++ b/libs/platform/include/platform/object_table.h
@@ -0,0 +1,83 @@
+#ifndef POMELOHALL_PLATFORM_OBJECT_TABLE_H_
+#define POMELOHALL_PLATFORM_OBJECT_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "platform/object_store.h"
+
+namespace pomelohall {
+
+/// Largest spec that the object API stores, in bytes of JSON text.
+inline constexpr std::size_t kMaxObjectBytes = 1'048'576;
+
+/// What happened to an object.
+enum class change_type { kAdded, kModified, kDeleted };
+
+/// A change of one object.
+struct object_change {
+  std::uint64_t version = 0;  ///< Resource version that the change created.
+  change_type type = change_type::kAdded;
+  stored_object object;  ///< After the change; before it if deleted.
+};
+
+/// In-memory objects with resource versions, for the fake store and the
+/// platform stand-in. Every change takes the next resource version, counted
+/// over all objects from 1. Not thread-safe.
+class object_table {
+ public:
+  using listener = std::function<void(const object_change&)>;
+
+  /// `kNotFound` if there is no such object.
+  result<stored_object> Get(const std::string& plural,
+                            const std::string& name) const;
+
+  /// Returns the objects of a plural in the order of their names.
+  std::vector<stored_object> List(const std::string& plural) const;
+
+  /// `kConflict` if it exists, `kBodyTooLarge` above kMaxObjectBytes,
+  /// `kInvalidRequest` without a name.
+  result<stored_object> Create(const stored_object& object);
+
+  /// `kConflict` on another resource version, `kNotFound`, `kBodyTooLarge`,
+  /// `kInvalidRequest` without a resource version.
+  result<stored_object> Update(const stored_object& object);
+
+  /// An empty resource version deletes unconditionally. `kConflict`,
+  /// `kNotFound`. Returns the object as it was.
+  result<stored_object> Delete(const stored_object& object);
+
+  /// Returns the resource version of the latest change, 0 before the first.
+  std::uint64_t Version() const { return version_; }
+
+  /// Returns the changes of a plural after `version`, oldest first, or nothing
+  /// if some of them are no longer kept (the latest 1,000 changes are).
+  std::optional<std::vector<object_change>> ChangesSince(
+      const std::string& plural, std::uint64_t version) const;
+
+  /// Calls `on_change` inside every later change.
+  void SetListener(listener on_change) { listener_ = std::move(on_change); }
+
+ private:
+  using key = std::pair<std::string, std::string>;  // plural, name
+
+  stored_object Store(change_type type, stored_object object);
+  result<stored_object*> FindVersion(const stored_object& object);
+
+  std::map<key, stored_object> objects_;
+  std::deque<object_change> history_;
+  std::uint64_t version_ = 0;
+  listener listener_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_PLATFORM_OBJECT_TABLE_H_
--- /dev/null
+++ b/libs/platform/src/http_object_store.cc
@@ -0,0 +1,310 @@
+#include "platform/http_object_store.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "http/http_client.h"
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kListPage = 250;  // objects in one answer
+// A page of 250 objects of 256 KB; larger objects are never listed.
+constexpr std::size_t kMaxAnswerBytes = 67'108'864;
+constexpr std::uint32_t kMillisPerSecond = 1000;
+
+std::string StatusMessage(const http_response& response) {
+  const json status = json::parse(response.body, nullptr, false);
+  if (status.is_object() && status.contains("message") &&
+      status["message"].is_string()) {
+    return status["message"].get<std::string>();
+  }
+  return "the platform answered with status " + std::to_string(response.status);
+}
+
+error_kind KindOfStatus(int status) {
+  switch (status) {
+    case 404:
+      return error_kind::kNotFound;
+    case 409:
+      return error_kind::kConflict;
+    case 413:
+      return error_kind::kBodyTooLarge;
+    default:
+      // 429 and 5xx: the platform cannot serve the call now.
+      return status >= 500 || status == 429 ? error_kind::kPlatformUnavailable
+                                            : error_kind::kInvalidRequest;
+  }
+}
+
+error FromTransport(const error& failure) {
+  if (failure.kind == error_kind::kInvalidRequest) return failure;
+  return {error_kind::kPlatformUnavailable, failure.message, failure.ran};
+}
+
+// Returns the body of a success.
+result<std::string> BodyOf(result<http_response> answer) {
+  if (!answer) return tl::unexpected(FromTransport(answer.error()));
+  if (answer->status >= 400) {
+    return Fail(KindOfStatus(answer->status), StatusMessage(*answer));
+  }
+  return std::move(answer->body);
+}
+
+// A malformed answer leaves the outcome of a write as open as a lost one.
+result<stored_object> ObjectOf(result<http_response> answer,
+                               const std::string& plural) {
+  const auto body = BodyOf(std::move(answer));
+  if (!body) return tl::unexpected(body.error());
+  auto object = ParseObject(*body, plural);
+  if (!object) {
+    return Fail(error_kind::kPlatformUnavailable, object.error().message);
+  }
+  return object;
+}
+
+tl::unexpected<error> Closed() {
+  return Fail(error_kind::kPlatformUnavailable, "the store was closed");
+}
+
+}  // namespace
+
+class http_object_store::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context& io, http_object_store_options options)
+      : options_(std::move(options)),
+        client_(std::make_unique<http_client>(
+            io, http_client_options{.max_body_bytes = kMaxAnswerBytes})) {}
+
+  // Ends the calls in progress; their callbacks may still hold this object.
+  void Close() { client_.reset(); }
+
+  void Call(std::string method, const std::string& plural,
+            const std::string& name, std::string body, object_callback done) {
+    if (!client_) return done(Closed());
+    client_->Send(options_.address,
+                  {.method = std::move(method),
+                   .target = Path(plural, name),
+                   .headers = {{"Content-Type", "application/json"}},
+                   .body = std::move(body)},
+                  options_.timeout,
+                  [plural, done = std::move(done)](result<http_response> got) {
+                    done(ObjectOf(std::move(got), plural));
+                  });
+  }
+
+  // The answer holds the object or only a status, so its body is not read.
+  void Remove(const stored_object& object, object_callback done) {
+    json options = {{"kind", "DeleteOptions"}};
+    if (!object.resource_version.empty()) {
+      options["preconditions"] = {{"resourceVersion", object.resource_version}};
+    }
+    client_->Send(options_.address,
+                  {.method = "DELETE",
+                   .target = Path(object.plural, object.name),
+                   .headers = {{"Content-Type", "application/json"}},
+                   .body = options.dump()},
+                  options_.timeout,
+                  [object, done = std::move(done)](result<http_response> got) {
+                    const auto body = BodyOf(std::move(got));
+                    if (!body) return done(tl::unexpected(body.error()));
+                    done(object);
+                  });
+  }
+
+  void ListPage(const std::string& plural, std::vector<stored_object> found,
+                const std::string& next, list_callback done) {
+    if (!client_) return done(Closed());
+    std::string target =
+        Path(plural, "") + "?limit=" + std::to_string(kListPage);
+    if (!next.empty()) target += "&continue=" + PercentEncode(next);
+    client_->Send(options_.address, {.target = std::move(target)},
+                  options_.timeout,
+                  [self = shared_from_this(), plural, found = std::move(found),
+                   done = std::move(done)](result<http_response> got) mutable {
+                    self->OnPage(plural, std::move(found), std::move(got),
+                                 std::move(done));
+                  });
+  }
+
+  void Wait(const std::string& plural, const std::string& name,
+            const std::string& known, std::uint32_t timeout_ms,
+            object_callback done) {
+    const std::uint32_t seconds =
+        std::max(1U, (timeout_ms + kMillisPerSecond - 1) / kMillisPerSecond);
+    const auto waiting = std::make_shared<wait>(
+        wait{plural, name, known, "", std::nullopt, std::move(done)});
+    client_->SendStreaming(
+        options_.address, {.target = WatchTarget(*waiting, seconds)},
+        options_.timeout + std::chrono::seconds(seconds),
+        [waiting](std::string_view piece) { return OnPiece(*waiting, piece); },
+        [self = shared_from_this(), waiting](result<http_response> got) {
+          self->OnWatchEnd(*waiting, std::move(got));
+        });
+  }
+
+  std::string Format(const stored_object& object) const {
+    return FormatObject(object, options_.name_space, "");
+  }
+
+ private:
+  struct wait {
+    std::string plural;
+    std::string name;
+    std::string known;
+    std::string line;  // the bytes received of the event
+    std::optional<result<stored_object>> changed;
+    object_callback done;
+  };
+
+  std::string Path(const std::string& plural, const std::string& name) const {
+    const std::string path = CollectionPath(options_.name_space, plural);
+    return name.empty() ? path : path + "/" + PercentEncode(name);
+  }
+
+  // Version 0 starts with the object as it is, so a wait for the existence of
+  // an object that exists already ends at once.
+  std::string WatchTarget(const wait& waiting, std::uint32_t seconds) const {
+    return Path(waiting.plural, "") + "?watch=1&resourceVersion=" +
+           (waiting.known.empty() ? "0" : PercentEncode(waiting.known)) +
+           "&timeoutSeconds=" + std::to_string(seconds) +
+           "&fieldSelector=" + PercentEncode("metadata.name=" + waiting.name);
+  }
+
+  // Returns false once the first event is whole.
+  static bool OnPiece(wait& waiting, std::string_view piece) {
+    waiting.line += piece;
+    const auto end = waiting.line.find('\n');
+    if (end == std::string::npos) return true;
+    waiting.changed = ParseEvent(waiting, waiting.line.substr(0, end));
+    return false;
+  }
+
+  static result<stored_object> ParseEvent(const wait& waiting,
+                                          const std::string& line) {
+    const json event = json::parse(line, nullptr, false);
+    if (!event.is_object() || !event.contains("type") ||
+        !event["type"].is_string() || !event.contains("object")) {
+      return Fail(error_kind::kPlatformUnavailable,
+                  "the platform sent a malformed event");
+    }
+    const auto type = event["type"].get<std::string>();
+    if (type == "DELETED") {
+      return Fail(error_kind::kNotFound, waiting.name + " was deleted");
+    }
+    if (type == "ERROR") {
+      return Fail(error_kind::kPlatformUnavailable, "the watch was ended");
+    }
+    return ParseObject(event["object"].dump(), waiting.plural);
+  }
+
+  void OnWatchEnd(wait& waiting, result<http_response> got) {
+    constexpr int kGone = 410;  // the known version is too old for a watch
+    const bool gone = got && got->status == kGone;
+    if (!gone && !waiting.changed) {
+      if (const auto body = BodyOf(std::move(got)); !body) {
+        return waiting.done(tl::unexpected(body.error()));
+      }
+    }
+    if (waiting.changed) return Remember(waiting, *waiting.changed);
+    const auto cached = known_.find({waiting.plural, waiting.name});
+    if (!gone && cached != known_.end() &&
+        cached->second.resource_version == waiting.known) {
+      return waiting.done(cached->second);
+    }
+    ReadAfterWait(waiting);
+  }
+
+  void ReadAfterWait(const wait& waiting) {
+    Call("GET", waiting.plural, waiting.name, "",
+         [self = shared_from_this(), waiting](result<stored_object> got) {
+           self->Remember(waiting, std::move(got));
+         });
+  }
+
+  // Keeps the object, so that the next wait that ends unchanged needs no read.
+  void Remember(const wait& waiting, result<stored_object> got) {
+    if (got) known_[{waiting.plural, waiting.name}] = *got;
+    waiting.done(std::move(got));
+  }
+
+  void OnPage(const std::string& plural, std::vector<stored_object> found,
+              result<http_response> got, list_callback done) {
+    const auto body = BodyOf(std::move(got));
+    if (!body) return done(tl::unexpected(body.error()));
+    const json list = json::parse(*body, nullptr, false);
+    if (!list.is_object() || !list.contains("items") ||
+        !list["items"].is_array()) {
+      return done(Fail(error_kind::kPlatformUnavailable,
+                       "the list of " + plural + " is malformed"));
+    }
+    for (const json& item : list["items"]) {
+      auto object = ParseObject(item.dump(), plural);
+      if (!object) {
+        return done(
+            Fail(error_kind::kPlatformUnavailable, object.error().message));
+      }
+      found.push_back(std::move(*object));
+    }
+    const json next = list.value("/metadata/continue"_json_pointer, json(""));
+    if (!next.is_string() || next.get<std::string>().empty()) {
+      return done(std::move(found));
+    }
+    ListPage(plural, std::move(found), next.get<std::string>(),
+             std::move(done));
+  }
+
+  http_object_store_options options_;
+  std::unique_ptr<http_client> client_;
+  std::map<std::pair<std::string, std::string>, stored_object> known_;
+};
+
+http_object_store::http_object_store(boost::asio::io_context& io,
+                                     http_object_store_options options)
+    : impl_(std::make_shared<impl>(io, std::move(options))) {}
+
+http_object_store::~http_object_store() { impl_->Close(); }
+
+void http_object_store::Get(const std::string& plural, const std::string& name,
+                            object_callback done) {
+  impl_->Call("GET", plural, name, "", std::move(done));
+}
+
+void http_object_store::List(const std::string& plural, list_callback done) {
+  impl_->ListPage(plural, {}, "", std::move(done));
+}
+
+void http_object_store::Create(const stored_object& object,
+                               object_callback done) {
+  stored_object unversioned = object;
+  unversioned.resource_version.clear();
+  impl_->Call("POST", object.plural, "", impl_->Format(unversioned),
+              std::move(done));
+}
+
+void http_object_store::Update(const stored_object& object,
+                               object_callback done) {
+  impl_->Call("PUT", object.plural, object.name, impl_->Format(object),
+              std::move(done));
+}
+
+void http_object_store::Delete(const stored_object& object,
+                               object_callback done) {
+  impl_->Remove(object, std::move(done));
+}
+
+void http_object_store::WaitForChange(const std::string& plural,
+                                      const std::string& name,
+                                      const std::string& known,
+                                      std::uint32_t timeout_ms,
+                                      object_callback done) {
+  impl_->Wait(plural, name, known, timeout_ms, std::move(done));
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/platform/src/object_json.cc
@@ -0,0 +1,74 @@
+#include "platform/object_json.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kApiVersion = "pomelohall.dev/v1";
+
+constexpr std::array<std::pair<std::string_view, std::string_view>, 5> kKinds{{
+    {"configheads", "ConfigHead"},
+    {"configsections", "ConfigSection"},
+    {"datacentrestatuses", "DataCentreStatus"},
+    {"slowindows", "SloWindow"},
+    {"claims", "Claim"},
+}};
+
+std::string_view KindOf(std::string_view plural) {
+  for (const auto& [name, kind] : kKinds) {
+    if (name == plural) return kind;
+  }
+  return plural;
+}
+
+std::string TextField(const json& value, const char* field) {
+  const auto found = value.find(field);
+  return found != value.end() && found->is_string() ? found->get<std::string>()
+                                                    : "";
+}
+
+}  // namespace
+
+std::string CollectionPath(std::string_view name_space,
+                           std::string_view plural) {
+  return "/apis/" + std::string(kApiVersion) + "/namespaces/" +
+         std::string(name_space) + "/" + std::string(plural);
+}
+
+std::string FormatObject(const stored_object& object,
+                         std::string_view name_space,
+                         std::string_view created) {
+  json metadata = {{"name", object.name}, {"namespace", name_space}};
+  if (!object.resource_version.empty()) {
+    metadata["resourceVersion"] = object.resource_version;
+  }
+  if (!created.empty()) metadata["creationTimestamp"] = created;
+  return json{{"apiVersion", kApiVersion},
+              {"kind", KindOf(object.plural)},
+              {"metadata", std::move(metadata)},
+              {"spec", json::parse(object.spec, nullptr, false)}}
+      .dump();
+}
+
+result<stored_object> ParseObject(std::string_view json_text,
+                                  const std::string& plural) {
+  const json value = json::parse(json_text, nullptr, false);
+  if (!value.is_object() || !value.contains("metadata") ||
+      !value["metadata"].is_object() || !value.contains("spec")) {
+    return Fail(error_kind::kProtocolError,
+                "an object of " + plural + " lacks metadata or spec");
+  }
+  const json& metadata = value["metadata"];
+  return stored_object{
+      .plural = plural,
+      .name = TextField(metadata, "name"),
+      .resource_version = TextField(metadata, "resourceVersion"),
+      .spec = value["spec"].dump()};
+}
+
+}  // namespace pomelohall
