--- /dev/null
+++ b/libs/backend/include/backend/beast_fields.h
@@ -0,0 +1,50 @@
+#ifndef POMELOHALL_BACKEND_BEAST_FIELDS_H_
+#define POMELOHALL_BACKEND_BEAST_FIELDS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "backend/http_message.h"
+
+namespace pomelohall {
+
+// Includes Beast, which costs seconds per file: for source files that talk
+// HTTP only.
+
+/// Largest header of a message, in bytes.
+inline constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+/// Largest piece of a body held in memory, in bytes.
+inline constexpr std::size_t kBodyPartBytes = 64 * 1024;
+
+inline std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+inline boost::beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// Copies the fields of a parsed message, without those that frame the body.
+http_fields CopyFields(const boost::beast::http::fields& fields);
+
+/// Adds `fields` to a message that is to be written.
+void AddFields(const http_fields& fields, boost::beast::http::fields& message);
+
+/// Parses "ip:port"; nothing if it is malformed.
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    std::string_view address);
+
+/// Returns whether the other side closed an idle connection or sent bytes that
+/// no request asked for.
+bool IsStale(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_BACKEND_BEAST_FIELDS_H_
--- /dev/null
+++ b/libs/backend/src/beast_fields.cc
@@ -0,0 +1,59 @@
+#include "backend/beast_fields.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/system/error_code.hpp>
+#include <cerrno>
+#include <limits>
+
+namespace pomelohall {
+
+namespace http = boost::beast::http;
+
+http_fields CopyFields(const http::fields& fields) {
+  http_fields copy;
+  for (const auto& field : fields) {
+    if (field.name() == http::field::content_length ||
+        field.name() == http::field::transfer_encoding) {
+      continue;
+    }
+    copy.push_back({std::string(ToView(field.name_string())),
+                    std::string(ToView(field.value()))});
+  }
+  return copy;
+}
+
+void AddFields(const http_fields& fields, http::fields& message) {
+  for (const auto& field : fields) {
+    message.insert(ToBeast(field.name), ToBeast(field.value));
+  }
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    std::string_view address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const auto port = ParseNumber(address.substr(colon + 1));
+  if (!port || *port > std::numeric_limits<std::uint16_t>::max()) {
+    return std::nullopt;
+  }
+  auto host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);  // IPv6 in brackets.
+  }
+  boost::system::error_code failure;
+  const auto ip = boost::asio::ip::make_address(std::string(host), failure);
+  if (failure) return std::nullopt;
+  return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(*port));
+}
+
+bool IsStale(boost::asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto read =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return read >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/backend/src/client_connection.h
@@ -0,0 +1,30 @@
+#ifndef POMELOHALL_BACKEND_SRC_CLIENT_CONNECTION_H_
+#define POMELOHALL_BACKEND_SRC_CLIENT_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "base/time.h"
+
+namespace pomelohall {
+
+// One TCP connection of a pool, used by one exchange at a time.
+struct client_connection {
+  client_connection(boost::asio::io_context& io, std::string to)
+      : socket(io), address(std::move(to)) {}
+
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  std::string address;
+  instant idle_since;
+};
+
+using client_connection_ptr = std::shared_ptr<client_connection>;
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_BACKEND_SRC_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/libs/backend/src/client_exchange.cc
@@ -0,0 +1,312 @@
+#include "client_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/optional/optional.hpp>
+#include <cassert>
+#include <utility>
+
+#include "backend/beast_fields.h"
+
+namespace pomelohall {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+client_exchange::client_exchange(outgoing_request request,
+                                 exchange_events events,
+                                 const pool_options& options,
+                                 release_callback release)
+    : request_(std::move(request)),
+      events_(std::move(events)),
+      options_(options),
+      release_(std::move(release)),
+      last_progress_(MonotonicNow()) {
+  assert((request_.body != nullptr) ==
+         (request_.head.framing != body_framing::kNone));
+  if (const auto* id = FindField(request_.head.fields, kCallIdField)) {
+    call_id_ = *id;
+  }
+}
+
+void client_exchange::Run(client_connection_ptr connection) {
+  connection_ = std::move(connection);
+  last_progress_ = MonotonicNow();
+  BuildMessage();
+  if (request_.body) {
+    ReadRequestPart();
+  } else {
+    Write({}, false);
+  }
+}
+
+void client_exchange::BuildMessage() {
+  const auto& head = request_.head;
+  message_.version(11);
+  message_.method_string(ToBeast(head.method));
+  message_.target(ToBeast(head.target));
+  AddFields(head.fields, message_);
+  if (head.framing == body_framing::kLength) {
+    message_.content_length(head.length);
+  } else if (head.framing == body_framing::kChunked) {
+    message_.chunked(true);
+  }
+  serializer_.emplace(message_);
+}
+
+void client_exchange::ReadRequestPart() {
+  request_.body->Read([self = shared_from_this()](result<body_part> part) {
+    if (!self->done_) self->OnRequestPart(std::move(part));
+  });
+}
+
+void client_exchange::OnRequestPart(result<body_part> part) {
+  if (!part) {
+    // The sender of the request stopped: the backend server must not take what
+    // it got for the whole body.
+    Fail({part.error().kind, part.error().message, RanSoFar()});
+    return;
+  }
+  Write(*part, !part->last);
+}
+
+void client_exchange::Write(body_part part, bool more) {
+  auto& body = message_.body();
+  // Beast's buffer_body takes a mutable pointer for reading and writing alike.
+  body.data = part.bytes.empty() ? nullptr
+                                 : const_cast<char*>(part.bytes.data());
+  body.size = part.bytes.size();
+  body.more = more;
+  if (!sending_started_) {
+    sending_started_ = true;
+    if (events_.on_sent) events_.on_sent();
+    if (done_) return;
+  }
+  http::async_write(connection_->socket, *serializer_,
+                    [self = shared_from_this()](error_code failure,
+                                                std::size_t bytes) {
+                      if (!self->done_) self->OnWritten(failure, bytes);
+                    });
+}
+
+void client_exchange::OnWritten(error_code failure, std::size_t bytes) {
+  const bool first = written_bytes_ == 0;
+  written_bytes_ += bytes;
+  last_progress_ = MonotonicNow();
+  if (failure && failure != http::error::need_buffer) {
+    // A backend server may answer and close before it read the whole request:
+    // the read decides then.
+    if (first) Lost(failure);
+    return;
+  }
+  request_written_ = !failure;
+  if (first) ReadHeader();
+  if (failure && !done_) ReadRequestPart();
+}
+
+void client_exchange::ReadHeader() {
+  parser_.emplace();
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(boost::none);
+  if (request_.head.method == "HEAD") parser_->skip(true);
+  // Beast reads at most the spare capacity at once, 512 bytes if there is none.
+  connection_->buffer.reserve(kMaxHeaderBytes);
+  http::async_read_header(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        if (!self->done_) self->OnHeader(failure);
+      });
+}
+
+void client_exchange::OnHeader(error_code failure) {
+  if (failure) {
+    Lost(failure);
+    return;
+  }
+  last_progress_ = MonotonicNow();
+  if (parser_->get().result_int() / 100 == 1) {  // For example 100 Continue.
+    ReadHeader();
+    return;
+  }
+  if (!IsOwnAnswer()) {
+    Fail({error_kind::kAnswerMismatch,
+          "the answer carries the call id of another call",
+          run_state::kUnknown});
+    return;
+  }
+  auto head = TakeHead();
+  if (!head) {
+    Fail(head.error());
+    return;
+  }
+  DeliverAnswer(std::move(*head));
+}
+
+bool client_exchange::IsOwnAnswer() const {
+  if (call_id_.empty()) return true;
+  const auto& message = parser_->get();
+  const auto found = message.find(ToBeast(kCallIdField));
+  return found == message.end() || ToView(found->value()) == call_id_;
+}
+
+result<answer_head> client_exchange::TakeHead() const {
+  const auto& message = parser_->get();
+  answer_head head;
+  head.status = static_cast<int>(message.result_int());
+  head.reason = std::string(ToView(message.reason()));
+  head.fields = CopyFields(message);
+  if (const auto length = parser_->content_length()) head.length = *length;
+  if (request_.head.method == "HEAD" || parser_->is_done()) return head;
+  if (parser_->need_eof()) {
+    // Without a length, a body that was cut short looks like a whole one.
+    return tl::unexpected(
+        error(error_kind::kAnswerCutShort,
+              "the answer has neither Content-Length nor chunked encoding",
+              run_state::kUnknown));
+  }
+  head.framing =
+      parser_->chunked() ? body_framing::kChunked : body_framing::kLength;
+  return head;
+}
+
+void client_exchange::DeliverAnswer(answer_head head) {
+  answer_started_ = true;
+  const auto keep_alive = shared_from_this();
+  const auto on_answer = std::move(events_.on_answer);
+  if (head.framing == body_framing::kNone) {
+    Finish(request_written_ && parser_->get().keep_alive());
+    on_answer(incoming_answer{std::move(head), nullptr});
+    return;
+  }
+  parser_->eager(true);
+  on_answer(incoming_answer{std::move(head), keep_alive});
+}
+
+void client_exchange::Read(callback done) {
+  assert(!pending_read_);
+  if (done_) {
+    done(tl::unexpected(error(error_kind::kAnswerCutShort,
+                              "the call was stopped", run_state::kUnknown)));
+    return;
+  }
+  pending_read_ = std::move(done);
+  last_progress_ = MonotonicNow();
+  PreparePart();
+  OnPart(ParseBuffered());
+}
+
+void client_exchange::PreparePart() {
+  if (!part_) {
+    const auto length = parser_->content_length();
+    part_capacity_ = length ? static_cast<std::size_t>(std::min<std::uint64_t>(
+                                  *length, kBodyPartBytes))
+                            : kBodyPartBytes;
+    part_.reset(new char[part_capacity_]);
+  }
+  auto& body = parser_->get().body();
+  body.data = part_.get();
+  body.size = part_capacity_;
+}
+
+std::size_t client_exchange::PartSize() const {
+  return part_capacity_ - parser_->get().body().size;
+}
+
+// Parses what was read together with the header, without a system call.
+error_code client_exchange::ParseBuffered() {
+  error_code failure;
+  auto& buffer = connection_->buffer;
+  while (buffer.size() > 0 && !parser_->is_done() && !failure) {
+    buffer.consume(parser_->put(buffer.data(), failure));
+  }
+  if (failure == http::error::need_more) failure = {};
+  return failure;
+}
+
+void client_exchange::ReadPart() {
+  http::async_read_some(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        if (!self->done_) self->OnPart(failure);
+      });
+}
+
+void client_exchange::OnPart(error_code failure) {
+  if (failure && failure != http::error::need_buffer) {
+    Lost(failure);
+    return;
+  }
+  const body_part part{{part_.get(), PartSize()}, parser_->is_done()};
+  if (part.bytes.empty() && !part.last) {
+    ReadPart();
+    return;
+  }
+  last_progress_ = MonotonicNow();
+  if (part.last) Finish(request_written_ && parser_->get().keep_alive());
+  DeliverPart(part);
+}
+
+void client_exchange::DeliverPart(result<body_part> part) {
+  if (!pending_read_) return;
+  std::exchange(pending_read_, nullptr)(std::move(part));
+}
+
+void client_exchange::Lost(const error_code& failure) {
+  if (answer_started_) {
+    Fail({error_kind::kAnswerCutShort,
+          "the answer stopped early: " + failure.message(),
+          run_state::kUnknown});
+    return;
+  }
+  Fail({options_.lost_error, "the connection broke: " + failure.message(),
+        RanSoFar()});
+}
+
+run_state client_exchange::RanSoFar() const {
+  return written_bytes_ > 0 ? run_state::kUnknown : run_state::kNotRun;
+}
+
+void client_exchange::FailUnsent(error failure) {
+  if (!done_) Fail(std::move(failure));
+}
+
+void client_exchange::Fail(error failure) {
+  const auto keep_alive = shared_from_this();
+  const auto on_answer = std::move(events_.on_answer);
+  Finish(false);
+  if (on_answer) {
+    on_answer(tl::unexpected(std::move(failure)));
+  } else {
+    DeliverPart(tl::unexpected(std::move(failure)));
+  }
+}
+
+void client_exchange::Finish(bool reusable) {
+  done_ = true;
+  events_ = {};
+  if (request_.body && !request_written_) request_.body->Cancel();
+  request_.body = nullptr;
+  if (const auto release = std::move(release_)) {
+    release(std::move(connection_), reusable);
+  }
+}
+
+void client_exchange::Cancel() {
+  if (done_) return;
+  const auto keep_alive = shared_from_this();
+  pending_read_ = nullptr;
+  Finish(false);
+}
+
+void client_exchange::CheckProgress(instant now) {
+  if (!pending_read_ || now - last_progress_ < options_.progress_timeout) {
+    return;
+  }
+  Fail({error_kind::kAnswerCutShort, "the answer made no progress",
+        run_state::kUnknown});
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/backend/src/client_exchange.h
@@ -0,0 +1,100 @@
+#ifndef POMELOHALL_BACKEND_SRC_CLIENT_EXCHANGE_H_
+#define POMELOHALL_BACKEND_SRC_CLIENT_EXCHANGE_H_
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "backend/connection_pool.h"
+#include "backend/exchange.h"
+#include "client_connection.h"
+
+namespace pomelohall {
+
+// One call on a pooled connection: writes the request, reads the answer, and is
+// the source of the answer's body.
+class client_exchange final
+    : public exchange,
+      public body_source,
+      public std::enable_shared_from_this<client_exchange> {
+ public:
+  // Returns the connection to the pool. `reusable` is false if it was closed.
+  using release_callback =
+      std::function<void(client_connection_ptr, bool reusable)>;
+
+  client_exchange(outgoing_request request, exchange_events events,
+                  const pool_options& options, release_callback release);
+
+  // Sends the request on an open connection.
+  void Run(client_connection_ptr connection);
+  // Ends a call that got no connection.
+  void FailUnsent(error failure);
+  // Fails the call if it made no progress since the progress timeout.
+  void CheckProgress(instant now);
+  // True once no event follows any more.
+  bool done() const { return done_; }
+
+  // exchange
+  void Cancel() override;
+  // body_source: the answer's body.
+  void Read(callback done) override;
+
+ private:
+  using parser_type = boost::beast::http::response_parser<
+      boost::beast::http::buffer_body>;
+  using message_type =
+      boost::beast::http::request<boost::beast::http::buffer_body>;
+  using serializer_type = boost::beast::http::request_serializer<
+      boost::beast::http::buffer_body>;
+
+  void BuildMessage();
+  void ReadRequestPart();
+  void OnRequestPart(result<body_part> part);
+  void Write(body_part part, bool more);
+  void OnWritten(boost::system::error_code failure, std::size_t bytes);
+  void ReadHeader();
+  void OnHeader(boost::system::error_code failure);
+  result<answer_head> TakeHead() const;
+  bool IsOwnAnswer() const;
+  void DeliverAnswer(answer_head head);
+  void ReadPart();
+  boost::system::error_code ParseBuffered();
+  void OnPart(boost::system::error_code failure);
+  void PreparePart();
+  std::size_t PartSize() const;
+  void DeliverPart(result<body_part> part);
+  void Fail(error failure);
+  void Lost(const boost::system::error_code& failure);
+  void Finish(bool reusable);
+  run_state RanSoFar() const;
+
+  outgoing_request request_;
+  exchange_events events_;
+  const pool_options options_;
+  release_callback release_;
+  client_connection_ptr connection_;
+  std::string call_id_;
+  message_type message_;
+  std::optional<serializer_type> serializer_;
+  std::optional<parser_type> parser_;
+  std::size_t written_bytes_ = 0;
+  std::unique_ptr<char[]> part_;
+  std::size_t part_capacity_ = 0;
+  callback pending_read_;
+  instant last_progress_;
+  bool sending_started_ = false;
+  bool request_written_ = false;
+  bool answer_started_ = false;
+  bool done_ = false;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_BACKEND_SRC_CLIENT_EXCHANGE_H_
--- /dev/null
+++ b/libs/backend/src/connection_pool.cc
@@ -0,0 +1,331 @@
+#include "backend/connection_pool.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "backend/beast_fields.h"
+#include "client_connection.h"
+#include "client_exchange.h"
+
+namespace pomelohall {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// A process that is dying may still have its listening socket: a connection
+// that survives this long was accepted by a living one.
+constexpr auto kProbeSettleTime = std::chrono::milliseconds(5);
+
+void CloseSocket(asio::ip::tcp::socket& socket) {
+  error_code ignored;
+  socket.close(ignored);
+}
+
+// Tells whether a connection opens and stays open.
+class probe : public std::enable_shared_from_this<probe> {
+ public:
+  probe(asio::io_context& io, std::function<void(bool)> done)
+      : socket_(io), timer_(io), done_(std::move(done)) {}
+
+  void Start(const asio::ip::tcp::endpoint& endpoint, duration timeout) {
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](error_code failure) {
+      if (!failure) self->Finish(false);
+    });
+    socket_.async_connect(endpoint,
+                          [self = shared_from_this()](error_code failure) {
+                            self->OnConnected(failure);
+                          });
+  }
+
+ private:
+  void OnConnected(error_code failure) {
+    if (failure) {
+      Finish(false);
+      return;
+    }
+    timer_.expires_after(kProbeSettleTime);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled) self->Finish(true);
+    });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code cancelled) {
+                         if (!cancelled) self->Finish(false);
+                       });
+  }
+
+  void Finish(bool alive) {
+    if (const auto done = std::exchange(done_, nullptr)) {
+      timer_.cancel();
+      CloseSocket(socket_);
+      done(alive);
+    }
+  }
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::function<void(bool)> done_;
+};
+
+}  // namespace
+
+class connection_pool::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& io, pool_options options)
+      : io_(io), options_(options) {}
+
+  std::shared_ptr<exchange> Start(const std::string& address,
+                                  outgoing_request request,
+                                  exchange_events events);
+  void Probe(const std::string& address, std::function<void(bool)> done);
+  void Sweep(instant now);
+  void CloseIdle();
+  std::size_t OpenConnections(const std::string& address) const;
+
+ private:
+  using exchange_ptr = std::shared_ptr<client_exchange>;
+  struct target {
+    std::vector<client_connection_ptr> idle;  // Last used at the back.
+    std::deque<exchange_ptr> waiting;
+    std::size_t open = 0;
+  };
+  struct connecting {
+    client_connection_ptr connection;
+    instant deadline;
+  };
+
+  bool RunOnIdle(target& target, const exchange_ptr& call);
+  void Connect(const std::string& address, const exchange_ptr& call);
+  void OnConnected(const client_connection_ptr& connection,
+                   const exchange_ptr& call, const error_code& failure);
+  void Run(const exchange_ptr& call, client_connection_ptr connection);
+  void Release(client_connection_ptr connection, bool reusable);
+  void Close(const client_connection_ptr& connection);
+  void ServeWaiting(const std::string& address);
+  void SweepIdle(target& target, instant now);
+
+  asio::io_context& io_;
+  const pool_options options_;
+  std::map<std::string, target> targets_;
+  std::unordered_map<client_exchange*, std::weak_ptr<client_exchange>> running_;
+  std::vector<connecting> connecting_;
+};
+
+std::shared_ptr<exchange> connection_pool::impl::Start(
+    const std::string& address, outgoing_request request,
+    exchange_events events) {
+  auto release = [pool = weak_from_this()](client_connection_ptr connection,
+                                           bool reusable) {
+    if (!connection) return;
+    if (const auto self = pool.lock()) {
+      self->Release(std::move(connection), reusable);
+    } else {
+      CloseSocket(connection->socket);
+    }
+  };
+  auto call = std::make_shared<client_exchange>(
+      std::move(request), std::move(events), options_, std::move(release));
+  auto& target = targets_[address];
+  if (RunOnIdle(target, call)) return call;
+  if (target.open < options_.max_connections) {
+    Connect(address, call);
+  } else {
+    target.waiting.push_back(call);
+  }
+  return call;
+}
+
+bool connection_pool::impl::RunOnIdle(target& target,
+                                      const exchange_ptr& call) {
+  while (!target.idle.empty()) {
+    auto connection = std::move(target.idle.back());
+    target.idle.pop_back();
+    if (IsStale(connection->socket)) {
+      CloseSocket(connection->socket);
+      --target.open;
+      continue;
+    }
+    // Not inline: the starter must have the exchange before its first event.
+    asio::post(io_, [self = shared_from_this(), call, connection] {
+      self->Run(call, connection);
+    });
+    return true;
+  }
+  return false;
+}
+
+void connection_pool::impl::Run(const exchange_ptr& call,
+                                client_connection_ptr connection) {
+  if (call->done()) {
+    Release(std::move(connection), true);
+    return;
+  }
+  running_[call.get()] = call;
+  call->Run(std::move(connection));
+}
+
+void connection_pool::impl::Connect(const std::string& address,
+                                    const exchange_ptr& call) {
+  auto connection = std::make_shared<client_connection>(io_, address);
+  ++targets_[address].open;
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    asio::post(io_, [self = shared_from_this(), connection, call] {
+      self->OnConnected(connection, call, asio::error::invalid_argument);
+    });
+    return;
+  }
+  connecting_.push_back(
+      {connection, MonotonicNow() + options_.connect_timeout});
+  connection->socket.async_connect(
+      *endpoint,
+      [self = shared_from_this(), connection, call](error_code failure) {
+        self->OnConnected(connection, call, failure);
+      });
+}
+
+void connection_pool::impl::OnConnected(const client_connection_ptr& connection,
+                                        const exchange_ptr& call,
+                                        const error_code& failure) {
+  std::erase_if(connecting_, [&](const connecting& entry) {
+    return entry.connection == connection;
+  });
+  if (failure) {
+    Close(connection);
+    call->FailUnsent({options_.connect_error,
+                      "cannot connect to " + connection->address + ": " +
+                          failure.message(),
+                      run_state::kNotRun});
+    ServeWaiting(connection->address);
+    return;
+  }
+  error_code ignored;
+  connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Run(call, connection);
+}
+
+void connection_pool::impl::Release(client_connection_ptr connection,
+                                    bool reusable) {
+  const auto address = connection->address;
+  // Bytes beyond the answer belong to no call.
+  if (reusable && connection->buffer.size() == 0) {
+    connection->idle_since = MonotonicNow();
+    targets_[address].idle.push_back(std::move(connection));
+  } else {
+    Close(connection);
+  }
+  ServeWaiting(address);
+}
+
+void connection_pool::impl::Close(const client_connection_ptr& connection) {
+  CloseSocket(connection->socket);
+  --targets_[connection->address].open;
+}
+
+void connection_pool::impl::ServeWaiting(const std::string& address) {
+  auto& target = targets_[address];
+  while (!target.waiting.empty()) {
+    const auto call = target.waiting.front();
+    if (call->done()) {
+      target.waiting.pop_front();
+      continue;
+    }
+    if (target.idle.empty() && target.open >= options_.max_connections) return;
+    target.waiting.pop_front();
+    if (!RunOnIdle(target, call)) Connect(address, call);
+  }
+}
+
+void connection_pool::impl::Sweep(instant now) {
+  for (auto& [address, target] : targets_) SweepIdle(target, now);
+  std::erase_if(targets_, [](const auto& entry) {
+    return entry.second.open == 0 && entry.second.waiting.empty();
+  });
+  for (const auto& entry : connecting_) {
+    // The connect handler then reports the failure.
+    if (now >= entry.deadline) CloseSocket(entry.connection->socket);
+  }
+  std::vector<exchange_ptr> calls;
+  for (const auto& [key, call] : running_) {
+    if (auto alive = call.lock()) calls.push_back(std::move(alive));
+  }
+  std::erase_if(running_, [](const auto& entry) {
+    const auto call = entry.second.lock();
+    return !call || call->done();
+  });
+  for (const auto& call : calls) call->CheckProgress(now);
+}
+
+void connection_pool::impl::SweepIdle(target& target, instant now) {
+  std::erase_if(target.idle, [&](const client_connection_ptr& connection) {
+    if (now - connection->idle_since < options_.idle_timeout &&
+        !IsStale(connection->socket)) {
+      return false;
+    }
+    CloseSocket(connection->socket);
+    --target.open;
+    return true;
+  });
+}
+
+void connection_pool::impl::CloseIdle() {
+  for (auto& [address, target] : targets_) {
+    for (const auto& connection : target.idle) CloseSocket(connection->socket);
+    target.open -= target.idle.size();
+    target.idle.clear();
+  }
+}
+
+void connection_pool::impl::Probe(const std::string& address,
+                                  std::function<void(bool)> done) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    asio::post(io_, [done = std::move(done)] { done(false); });
+    return;
+  }
+  std::make_shared<probe>(io_, std::move(done))
+      ->Start(*endpoint, options_.connect_timeout);
+}
+
+std::size_t connection_pool::impl::OpenConnections(
+    const std::string& address) const {
+  const auto found = targets_.find(address);
+  return found == targets_.end() ? 0 : found->second.open;
+}
+
+connection_pool::connection_pool(asio::io_context& io, pool_options options)
+    : impl_(std::make_shared<impl>(io, options)) {}
+
+connection_pool::~connection_pool() { impl_->CloseIdle(); }
+
+std::shared_ptr<exchange> connection_pool::Start(const std::string& address,
+                                                 outgoing_request request,
+                                                 exchange_events events) {
+  return impl_->Start(address, std::move(request), std::move(events));
+}
+
+void connection_pool::Probe(const std::string& address,
+                            std::function<void(bool)> done) {
+  impl_->Probe(address, std::move(done));
+}
+
+void connection_pool::Sweep(instant now) { impl_->Sweep(now); }
+
+void connection_pool::CloseIdle() { impl_->CloseIdle(); }
+
+std::size_t connection_pool::OpenConnections(const std::string& address) const {
+  return impl_->OpenConnections(address);
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/backend/src/http_message.cc
@@ -0,0 +1,95 @@
+#include "backend/http_message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cstddef>
+#include <utility>
+
+namespace pomelohall {
+namespace {
+
+bool EqualIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](unsigned char a, unsigned char b) {
+                      return std::tolower(a) == std::tolower(b);
+                    });
+}
+
+bool StartsWithIgnoringCase(std::string_view text, std::string_view prefix) {
+  return text.size() >= prefix.size() &&
+         EqualIgnoringCase(text.substr(0, prefix.size()), prefix);
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// The names listed in the `Connection` fields.
+std::vector<std::string> ConnectionNames(const http_fields& fields) {
+  std::vector<std::string> names;
+  for (const auto& field : fields) {
+    if (!EqualIgnoringCase(field.name, "Connection")) continue;
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      const auto comma = rest.find(',');
+      names.emplace_back(Trim(rest.substr(0, comma)));
+      if (comma == std::string_view::npos) break;
+      rest.remove_prefix(comma + 1);
+    }
+  }
+  return names;
+}
+
+}  // namespace
+
+const std::string* FindField(const http_fields& fields, std::string_view name) {
+  for (const auto& field : fields) {
+    if (EqualIgnoringCase(field.name, name)) return &field.value;
+  }
+  return nullptr;
+}
+
+void SetField(http_fields& fields, std::string_view name, std::string value) {
+  RemoveField(fields, name);
+  fields.push_back({std::string(name), std::move(value)});
+}
+
+void RemoveField(http_fields& fields, std::string_view name) {
+  std::erase_if(fields, [name](const http_field& field) {
+    return EqualIgnoringCase(field.name, name);
+  });
+}
+
+void RemoveHopFields(http_fields& fields) {
+  constexpr std::array<std::string_view, 8> kNames{
+      "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+      "Trailer",    "Transfer-Encoding", "Upgrade",          "Expect"};
+  const auto named = ConnectionNames(fields);
+  std::erase_if(fields, [&](const http_field& field) {
+    const auto matches = [&](std::string_view name) {
+      return EqualIgnoringCase(field.name, name);
+    };
+    return std::any_of(kNames.begin(), kNames.end(), matches) ||
+           std::any_of(named.begin(), named.end(), matches);
+  });
+}
+
+void RemoveMeshFields(http_fields& fields) {
+  std::erase_if(fields, [](const http_field& field) {
+    return StartsWithIgnoringCase(field.name, "Pomelohall-");
+  });
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
+  return value;
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/caller/src/http_server.cc
@@ -0,0 +1,185 @@
+#include "caller/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
+#include <sstream>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "backend/beast_fields.h"
+#include "server_session.h"
+
+namespace pomelohall {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Pause after a failed accept, for example without a free file descriptor.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+// While draining, ended connections are looked for this often.
+constexpr auto kDrainPoll = std::chrono::milliseconds(10);
+
+}  // namespace
+
+class http_server::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& io, http_server_options options, http_handler& handler)
+      : io_(io),
+        options_(std::move(options)),
+        handler_(handler),
+        acceptor_(io),
+        timer_(io) {}
+
+  result<void> Listen();
+  std::string address() const;
+  void Stop(std::function<void()> done);
+  void Abort();
+  void Sweep(instant now);
+  std::size_t OpenConnections() const { return sessions_.size(); }
+
+ private:
+  void Accept();
+  void OnAccepted(const error_code& failure, asio::ip::tcp::socket socket);
+  void CloseListener();
+  void PollDrained();
+  void Forget();
+
+  asio::io_context& io_;
+  const http_server_options options_;
+  http_handler& handler_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer timer_;
+  std::unordered_set<std::shared_ptr<server_session>> sessions_;
+  std::function<void()> on_stopped_;
+};
+
+result<void> http_server::impl::Listen() {
+  const auto endpoint = ParseEndpoint(options_.address);
+  if (!endpoint) {
+    return Fail(error_kind::kInvalidSettings,
+                "\"" + options_.address + "\" is not an address \"ip:port\"");
+  }
+  error_code failure;
+  acceptor_.open(endpoint->protocol(), failure);
+  if (!failure) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
+  }
+  if (!failure) acceptor_.bind(*endpoint, failure);
+  if (!failure) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return Fail(
+        error_kind::kInvalidSettings,
+        "cannot listen on " + options_.address + ": " + failure.message());
+  }
+  Accept();
+  return {};
+}
+
+std::string http_server::impl::address() const {
+  std::ostringstream text;
+  text << acceptor_.local_endpoint();
+  return text.str();
+}
+
+void http_server::impl::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](error_code failure,
+                                  asio::ip::tcp::socket socket) {
+        self->OnAccepted(failure, std::move(socket));
+      });
+}
+
+void http_server::impl::OnAccepted(const error_code& failure,
+                                   asio::ip::tcp::socket socket) {
+  if (!acceptor_.is_open()) return;
+  if (failure) {
+    timer_.expires_after(kAcceptPause);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled && self->acceptor_.is_open()) self->Accept();
+    });
+    return;
+  }
+  const auto session =
+      std::make_shared<server_session>(std::move(socket), options_, handler_);
+  sessions_.insert(session);
+  session->Start();
+  Accept();
+}
+
+void http_server::impl::CloseListener() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  timer_.cancel();
+}
+
+void http_server::impl::Stop(std::function<void()> done) {
+  on_stopped_ = std::move(done);
+  CloseListener();
+  const std::vector<std::shared_ptr<server_session>> sessions(
+      sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) session->Drain();
+  asio::post(io_, [self = shared_from_this()] { self->PollDrained(); });
+}
+
+void http_server::impl::PollDrained() {
+  Forget();
+  if (sessions_.empty()) {
+    if (const auto done = std::exchange(on_stopped_, nullptr)) done();
+    return;
+  }
+  timer_.expires_after(kDrainPoll);
+  timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+    if (!cancelled) self->PollDrained();
+  });
+}
+
+void http_server::impl::Abort() {
+  CloseListener();
+  const auto sessions = std::exchange(sessions_, {});
+  for (const auto& session : sessions) session->Close();
+}
+
+void http_server::impl::Forget() {
+  std::erase_if(sessions_, [](const auto& session) {
+    return session->closed();
+  });
+}
+
+void http_server::impl::Sweep(instant now) {
+  const std::vector<std::shared_ptr<server_session>> sessions(
+      sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) session->Sweep(now);
+  Forget();
+}
+
+http_server::http_server(asio::io_context& io, http_server_options options,
+                         http_handler& handler)
+    : impl_(std::make_shared<impl>(io, std::move(options), handler)) {}
+
+http_server::~http_server() { impl_->Abort(); }
+
+result<void> http_server::Listen() { return impl_->Listen(); }
+
+std::string http_server::address() const { return impl_->address(); }
+
+void http_server::Stop(std::function<void()> done) {
+  impl_->Stop(std::move(done));
+}
+
+void http_server::Abort() { impl_->Abort(); }
+
+void http_server::Sweep(instant now) { impl_->Sweep(now); }
+
+std::size_t http_server::OpenConnections() const {
+  return impl_->OpenConnections();
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/caller/src/server_request.h
@@ -0,0 +1,48 @@
+#ifndef POMELOHALL_CALLER_SRC_SERVER_REQUEST_H_
+#define POMELOHALL_CALLER_SRC_SERVER_REQUEST_H_
+
+#include <memory>
+#include <utility>
+
+#include "caller/incoming_request.h"
+#include "server_session.h"
+
+namespace pomelohall {
+
+// A request of a server session. Outlives its connection if the handler holds
+// it; it then reads and answers nothing.
+class server_request final
+    : public incoming_request,
+      public body_source,
+      public std::enable_shared_from_this<server_request> {
+ public:
+  server_request(request_head head, std::weak_ptr<server_session> session)
+      : head_(std::move(head)),
+        received_at_(MonotonicNow()),
+        session_(std::move(session)) {}
+
+  // incoming_request
+  const request_head& head() const override { return head_; }
+  instant received_at() const override { return received_at_; }
+  std::shared_ptr<body_source> body() override;
+  void Answer(incoming_answer answer,
+              std::function<void(answer_written)> done) override;
+  void Abort() override;
+  void SetDisconnectHandler(std::function<void()> handler) override;
+
+  // body_source
+  void Read(callback done) override;
+  void Cancel() override {}
+
+  // Ends the use of the connection, which goes on to the next request.
+  void Detach() { session_.reset(); }
+
+ private:
+  const request_head head_;
+  const instant received_at_;
+  std::weak_ptr<server_session> session_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_SERVER_REQUEST_H_
--- /dev/null
+++ b/libs/caller/src/server_session.cc
@@ -0,0 +1,471 @@
+#include "server_session.h"
+
+#include <sys/ioctl.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/optional/optional.hpp>
+#include <cassert>
+#include <string_view>
+#include <utility>
+
+#include "backend/beast_fields.h"
+#include "caller/error_answer.h"
+#include "server_request.h"
+
+#include <linux/sockios.h>
+
+namespace pomelohall {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// Bytes of later requests that are read while a request is in progress.
+constexpr std::size_t kMaxPipelinedBytes = kMaxHeaderBytes;
+constexpr std::size_t kWatchBytes = 4096;
+// After an answer that ends the connection, what the caller still sends is read
+// for this time: closing at once resets the connection, and the caller may lose
+// the answer.
+constexpr auto kLingerTime = std::chrono::seconds(2);
+
+}  // namespace
+
+server_session::server_session(asio::ip::tcp::socket socket,
+                               const http_server_options& options,
+                               http_handler& handler)
+    : socket_(std::move(socket)),
+      options_(options),
+      handler_(handler),
+      last_progress_(MonotonicNow()) {}
+
+void server_session::Start() {
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  NextRequest();
+}
+
+void server_session::NextRequest() {
+  last_progress_ = MonotonicNow();
+  if (buffer_.size() > 0) {
+    if (!watching_) ReadHeader();
+  } else {
+    Watch();
+  }
+}
+
+void server_session::Watch() {
+  if (watching_ || closed_ || buffer_.size() >= kMaxPipelinedBytes) return;
+  watching_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kWatchBytes),
+      [self = shared_from_this()](error_code failure, std::size_t bytes) {
+        self->watching_ = false;
+        if (!self->closed_) self->OnWatched(failure, bytes);
+      });
+}
+
+void server_session::OnWatched(error_code failure, std::size_t bytes) {
+  if (failure) {
+    Disconnected();
+    return;
+  }
+  if (linger_until_) {
+    ReadLinger();
+    return;
+  }
+  buffer_.commit(bytes);
+  if (!current_) {
+    ReadHeader();
+  } else {
+    Watch();
+  }
+}
+
+void server_session::Disconnected() {
+  const auto keep_alive = shared_from_this();
+  const auto handler = std::exchange(on_disconnect_, nullptr);
+  Close();
+  if (handler) handler();
+}
+
+void server_session::ReadHeader() {
+  last_progress_ = MonotonicNow();
+  reading_header_ = true;
+  parser_.emplace();
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(boost::none);
+  buffer_.reserve(kMaxHeaderBytes);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        self->reading_header_ = false;
+        if (!self->closed_) self->OnHeader(failure);
+      });
+}
+
+void server_session::OnHeader(error_code failure) {
+  if (failure) {
+    RejectHeader(failure);
+    return;
+  }
+  if (auto fault = CheckHeader()) {
+    keep_alive_ = false;
+    WriteAnswer(ErrorAnswer(*fault), nullptr);
+    return;
+  }
+  StartRequest(TakeHead());
+}
+
+void server_session::RejectHeader(const error_code& failure) {
+  if (failure == http::error::end_of_stream ||
+      failure.category() !=
+          make_error_code(http::error::bad_method).category()) {
+    Close();
+    return;
+  }
+  keep_alive_ = false;
+  const bool too_large = failure == http::error::header_limit ||
+                         failure == http::error::buffer_overflow;
+  WriteAnswer(
+      ErrorAnswer({too_large ? error_kind::kHeadersTooLarge
+                             : error_kind::kInvalidRequest,
+                   "the request header is refused: " + failure.message()}),
+      nullptr);
+}
+
+std::optional<error> server_session::CheckHeader() const {
+  const auto& message = parser_->get();
+  const auto fault = [](std::string text) {
+    return error(error_kind::kInvalidRequest, std::move(text));
+  };
+  if (message.version() != 10 && message.version() != 11) {
+    return fault("the HTTP version is not 1.0 or 1.1");
+  }
+  if (!message.target().starts_with('/')) {
+    return fault("the request target does not start with '/'");
+  }
+  if (message.version() == 11 && message.count(http::field::host) != 1) {
+    return fault("the request does not have exactly one Host field");
+  }
+  // Another coding would leave the end of the body open to interpretation.
+  if (message.count(http::field::transfer_encoding) > 0 &&
+      !parser_->chunked()) {
+    return fault("the transfer encoding is not chunked");
+  }
+  return std::nullopt;
+}
+
+request_head server_session::TakeHead() const {
+  const auto& message = parser_->get();
+  request_head head;
+  head.method = std::string(ToView(message.method_string()));
+  head.target = std::string(ToView(message.target()));
+  head.fields = CopyFields(message);
+  if (parser_->chunked()) {
+    head.framing = body_framing::kChunked;
+  } else if (parser_->content_length().value_or(0) > 0) {
+    head.framing = body_framing::kLength;
+    head.length = *parser_->content_length();
+  }
+  return head;
+}
+
+void server_session::StartRequest(request_head head) {
+  const auto& message = parser_->get();
+  keep_alive_ = message.keep_alive();
+  continue_expected_ =
+      message.version() == 11 &&
+      boost::beast::iequals(message[http::field::expect], "100-continue");
+  parser_->eager(true);
+  current_ =
+      std::make_shared<server_request>(std::move(head), weak_from_this());
+  if (BodyRead()) Watch();
+  handler_.OnRequest(current_);
+}
+
+bool server_session::BodyRead() const { return parser_ && parser_->is_done(); }
+
+void server_session::ReadBody(body_source::callback done) {
+  assert(!pending_read_ && !BodyRead());
+  pending_read_ = std::move(done);
+  last_progress_ = MonotonicNow();
+  if (!part_) {
+    part_capacity_ = kBodyPartBytes;
+    part_.reset(new char[part_capacity_]);
+  }
+  parser_->get().body().data = part_.get();
+  parser_->get().body().size = part_capacity_;
+  if (continue_expected_ && buffer_.size() == 0) {
+    WriteContinue();
+  } else {
+    OnPart(ParseBuffered());
+  }
+}
+
+void server_session::WriteContinue() {
+  continue_expected_ = false;
+  continue_writing_ = true;
+  asio::async_write(socket_, asio::buffer(kContinue),
+                    [self = shared_from_this()](error_code, std::size_t) {
+                      self->continue_writing_ = false;
+                      if (self->closed_) return;
+                      // An answer that had to wait for this write.
+                      if (self->answering_) self->ReadAnswerPart();
+                    });
+  ReadPart();
+}
+
+// Parses what was read together with the header, without a system call.
+boost::system::error_code server_session::ParseBuffered() {
+  error_code failure;
+  while (buffer_.size() > 0 && !parser_->is_done() && !failure) {
+    buffer_.consume(parser_->put(buffer_.data(), failure));
+  }
+  if (failure == http::error::need_more) failure = {};
+  return failure;
+}
+
+void server_session::ReadPart() {
+  buffer_.reserve(kMaxHeaderBytes);
+  http::async_read_some(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        if (!self->closed_) self->OnPart(failure);
+      });
+}
+
+void server_session::OnPart(error_code failure) {
+  last_progress_ = MonotonicNow();
+  if (failure && failure != http::error::need_buffer) {
+    keep_alive_ = false;
+    const bool malformed =
+        failure.category() ==
+            make_error_code(http::error::bad_chunk).category() &&
+        failure != http::error::partial_message;
+    DeliverPart(Fail(
+        malformed ? error_kind::kInvalidRequest : error_kind::kCancelled,
+        "the request body stopped early: " + failure.message()));
+    if (!malformed) Disconnected();
+    return;
+  }
+  const auto size = part_capacity_ - parser_->get().body().size;
+  const body_part part{{part_.get(), size}, parser_->is_done()};
+  if (part.bytes.empty() && !part.last) {
+    ReadPart();
+    return;
+  }
+  if (part.last) Watch();
+  DeliverPart(part);
+}
+
+void server_session::DeliverPart(result<body_part> part) {
+  if (!pending_read_) return;
+  std::exchange(pending_read_, nullptr)(std::move(part));
+}
+
+void server_session::WriteAnswer(incoming_answer answer,
+                                 std::function<void(answer_written)> done) {
+  assert(!answering_);
+  if (closed_) {
+    if (answer.body) answer.body->Cancel();
+    if (done) done({});
+    return;
+  }
+  answering_ = true;
+  answer_ = std::move(answer);
+  if (current_ && current_->head().method == "HEAD") DropAnswerBody();
+  on_answered_ = std::move(done);
+  answer_bytes_ = 0;
+  last_progress_ = MonotonicNow();
+  if (draining_ || !BodyRead()) keep_alive_ = false;
+  BuildMessage(answer_.head);
+  if (!continue_writing_) ReadAnswerPart();
+}
+
+void server_session::DropAnswerBody() {
+  if (answer_.body) answer_.body->Cancel();
+  answer_.body = nullptr;
+  answer_.head.framing = body_framing::kNone;
+}
+
+void server_session::BuildMessage(const answer_head& head) {
+  const auto version = parser_->get().version() == 10 ? 10U : 11U;
+  message_ = {};
+  message_.version(version);
+  message_.result(static_cast<unsigned>(head.status));
+  message_.reason(ToBeast(head.reason));
+  AddFields(head.fields, message_);
+  if (head.framing == body_framing::kChunked) {
+    if (version == 11) {
+      message_.chunked(true);
+    } else {
+      keep_alive_ = false;  // HTTP/1.0: the end of the connection ends it.
+    }
+  } else if (head.length) {
+    message_.content_length(*head.length);
+  }
+  message_.keep_alive(keep_alive_);
+  serializer_.emplace(message_);
+}
+
+void server_session::ReadAnswerPart() {
+  if (!answer_.body) {
+    Write({}, false);
+    return;
+  }
+  const auto waiting = std::make_shared<bool>(true);
+  answer_.body->Read(
+      [self = shared_from_this(), waiting](result<body_part> part) {
+        *waiting = false;
+        if (self->closed_ || !self->answering_) return;
+        self->OnAnswerPart(std::move(part));
+      });
+  // The header is not held back while a slow body is produced.
+  if (*waiting && !serializer_->is_header_done() && !writing_) {
+    Write({}, true);
+  }
+}
+
+void server_session::OnAnswerPart(result<body_part> part) {
+  if (!part) {
+    answer_.body = nullptr;
+    Close();
+    return;
+  }
+  Write(*part, !part->last);
+}
+
+void server_session::Write(body_part part, bool more) {
+  auto& body = message_.body();
+  // Beast's buffer_body takes a mutable pointer for reading and writing alike.
+  body.data = part.bytes.empty() ? nullptr
+                                 : const_cast<char*>(part.bytes.data());
+  body.size = part.bytes.size();
+  body.more = more;
+  answer_bytes_ += part.bytes.size();
+  WriteSome();
+}
+
+void server_session::WriteSome() {
+  writing_ = true;
+  http::async_write_some(
+      socket_, *serializer_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        self->writing_ = false;
+        if (!self->closed_) self->OnWritten(failure);
+      });
+}
+
+void server_session::OnWritten(error_code failure) {
+  last_progress_ = MonotonicNow();
+  if (failure == http::error::need_buffer) {
+    ReadAnswerPart();
+  } else if (failure) {
+    Disconnected();
+  } else if (!serializer_->is_done()) {
+    WriteSome();
+  } else {
+    FinishAnswer();
+  }
+}
+
+void server_session::FinishAnswer() {
+  answer_ = {};
+  on_disconnect_ = nullptr;
+  if (current_) current_->Detach();
+  current_ = nullptr;
+  answering_ = false;
+  if (!keep_alive_ || draining_) Linger();
+  ReportAnswer(true);
+  if (!linger_until_ && !closed_) NextRequest();
+}
+
+void server_session::ReportAnswer(bool whole) {
+  if (const auto done = std::exchange(on_answered_, nullptr)) {
+    done({whole, answer_bytes_});
+  }
+}
+
+void server_session::Linger() {
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  linger_until_ = MonotonicNow() + kLingerTime;
+  // A pending read of the watch continues here.
+  if (!watching_) ReadLinger();
+}
+
+void server_session::ReadLinger() {
+  buffer_.clear();
+  socket_.async_read_some(
+      buffer_.prepare(kWatchBytes),
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        if (self->closed_) return;
+        if (failure) {
+          self->Close();
+        } else {
+          self->ReadLinger();
+        }
+      });
+}
+
+void server_session::Drain() {
+  draining_ = true;
+  const bool idle = !current_ && !answering_ && !reading_header_ &&
+                    !linger_until_ && buffer_.size() == 0;
+  // A request that has arrived but was not read yet is still answered.
+  if (idle && !IsStale(socket_)) Close();
+}
+
+void server_session::Close() {
+  if (closed_) return;
+  const auto keep_alive = shared_from_this();
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  if (const auto body = std::exchange(answer_.body, nullptr)) body->Cancel();
+  if (current_) current_->Detach();
+  current_ = nullptr;
+  on_disconnect_ = nullptr;
+  DeliverPart(Fail(error_kind::kCancelled, "the caller disconnected"));
+  ReportAnswer(false);
+}
+
+// A slow reader empties the socket's send buffer long before the pending write
+// ends, so the fill of that buffer is compared as well.
+bool server_session::WriteMoved() {
+  int unsent = 0;
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent) != 0) return false;
+  return std::exchange(unsent_bytes_, unsent) != unsent;
+}
+
+void server_session::Sweep(instant now) {
+  if (closed_) return;
+  if (linger_until_) {
+    if (now >= *linger_until_) Close();
+    return;
+  }
+  const auto waited = now - last_progress_;
+  if (writing_) {
+    if (WriteMoved()) {
+      last_progress_ = now;
+    } else if (waited >= options_.progress_timeout) {
+      Disconnected();
+    }
+  } else if (pending_read_) {
+    if (waited >= options_.progress_timeout) Disconnected();
+  } else if (reading_header_) {
+    if (waited >= options_.header_timeout) Close();
+  } else if (!current_ && waited >= options_.idle_timeout) {
+    Close();
+  }
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/caller/src/server_session.h
@@ -0,0 +1,123 @@
+#ifndef POMELOHALL_CALLER_SRC_SERVER_SESSION_H_
+#define POMELOHALL_CALLER_SRC_SERVER_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "caller/http_server.h"
+#include "caller/incoming_request.h"
+
+namespace pomelohall {
+
+class server_request;
+
+// One connection of an http_server. Reads a request, gives it to the handler,
+// writes its answer, then goes on to the next one.
+class server_session final
+    : public std::enable_shared_from_this<server_session> {
+ public:
+  server_session(boost::asio::ip::tcp::socket socket,
+                 const http_server_options& options, http_handler& handler);
+
+  void Start();
+  // Answers from now on end the connection; an idle connection is closed.
+  void Drain();
+  void Close();
+  void Sweep(instant now);
+  bool closed() const { return closed_; }
+
+  // Called by the request in progress.
+  void ReadBody(body_source::callback done);
+  void WriteAnswer(incoming_answer answer,
+                   std::function<void(answer_written)> done);
+  void SetDisconnectHandler(std::function<void()> handler) {
+    on_disconnect_ = std::move(handler);
+  }
+
+ private:
+  using parser_type = boost::beast::http::request_parser<
+      boost::beast::http::buffer_body>;
+  using message_type =
+      boost::beast::http::response<boost::beast::http::buffer_body>;
+  using serializer_type = boost::beast::http::response_serializer<
+      boost::beast::http::buffer_body>;
+  using error_code = boost::system::error_code;
+
+  // Waiting for a request, and noticing that the other side has gone.
+  void NextRequest();
+  void Watch();
+  void OnWatched(error_code failure, std::size_t bytes);
+  void ReadHeader();
+  void OnHeader(error_code failure);
+  void RejectHeader(const error_code& failure);
+  std::optional<error> CheckHeader() const;
+  request_head TakeHead() const;
+  void StartRequest(request_head head);
+  void Disconnected();
+
+  // The request's body.
+  void WriteContinue();
+  void ReadPart();
+  error_code ParseBuffered();
+  void OnPart(error_code failure);
+  void DeliverPart(result<body_part> part);
+  bool BodyRead() const;
+
+  // The answer.
+  void DropAnswerBody();
+  void BuildMessage(const answer_head& head);
+  void ReadAnswerPart();
+  void OnAnswerPart(result<body_part> part);
+  void Write(body_part part, bool more);
+  void WriteSome();
+  void OnWritten(error_code failure);
+  void FinishAnswer();
+  void ReportAnswer(bool whole);
+  void Linger();
+  void ReadLinger();
+  bool WriteMoved();
+
+  boost::asio::ip::tcp::socket socket_;
+  const http_server_options& options_;
+  http_handler& handler_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<parser_type> parser_;
+  std::shared_ptr<server_request> current_;
+  std::function<void()> on_disconnect_;
+  bool watching_ = false;
+  bool reading_header_ = false;
+  bool draining_ = false;
+  bool closed_ = false;
+  instant last_progress_;
+
+  std::unique_ptr<char[]> part_;
+  std::size_t part_capacity_ = 0;
+  body_source::callback pending_read_;
+  bool continue_expected_ = false;
+  bool continue_writing_ = false;
+
+  message_type message_;
+  std::optional<serializer_type> serializer_;
+  incoming_answer answer_;
+  std::function<void(answer_written)> on_answered_;
+  std::uint64_t answer_bytes_ = 0;
+  bool answering_ = false;
+  bool writing_ = false;
+  bool keep_alive_ = false;
+  int unsent_bytes_ = 0;
+  std::optional<instant> linger_until_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_SERVER_SESSION_H_
