Add the call service and the backend server stub

Cause: calls have to go from a caller over the entry daemon and the owner daemon to a backend server. Change: libs/caller runs the actions of call_plan at the entry and admission, quarantine and crash detection at the owner; issued keys are kept at their home and claimed over POST /v1/claims (CBOR). pomelohall-backend-stub is a backend server for tests.

--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -5,8 +5,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/optional/optional.hpp>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 #include "backend/beast_fields.h"
@@ -76,8 +76,8 @@
 void client_exchange::Write(body_part part, bool more) {
   auto& body = message_.body();
   // Beast's buffer_body takes a mutable pointer for reading and writing alike.
-  body.data = part.bytes.empty() ? nullptr
-                                 : const_cast<char*>(part.bytes.data());
+  body.data =
+      part.bytes.empty() ? nullptr : const_cast<char*>(part.bytes.data());
   body.size = part.bytes.size();
   body.more = more;
   if (!sending_started_) {
@@ -85,11 +85,11 @@
     if (events_.on_sent) events_.on_sent();
     if (done_) return;
   }
-  http::async_write(connection_->socket, *serializer_,
-                    [self = shared_from_this()](error_code failure,
-                                                std::size_t bytes) {
-                      if (!self->done_) self->OnWritten(failure, bytes);
-                    });
+  http::async_write(
+      connection_->socket, *serializer_,
+      [self = shared_from_this()](error_code failure, std::size_t bytes) {
+        if (!self->done_) self->OnWritten(failure, bytes);
+      });
 }
 
 void client_exchange::OnWritten(error_code failure, std::size_t bytes) {
@@ -110,7 +110,7 @@
 void client_exchange::ReadHeader() {
   parser_.emplace();
   parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(boost::none);
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   if (request_.head.method == "HEAD") parser_->skip(true);
   // Beast reads at most the spare capacity at once, 512 bytes if there is none.
   connection_->buffer.reserve(kMaxHeaderBytes);
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -47,12 +47,12 @@
   void Read(callback done) override;
 
  private:
-  using parser_type = boost::beast::http::response_parser<
-      boost::beast::http::buffer_body>;
+  using parser_type =
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   using message_type =
       boost::beast::http::request<boost::beast::http::buffer_body>;
-  using serializer_type = boost::beast::http::request_serializer<
-      boost::beast::http::buffer_body>;
+  using serializer_type =
+      boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
 
   void BuildMessage();
   void ReadRequestPart();
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -203,10 +203,10 @@
   });
   if (failure) {
     Close(connection);
-    call->FailUnsent({options_.connect_error,
-                      "cannot connect to " + connection->address + ": " +
-                          failure.message(),
-                      run_state::kNotRun});
+    call->FailUnsent(
+        {options_.connect_error,
+         "cannot connect to " + connection->address + ": " + failure.message(),
+         run_state::kNotRun});
     ServeWaiting(connection->address);
     return;
   }
--- a/libs/caller/include/caller/call_service.h
+++ b/libs/caller/include/caller/call_service.h
@@ -31,11 +31,10 @@
   std::size_t owner_running = 0;
   std::uint32_t owner_limit = 0;  ///< Concurrency limit at present.
   std::uint64_t calls = 0;        ///< Calls of callers, ended.
-  std::uint64_t attempts = 0;     ///< Attempts of these calls, retries included.
+  std::uint64_t attempts = 0;  ///< Attempts of these calls, retries included.
   std::uint64_t backend_crashes = 0;
   /// Errors that callers were told, by error_kind.
-  std::array<std::uint64_t,
-             static_cast<std::size_t>(error_kind::kInternal) + 1>
+  std::array<std::uint64_t, static_cast<std::size_t>(error_kind::kInternal) + 1>
       errors{};
 };
 
--- /dev/null
+++ b/libs/caller/src/body_tools.cc
@@ -0,0 +1,56 @@
+#include "body_tools.h"
+
+#include <utility>
+
+namespace pomelohall {
+namespace {
+
+class start_reader : public std::enable_shared_from_this<start_reader> {
+ public:
+  start_reader(std::shared_ptr<body_source> source, std::size_t limit,
+               std::function<void(result<body_start>)> done)
+      : source_(std::move(source)), limit_(limit), done_(std::move(done)) {}
+
+  void Read() {
+    source_->Read([self = shared_from_this()](result<body_part> part) {
+      self->OnPart(std::move(part));
+    });
+  }
+
+ private:
+  void OnPart(result<body_part> part) {
+    if (!part) {
+      done_(tl::unexpected(part.error()));
+      return;
+    }
+    bytes_.append(part->bytes);
+    if (!part->last && bytes_.size() <= limit_) {
+      Read();
+      return;
+    }
+    done_(body_start{std::make_shared<const std::string>(std::move(bytes_)),
+                     part->last});
+  }
+
+  std::shared_ptr<body_source> source_;
+  const std::size_t limit_;
+  std::function<void(result<body_start>)> done_;
+  std::string bytes_;
+};
+
+}  // namespace
+
+void ReadBodyStart(std::shared_ptr<body_source> source, std::size_t limit,
+                   std::function<void(result<body_start>)> done) {
+  std::make_shared<start_reader>(std::move(source), limit, std::move(done))
+      ->Read();
+}
+
+void DrainBody(std::shared_ptr<body_source> source) {
+  auto* const raw = source.get();
+  raw->Read([source = std::move(source)](result<body_part> part) mutable {
+    if (part && !part->last) DrainBody(std::move(source));
+  });
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/caller/src/claim_codec.cc
@@ -0,0 +1,105 @@
+#include "claim_codec.h"
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/name_table.h"
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+constexpr name_table<claim_op, 3> kOpNames{{{
+    {claim_op::kGrant, "grant"},
+    {claim_op::kComplete, "complete"},
+    {claim_op::kRelease, "release"},
+}}};
+
+std::string ToCbor(const json& value) {
+  std::string bytes;
+  json::to_cbor(value, bytes);
+  return bytes;
+}
+
+json AnswerToJson(const kept_answer& answer) {
+  const std::vector<std::uint8_t> body(answer.body.begin(), answer.body.end());
+  return {{"status", answer.status},
+          {"headers", answer.headers},
+          {"body", json::binary(body)},
+          {"complete", answer.complete}};
+}
+
+// Throws json::exception if a field is missing or of another type.
+kept_answer AnswerFromJson(const json& value) {
+  kept_answer answer;
+  value.at("status").get_to(answer.status);
+  value.at("headers").get_to(answer.headers);
+  value.at("complete").get_to(answer.complete);
+  const auto& body = value.at("body").get_binary();
+  answer.body.assign(body.begin(), body.end());
+  return answer;
+}
+
+// Runs a parser that may throw json::exception.
+template <typename Value, typename Parser>
+result<Value> Parse(std::string_view bytes, error_kind kind, Parser parser) {
+  try {
+    return parser(json::from_cbor(bytes.begin(), bytes.end()));
+  } catch (const json::exception& fault) {
+    return Fail(kind, std::string("malformed claim: ") + fault.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeClaim(const claim_request& claim) {
+  json value{{"op", kOpNames.Name(claim.op)},
+             {"key", claim.key},
+             {"holder", claim.holder}};
+  if (claim.op == claim_op::kComplete) {
+    value["answer"] = AnswerToJson(claim.answer);
+  }
+  return ToCbor(value);
+}
+
+result<claim_request> DecodeClaim(std::string_view bytes) {
+  const auto parse = [](const json& value) -> result<claim_request> {
+    claim_request claim;
+    const auto op = kOpNames.Find(value.at("op").get<std::string>());
+    if (!op) return Fail(error_kind::kInvalidRequest, "unknown op of a claim");
+    claim.op = *op;
+    value.at("key").get_to(claim.key);
+    value.at("holder").get_to(claim.holder);
+    if (claim.op == claim_op::kComplete) {
+      claim.answer = AnswerFromJson(value.at("answer"));
+    }
+    return claim;
+  };
+  return Parse<claim_request>(bytes, error_kind::kInvalidRequest, parse);
+}
+
+std::string EncodeGrant(const grant_answer& grant) {
+  json value{{"verdict", GrantVerdictName(grant.verdict)}};
+  if (grant.answer) value["answer"] = AnswerToJson(*grant.answer);
+  return ToCbor(value);
+}
+
+result<grant_answer> DecodeGrant(std::string_view bytes) {
+  const auto parse = [](const json& value) -> result<grant_answer> {
+    grant_answer grant;
+    const auto verdict =
+        FindGrantVerdict(value.at("verdict").get<std::string>());
+    if (!verdict) return Fail(error_kind::kProtocolError, "unknown verdict");
+    grant.verdict = *verdict;
+    if (value.contains("answer")) {
+      grant.answer = AnswerFromJson(value.at("answer"));
+    }
+    return grant;
+  };
+  return Parse<grant_answer>(bytes, error_kind::kProtocolError, parse);
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/caller/src/claim_codec.h
@@ -0,0 +1,33 @@
+#ifndef POMELOHALL_CALLER_SRC_CLAIM_CODEC_H_
+#define POMELOHALL_CALLER_SRC_CLAIM_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "ledger/key_ledger.h"
+
+namespace pomelohall {
+
+// What an entry daemon asks of the home of a key.
+enum class claim_op { kGrant, kComplete, kRelease };
+
+// Body of `POST /v1/claims`. CBOR, because kept answers hold any bytes.
+struct claim_request {
+  claim_op op = claim_op::kGrant;
+  std::string key;
+  std::string holder;
+  kept_answer answer;  // With kComplete.
+};
+
+std::string EncodeClaim(const claim_request& claim);
+// Fails with `kInvalidRequest`.
+result<claim_request> DecodeClaim(std::string_view bytes);
+
+std::string EncodeGrant(const grant_answer& grant);
+// Fails with `kProtocolError`.
+result<grant_answer> DecodeGrant(std::string_view bytes);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_CLAIM_CODEC_H_
--- /dev/null
+++ b/libs/caller/src/claim_exchange.cc
@@ -0,0 +1,76 @@
+#include "claim_exchange.h"
+
+#include <boost/system/error_code.hpp>
+#include <utility>
+
+#include "backend/buffered_body.h"
+#include "body_tools.h"
+
+namespace pomelohall {
+namespace {
+
+constexpr int kOk = 200;
+// A kept answer with its headers.
+constexpr std::size_t kMaxClaimAnswerBytes = 2 * kMaxKeptBodyBytes;
+
+outgoing_request ClaimRequest(const std::string& address, std::string body) {
+  outgoing_request request;
+  request.head.method = "POST";
+  request.head.target = "/v1/claims";
+  request.head.fields = {{"Host", address},
+                         {"Content-Type", "application/cbor"}};
+  request.head.framing = body_framing::kLength;
+  request.head.length = body.size();
+  request.body = std::make_shared<buffered_body>(
+      std::make_shared<const std::string>(std::move(body)));
+  return request;
+}
+
+}  // namespace
+
+claim_exchange::claim_exchange(context_ptr context,
+                               std::function<void(grant_answer)> done)
+    : context_(std::move(context)),
+      done_(std::move(done)),
+      timer_(context_->io) {}
+
+void claim_exchange::Start(const std::string& address,
+                           const claim_request& claim) {
+  timer_.expires_after(context_->options.claim_timeout);
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled) self->Finish({.verdict = grant_verdict::kUnavailable});
+      });
+  call_ =
+      context_->peers.Start(address, ClaimRequest(address, EncodeClaim(claim)),
+                            {.on_sent = {},
+                             .on_answer = [self = shared_from_this()](
+                                              result<incoming_answer> answer) {
+                               self->OnAnswer(std::move(answer));
+                             }});
+}
+
+void claim_exchange::OnAnswer(result<incoming_answer> answer) {
+  if (!answer || answer->head.status != kOk || !answer->body) {
+    Finish({.verdict = grant_verdict::kUnavailable});
+    return;
+  }
+  ReadBodyStart(answer->body, kMaxClaimAnswerBytes,
+                [self = shared_from_this()](result<body_start> body) {
+                  auto grant = body && body->whole
+                                   ? DecodeGrant(*body->bytes)
+                                   : Fail(error_kind::kProtocolError, "");
+                  self->Finish(std::move(grant).value_or(
+                      grant_answer{.verdict = grant_verdict::kUnavailable}));
+                });
+}
+
+void claim_exchange::Finish(grant_answer answer) {
+  const auto done = std::exchange(done_, nullptr);
+  if (!done) return;
+  timer_.cancel();
+  call_->Cancel();  // Without effect once the answer was read.
+  done(std::move(answer));
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/caller/src/claim_exchange.h
@@ -0,0 +1,37 @@
+#ifndef POMELOHALL_CALLER_SRC_CLAIM_EXCHANGE_H_
+#define POMELOHALL_CALLER_SRC_CLAIM_EXCHANGE_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "backend/exchange.h"
+#include "claim_codec.h"
+#include "service_context.h"
+
+namespace pomelohall {
+
+// One claim sent to the home daemon of a key. Any failure is reported as
+// `kUnavailable`; a claim that took effect without an answer is then undone by
+// a release of the same holder.
+class claim_exchange : public std::enable_shared_from_this<claim_exchange> {
+ public:
+  claim_exchange(context_ptr context, std::function<void(grant_answer)> done);
+
+  // `address` is the forward address of the home.
+  void Start(const std::string& address, const claim_request& claim);
+
+ private:
+  void OnAnswer(result<incoming_answer> answer);
+  void Finish(grant_answer answer);
+
+  const context_ptr context_;
+  std::function<void(grant_answer)> done_;
+  std::shared_ptr<exchange> call_;
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_CLAIM_EXCHANGE_H_
--- a/libs/caller/src/http_server.cc
+++ b/libs/caller/src/http_server.cc
@@ -90,11 +90,10 @@
 }
 
 void http_server::impl::Accept() {
-  acceptor_.async_accept(
-      [self = shared_from_this()](error_code failure,
-                                  asio::ip::tcp::socket socket) {
-        self->OnAccepted(failure, std::move(socket));
-      });
+  acceptor_.async_accept([self = shared_from_this()](
+                             error_code failure, asio::ip::tcp::socket socket) {
+    self->OnAccepted(failure, std::move(socket));
+  });
 }
 
 void http_server::impl::OnAccepted(const error_code& failure,
@@ -123,8 +122,8 @@
 void http_server::impl::Stop(std::function<void()> done) {
   on_stopped_ = std::move(done);
   CloseListener();
-  const std::vector<std::shared_ptr<server_session>> sessions(
-      sessions_.begin(), sessions_.end());
+  const std::vector<std::shared_ptr<server_session>> sessions(sessions_.begin(),
+                                                              sessions_.end());
   for (const auto& session : sessions) session->Drain();
   asio::post(io_, [self = shared_from_this()] { self->PollDrained(); });
 }
@@ -148,14 +147,13 @@
 }
 
 void http_server::impl::Forget() {
-  std::erase_if(sessions_, [](const auto& session) {
-    return session->closed();
-  });
+  std::erase_if(sessions_,
+                [](const auto& session) { return session->closed(); });
 }
 
 void http_server::impl::Sweep(instant now) {
-  const std::vector<std::shared_ptr<server_session>> sessions(
-      sessions_.begin(), sessions_.end());
+  const std::vector<std::shared_ptr<server_session>> sessions(sessions_.begin(),
+                                                              sessions_.end());
   for (const auto& session : sessions) session->Sweep(now);
   Forget();
 }
--- /dev/null
+++ b/libs/caller/src/observed_body.h
@@ -0,0 +1,59 @@
+#ifndef POMELOHALL_CALLER_SRC_OBSERVED_BODY_H_
+#define POMELOHALL_CALLER_SRC_OBSERVED_BODY_H_
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "backend/body_source.h"
+
+namespace pomelohall {
+
+// Passes a body on and shows its parts to an observer first.
+class observed_body final : public body_source,
+                            public std::enable_shared_from_this<observed_body> {
+ public:
+  // Passes a part on by calling the second argument, at once or later. That
+  // argument does nothing once the reader has stopped.
+  using part_observer = std::function<void(result<body_part>, callback)>;
+  // Called when the reader stops early. `reading` tells that a part is being
+  // read, which the part observer gets although the reader does not.
+  using cancel_observer = std::function<void(bool reading)>;
+
+  observed_body(std::shared_ptr<body_source> inner, part_observer on_part,
+                cancel_observer on_cancel)
+      : inner_(std::move(inner)),
+        on_part_(std::move(on_part)),
+        on_cancel_(std::move(on_cancel)) {}
+
+  void Read(callback done) override {
+    pending_ = std::move(done);
+    reading_ = true;
+    inner_->Read([self = shared_from_this()](result<body_part> part) {
+      self->reading_ = false;
+      self->on_part_(std::move(part), [self](result<body_part> passed) {
+        if (const auto pending = std::exchange(self->pending_, nullptr)) {
+          pending(std::move(passed));
+        }
+      });
+    });
+  }
+
+  void Cancel() override {
+    pending_ = nullptr;
+    if (const auto on_cancel = std::exchange(on_cancel_, nullptr)) {
+      on_cancel(reading_);
+    }
+  }
+
+ private:
+  std::shared_ptr<body_source> inner_;
+  part_observer on_part_;
+  cancel_observer on_cancel_;
+  callback pending_;
+  bool reading_ = false;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_OBSERVED_BODY_H_
--- /dev/null
+++ b/libs/caller/src/owner.h
@@ -0,0 +1,86 @@
+#ifndef POMELOHALL_CALLER_SRC_OWNER_H_
+#define POMELOHALL_CALLER_SRC_OWNER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "backend/exchange.h"
+#include "model/configuration.h"
+#include "policy/admission.h"
+#include "service_context.h"
+
+namespace pomelohall {
+
+class owner_task;
+
+// A call for the backend server of this VM.
+struct owner_request {
+  outgoing_request request;  // As the backend server gets it.
+  std::string service;
+  std::string work_class;
+  class_kind kind = class_kind::kLookup;
+  std::uint64_t fingerprint = 0;
+  instant deadline;
+};
+
+// The owner side of a daemon: decides when a call goes to the backend server,
+// and finds out whether a lost call was part of a crash. Part of the context.
+class owner {
+ public:
+  explicit owner(service_context& context);
+
+  // Takes a call. error::ran of a failure says whether it ran.
+  std::shared_ptr<exchange> Start(const context_ptr& context,
+                                  owner_request request,
+                                  exchange_events events);
+
+  // To be called when the announcement of the backend server has changed.
+  void OnBackendChanged();
+  std::size_t InFlight() const { return tasks_.size(); }
+  const class admission& admission() const { return admission_; }
+
+  // Cancels all calls.
+  void Abort();
+
+  // For tasks.
+  result<quarantine_verdict> Accept(const owner_request& request) const;
+  void Submit(const admission_request& request);
+  void Finish(ticket id, duration latency, bool ok);
+  void Cancel(ticket id);
+  void Forget(ticket id) { tasks_.erase(id); }
+  // Finds out whether the backend server crashed while `task` ran, reports it
+  // if so, then calls `done`.
+  void CheckCrash(const context_ptr& context,
+                  const std::shared_ptr<owner_task>& task,
+                  std::function<void()> done);
+
+ private:
+  struct crash_check {
+    std::string service;
+    std::vector<std::shared_ptr<owner_task>> group;
+    std::vector<std::function<void()>> waiting;
+  };
+
+  void Apply(const std::vector<admission_decision>& decisions);
+  void ScheduleTick();
+  void OnProbed(bool alive);
+  void ReportCrash(const crash_check& check);
+
+  service_context& context_;
+  class admission admission_;
+  std::unordered_map<ticket, std::shared_ptr<owner_task>> tasks_;
+  std::unique_ptr<crash_check> check_;
+  boost::asio::steady_timer tick_;
+  bool tick_scheduled_ = false;
+  ticket next_ticket_ = 0;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_OWNER_H_
--- a/libs/caller/src/server_session.cc
+++ b/libs/caller/src/server_session.cc
@@ -1,5 +1,6 @@
 #include "server_session.h"
 
+#include <linux/sockios.h>
 #include <sys/ioctl.h>
 
 #include <algorithm>
@@ -9,8 +10,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/optional/optional.hpp>
 #include <cassert>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -18,8 +19,6 @@
 #include "caller/error_answer.h"
 #include "server_request.h"
 
-#include <linux/sockios.h>
-
 namespace pomelohall {
 
 namespace http = boost::beast::http;
@@ -101,7 +100,7 @@
   reading_header_ = true;
   parser_.emplace();
   parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(boost::none);
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   buffer_.reserve(kMaxHeaderBytes);
   http::async_read_header(
       socket_, buffer_, *parser_,
@@ -250,9 +249,9 @@
         failure.category() ==
             make_error_code(http::error::bad_chunk).category() &&
         failure != http::error::partial_message;
-    DeliverPart(Fail(
-        malformed ? error_kind::kInvalidRequest : error_kind::kCancelled,
-        "the request body stopped early: " + failure.message()));
+    DeliverPart(
+        Fail(malformed ? error_kind::kInvalidRequest : error_kind::kCancelled,
+             "the request body stopped early: " + failure.message()));
     if (!malformed) Disconnected();
     return;
   }
@@ -346,8 +345,8 @@
 void server_session::Write(body_part part, bool more) {
   auto& body = message_.body();
   // Beast's buffer_body takes a mutable pointer for reading and writing alike.
-  body.data = part.bytes.empty() ? nullptr
-                                 : const_cast<char*>(part.bytes.data());
+  body.data =
+      part.bytes.empty() ? nullptr : const_cast<char*>(part.bytes.data());
   body.size = part.bytes.size();
   body.more = more;
   answer_bytes_ += part.bytes.size();
--- a/libs/caller/src/server_session.h
+++ b/libs/caller/src/server_session.h
@@ -45,12 +45,12 @@
   }
 
  private:
-  using parser_type = boost::beast::http::request_parser<
-      boost::beast::http::buffer_body>;
+  using parser_type =
+      boost::beast::http::request_parser<boost::beast::http::buffer_body>;
   using message_type =
       boost::beast::http::response<boost::beast::http::buffer_body>;
-  using serializer_type = boost::beast::http::response_serializer<
-      boost::beast::http::buffer_body>;
+  using serializer_type =
+      boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
   using error_code = boost::system::error_code;
 
   // Waiting for a request, and noticing that the other side has gone.
--- /dev/null
+++ b/libs/caller/src/service_context.h
@@ -0,0 +1,60 @@
+#ifndef POMELOHALL_CALLER_SRC_SERVICE_CONTEXT_H_
+#define POMELOHALL_CALLER_SRC_SERVICE_CONTEXT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "backend/connection_pool.h"
+#include "caller/call_service.h"
+#include "caller/call_service_options.h"
+#include "ledger/key_ledger.h"
+#include "policy/retry_policy.h"
+#include "quarantine/quarantine.h"
+#include "routing/server_selector.h"
+#include "routing/snapshot.h"
+
+namespace pomelohall {
+
+class owner;
+class key_home;
+
+// What all calls of one daemon share. Calls keep it alive, so that their last
+// events are safe after the call_service was destroyed.
+struct service_context {
+  service_context(boost::asio::io_context& io, call_service_options settings);
+
+  void SetSnapshot(snapshot_ptr next);
+  // Returns the class called `name` in the current snapshot, or null.
+  const class_entry* FindClassByName(std::string_view name) const;
+  std::string NewCallId();
+  void Emit(const std::vector<suspect_event>& events) const;
+
+  boost::asio::io_context& io;
+  const call_service_options options;
+  snapshot_ptr current;
+  std::unordered_map<std::string_view, const class_entry*> classes;
+  server_selector selector;
+  retry_policy retries;
+  key_ledger ledger;
+  class quarantine quarantine;
+  connection_pool peers;
+  connection_pool backend;
+  std::shared_ptr<owner> owner_side;  // Set right after construction.
+  std::shared_ptr<key_home> keys;     // Set right after construction.
+  bool draining = false;
+  std::size_t entry_calls = 0;  // Calls of callers in progress.
+  std::uint64_t next_call = 0;
+  call_service_status counters;
+};
+
+using context_ptr = std::shared_ptr<service_context>;
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_SRC_SERVICE_CONTEXT_H_
--- /dev/null
+++ b/tests/http/mesh_fixture.h
@@ -0,0 +1,100 @@
+#ifndef POMELOHALL_TESTS_HTTP_MESH_FIXTURE_H_
+#define POMELOHALL_TESTS_HTTP_MESH_FIXTURE_H_
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <cstddef>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <type_traits>
+#include <vector>
+
+#include "backend_stub/stub_server.h"
+#include "caller/call_service.h"
+
+namespace pomelohall {
+
+/// Daemons and their backend servers on one I/O thread, with this
+/// configuration: service "shop"; classes "look" (lookup, /look), "file"
+/// (download, /file) and "order" (transaction, /order).
+class mesh_fixture {
+ public:
+  struct node {
+    std::unique_ptr<stub_server> stub;
+    std::unique_ptr<call_service> service;
+    backend_view view;
+    std::string caller_address;
+    std::string forward_address;
+    backend_state published = backend_state::kNone;
+  };
+
+  mesh_fixture();
+  ~mesh_fixture();
+  mesh_fixture(const mesh_fixture&) = delete;
+  mesh_fixture& operator=(const mesh_fixture&) = delete;
+
+  /// Adds a daemon without a backend server; returns its index.
+  std::size_t AddDaemon(
+      const std::function<void(call_service_options&)>& adjust = nullptr);
+  /// Adds a backend server beside daemon `index`.
+  void AddBackend(std::size_t index, stub_options options = {});
+  /// Announces a server that the test runs itself.
+  void SetBackend(std::size_t index, const std::string& address,
+                  std::uint32_t slots = 20);
+  /// Closes a backend server and all its connections, as a crash does.
+  void CrashBackend(std::size_t index);
+  /// Changes the announced state of a backend server.
+  void SetState(std::size_t index, backend_state state);
+  /// Gives all daemons a snapshot of the present members.
+  void Publish();
+
+  /// Runs `action` on the I/O thread and returns its result.
+  template <typename Action>
+  auto OnIo(Action action) {
+    std::packaged_task<std::invoke_result_t<Action>()> task(std::move(action));
+    auto done = task.get_future();
+    boost::asio::post(io_, [&task] { task(); });
+    return done.get();
+  }
+
+  /// Waits until `condition`, evaluated on the I/O thread, holds. The time is
+  /// bounded by the test's own limit only.
+  void WaitUntil(const std::function<bool()>& condition);
+
+  node& at(std::size_t index) { return *nodes_[index]; }
+  const std::string& caller(std::size_t index) {
+    return nodes_[index]->caller_address;
+  }
+  call_service_status Status(std::size_t index);
+  boost::asio::io_context& io() { return io_; }
+  /// Observations of all daemons so far.
+  std::vector<call_observation> observations();
+  /// Quarantine events of all daemons so far.
+  std::vector<suspect_event> suspects();
+  /// Whether quarantine events reach the other daemons. Default: true.
+  void set_gossip(bool gossip) { gossip_ = gossip; }
+
+ private:
+  std::string NameOf(std::size_t index) const;
+  void Gossip(std::size_t from, const suspect_event& event);
+
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::vector<std::unique_ptr<node>> nodes_;
+  std::mutex mutex_;
+  std::vector<call_observation> observations_;
+  std::vector<suspect_event> suspects_;
+  bool gossip_ = true;
+  std::uint64_t version_ = 0;
+  std::thread thread_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_TESTS_HTTP_MESH_FIXTURE_H_
--- /dev/null
+++ b/tests/http/raw_client.cc
@@ -0,0 +1,99 @@
+#include "raw_client.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
+#include <limits>
+
+#include "backend/beast_fields.h"
+
+namespace pomelohall {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+std::string raw_answer::Field(std::string_view name) const {
+  const auto* value = FindField(fields, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+raw_client::raw_client(const std::string& address) : socket_(io_) {
+  socket_.connect(*ParseEndpoint(address));
+}
+
+void raw_client::Send(std::string_view bytes) {
+  error_code ignored;  // A server that refuses may close while this is sent.
+  boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+}
+
+void raw_client::SendRequest(std::string_view method, std::string_view target,
+                             std::string_view fields, std::string_view body) {
+  std::string text;
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  text.append("Host: test\r\n").append(fields);
+  if (!body.empty()) {
+    text.append("Content-Length: ")
+        .append(std::to_string(body.size()))
+        .append("\r\n");
+  }
+  text.append("\r\n").append(body);
+  Send(text);
+}
+
+raw_answer raw_client::Read(bool to_head) {
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.skip(to_head);
+  error_code failure;
+  http::read(socket_, buffer_, parser, failure);
+  raw_answer answer;
+  if (!parser.is_header_done()) return answer;
+  answer.status = static_cast<int>(parser.get().result_int());
+  for (const auto& field : parser.get()) {
+    answer.fields.push_back({std::string(ToView(field.name_string())),
+                             std::string(ToView(field.value()))});
+  }
+  answer.body = parser.get().body();
+  answer.whole = !failure;
+  return answer;
+}
+
+raw_answer raw_client::Call(std::string_view method, std::string_view target,
+                            std::string_view fields, std::string_view body) {
+  SendRequest(method, target, fields, body);
+  return Read(method == "HEAD");
+}
+
+std::string raw_client::ReadBytes(std::size_t count) {
+  std::string bytes = boost::beast::buffers_to_string(buffer_.data());
+  bytes.resize(std::min(bytes.size(), count));
+  buffer_.consume(bytes.size());
+  std::string rest(count - bytes.size(), '\0');
+  error_code ended;
+  rest.resize(boost::asio::read(socket_, boost::asio::buffer(rest), ended));
+  return bytes + rest;
+}
+
+bool raw_client::WaitForClose() {
+  std::array<char, 4096> bytes{};
+  error_code failure;
+  while (!failure) socket_.read_some(boost::asio::buffer(bytes), failure);
+  return true;
+}
+
+void raw_client::Close() {
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void raw_client::SetReceiveBuffer(int bytes) {
+  socket_.set_option(boost::asio::socket_base::receive_buffer_size(bytes));
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/tests/http/scripted_server.h
@@ -0,0 +1,48 @@
+#ifndef POMELOHALL_TESTS_HTTP_SCRIPTED_SERVER_H_
+#define POMELOHALL_TESTS_HTTP_SCRIPTED_SERVER_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace pomelohall {
+
+/// A backend server that answers with bytes of the test's choice, one
+/// connection after the other, on its own thread. For faults that a correct
+/// server does not show.
+class scripted_server {
+ public:
+  /// Returns the bytes to answer to a request header. The connection is closed
+  /// after them.
+  using script = std::function<std::string(const std::string& header)>;
+
+  explicit scripted_server(script answer);
+  ~scripted_server();
+  scripted_server(const scripted_server&) = delete;
+  scripted_server& operator=(const scripted_server&) = delete;
+
+  std::string address() const;
+  /// Number of requests whose header arrived.
+  int requests() const { return requests_; }
+
+ private:
+  void Serve();
+  void ServeOne(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  script answer_;
+  std::atomic<int> requests_{0};
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+/// Returns the value of a field in a request header, empty if it is absent.
+std::string HeaderValue(const std::string& header, const std::string& name);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_TESTS_HTTP_SCRIPTED_SERVER_H_
--- /dev/null
+++ b/tools/backend_stub/include/backend_stub/stub_server.h
@@ -0,0 +1,89 @@
+#ifndef POMELOHALL_BACKEND_STUB_STUB_SERVER_H_
+#define POMELOHALL_BACKEND_STUB_STUB_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "caller/http_server.h"
+#include "caller/incoming_request.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace pomelohall {
+
+/// Settings of a stub_server.
+struct stub_options {
+  std::string address = "127.0.0.1:0";  ///< "ip:port" to listen on.
+  std::uint32_t slots = 20;             ///< Requests above it are refused.
+  duration service_time{0};             ///< Of each request.
+  double speed = 1.0;                   ///< Divides `service_time`; above 0.
+  bool lie_about_load = false;          ///< `/load` always reports 0.
+  /// Crash on a request with the field `X-Test-Crash`; empty: ignore it.
+  std::function<void()> on_crash;
+};
+
+/// A backend server for tests. The last segment of the path selects what it
+/// does:
+/// - `bytes?n=N&seed=S&chunk_delay_ms=D`: N bytes of FillPattern(), chunked;
+/// - `sleep?ms=N`: answers after N ms;
+/// - `load`: `{"running": .., "slots": ..}`;
+/// - `executions?key=K`: how often a request with the Idempotency-Key K ran;
+/// - anything else: the request's body, or its target if it has none.
+///
+/// A request above the slots is refused with 503 and `Pomelohall-Outcome:
+/// not_run`. Pomelohall-Call-Id is echoed.
+class stub_server final : public http_handler {
+ public:
+  stub_server(boost::asio::io_context& io, stub_options options);
+  ~stub_server() override;
+
+  /// Fails with `kInvalidSettings` if the address is in use.
+  result<void> Listen();
+  std::string address() const { return server_.address(); }
+
+  /// Lets the requests in progress end, then calls `done`.
+  void Stop(std::function<void()> done);
+  /// Closes the listener and all connections, as a crash does.
+  void Abort() { server_.Abort(); }
+
+  std::uint32_t running() const { return running_; }
+  std::uint64_t runs() const { return runs_; }
+  std::uint64_t cancelled() const { return cancelled_; }
+  std::uint64_t executions(const std::string& key) const;
+
+  void OnRequest(std::shared_ptr<incoming_request> request) override;
+
+ private:
+  friend class stub_run;
+
+  void Refuse(incoming_request& request);
+  bool AnswerControl(incoming_request& request, std::string_view action);
+  void ScheduleSweep();
+
+  struct timers;
+  boost::asio::io_context& io_;
+  const stub_options options_;
+  http_server server_;
+  std::unique_ptr<timers> timers_;
+  std::map<std::string, std::uint64_t> executions_;
+  std::uint32_t running_ = 0;
+  std::uint64_t runs_ = 0;
+  std::uint64_t cancelled_ = 0;
+};
+
+/// Returns the value of `name` in the query of a target, or `fallback`.
+std::string QueryValue(std::string_view target, std::string_view name,
+                       std::string_view fallback = {});
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_BACKEND_STUB_STUB_SERVER_H_
--- /dev/null
+++ b/tools/backend_stub/src/stub_server.cc
@@ -0,0 +1,228 @@
+#include "backend_stub/stub_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
+#include <utility>
+
+#include "backend/http_message.h"
+#include "caller/error_answer.h"
+#include "generated_body.h"
+#include "stub_run.h"
+
+namespace pomelohall {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+constexpr auto kSweepInterval = std::chrono::seconds(1);
+
+std::string_view LastSegment(std::string_view target) {
+  const auto path = target.substr(0, target.find('?'));
+  return path.substr(path.rfind('/') + 1);
+}
+
+std::uint64_t QueryNumber(std::string_view target, std::string_view name) {
+  return ParseNumber(QueryValue(target, name)).value_or(0);
+}
+
+duration QueryMillis(std::string_view target, std::string_view name) {
+  return std::chrono::milliseconds(QueryNumber(target, name));
+}
+
+void EchoCallId(const incoming_request& request, incoming_answer& answer) {
+  if (const auto* id = FindField(request.head().fields, kCallIdField)) {
+    SetField(answer.head.fields, kCallIdField, *id);
+  }
+}
+
+}  // namespace
+
+std::string QueryValue(std::string_view target, std::string_view name,
+                       std::string_view fallback) {
+  const auto question = target.find('?');
+  auto rest = question == std::string_view::npos ? std::string_view()
+                                                 : target.substr(question + 1);
+  while (!rest.empty()) {
+    const auto end = rest.find('&');
+    const auto pair = rest.substr(0, end);
+    const auto equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return std::string(pair.substr(equals + 1));
+    }
+    if (end == std::string_view::npos) break;
+    rest.remove_prefix(end + 1);
+  }
+  return std::string(fallback);
+}
+
+struct stub_server::timers {
+  explicit timers(boost::asio::io_context& io) : sweep(io) {}
+  boost::asio::steady_timer sweep;
+};
+
+stub_server::stub_server(boost::asio::io_context& io, stub_options options)
+    : io_(io),
+      options_(std::move(options)),
+      server_(io, {.address = options_.address}, *this),
+      timers_(std::make_unique<timers>(io)) {}
+
+stub_server::~stub_server() = default;
+
+result<void> stub_server::Listen() {
+  auto listening = server_.Listen();
+  if (listening) ScheduleSweep();
+  return listening;
+}
+
+void stub_server::ScheduleSweep() {
+  timers_->sweep.expires_after(kSweepInterval);
+  timers_->sweep.async_wait([this](boost::system::error_code cancelled) {
+    if (cancelled) return;
+    server_.Sweep(MonotonicNow());
+    ScheduleSweep();
+  });
+}
+
+void stub_server::Stop(std::function<void()> done) {
+  server_.Stop([this, done = std::move(done)] {
+    timers_->sweep.cancel();
+    done();
+  });
+}
+
+std::uint64_t stub_server::executions(const std::string& key) const {
+  const auto found = executions_.find(key);
+  return found == executions_.end() ? 0 : found->second;
+}
+
+void stub_server::OnRequest(std::shared_ptr<incoming_request> request) {
+  const auto& head = request->head();
+  const auto action = LastSegment(head.target);
+  if (AnswerControl(*request, action)) return;
+  if (options_.on_crash && FindField(head.fields, "X-Test-Crash") != nullptr) {
+    options_.on_crash();
+    return;
+  }
+  if (running_ >= options_.slots) {
+    Refuse(*request);
+    return;
+  }
+  if (const auto* key = FindField(head.fields, kIdempotencyKeyField)) {
+    ++executions_[*key];
+  }
+  ++runs_;
+  std::make_shared<stub_run>(*this, std::move(request), action)->Start();
+}
+
+void stub_server::Refuse(incoming_request& request) {
+  auto answer = TextAnswer(kServiceUnavailable, "text/plain", "no free slot\n");
+  SetField(answer.head.fields, kOutcomeField,
+           std::string(RunStateName(run_state::kNotRun)));
+  EchoCallId(request, answer);
+  request.Answer(std::move(answer), nullptr);
+}
+
+bool stub_server::AnswerControl(incoming_request& request,
+                                std::string_view action) {
+  std::string body;
+  if (action == "load") {
+    const auto load = options_.lie_about_load ? 0 : running_;
+    body = "{\"running\": " + std::to_string(load) +
+           ", \"slots\": " + std::to_string(options_.slots) + "}\n";
+  } else if (action == "executions") {
+    const auto key = QueryValue(request.head().target, "key");
+    body = std::to_string(executions(key)) + "\n";
+  } else {
+    return false;
+  }
+  auto answer = TextAnswer(kOk, "application/json", std::move(body));
+  EchoCallId(request, answer);
+  request.Answer(std::move(answer), nullptr);
+  return true;
+}
+
+stub_run::stub_run(stub_server& server,
+                   std::shared_ptr<incoming_request> request,
+                   std::string_view action)
+    : server_(server),
+      request_(std::move(request)),
+      action_(action),
+      timer_(server.io_) {
+  ++server_.running_;
+}
+
+stub_run::~stub_run() { --server_.running_; }
+
+void stub_run::Start() {
+  request_->SetDisconnectHandler([run = weak_from_this()] {
+    const auto self = run.lock();
+    if (!self) return;
+    ++self->server_.cancelled_;
+    self->cancelled_ = true;
+    self->timer_.cancel();
+  });
+  if (request_->body()) {
+    ReadBody();
+  } else {
+    Work();
+  }
+}
+
+void stub_run::ReadBody() {
+  request_->body()->Read([self = shared_from_this()](result<body_part> part) {
+    if (!part) return;  // The caller has gone.
+    self->body_.append(part->bytes);
+    if (part->last) {
+      self->Work();
+    } else {
+      self->ReadBody();
+    }
+  });
+}
+
+duration stub_run::WorkTime() const {
+  const auto service_time = std::chrono::duration_cast<duration>(
+      server_.options_.service_time / server_.options_.speed);
+  if (action_ != "sleep") return service_time;
+  return service_time + QueryMillis(request_->head().target, "ms");
+}
+
+void stub_run::Work() {
+  const auto time = WorkTime();
+  if (time == duration{0}) {
+    Finish();
+    return;
+  }
+  timer_.expires_after(time);
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled && !self->cancelled_) self->Finish();
+      });
+}
+
+incoming_answer stub_run::BuildAnswer() {
+  const auto& target = request_->head().target;
+  if (action_ != "bytes") {
+    auto text = request_->head().framing == body_framing::kNone
+                    ? target + "\n"
+                    : std::move(body_);
+    return TextAnswer(kOk, "application/octet-stream", std::move(text));
+  }
+  incoming_answer answer;
+  answer.head.fields = {{"Content-Type", "application/octet-stream"}};
+  answer.head.framing = body_framing::kChunked;
+  answer.body = std::make_shared<generated_body>(
+      server_.io_, QueryNumber(target, "seed"), QueryNumber(target, "n"),
+      QueryMillis(target, "chunk_delay_ms"), [] {});
+  return answer;
+}
+
+void stub_run::Finish() {
+  auto answer = BuildAnswer();
+  EchoCallId(*request_, answer);
+  request_->Answer(std::move(answer),
+                   [self = shared_from_this()](answer_written) {});
+}
+
+}  // namespace pomelohall
