Add the distribution state machine

Offers, pulls, staging, the two-phase commit count, recovery R1 to R3, full state with admission, anti-entropy and the roles of reader and aggregator.

--- /dev/null
+++ b/libs/distribution/include/distribution/data_centre_status.h
@@ -0,0 +1,24 @@
+#ifndef POMELOHALL_DISTRIBUTION_DATA_CENTRE_STATUS_H_
+#define POMELOHALL_DISTRIBUTION_DATA_CENTRE_STATUS_H_
+
+#include <cstddef>
+#include <string>
+
+#include "model/image.h"
+
+namespace pomelohall {
+
+/// Versions in force in one data centre, as its aggregator counts them.
+struct data_centre_status {
+  std::string data_centre;
+  std::size_t members = 0;            ///< Alive and suspect members.
+  config_version lowest_version = 0;  ///< 0: a member has none in force.
+  config_version highest_version = 0;
+  std::size_t members_at_highest = 0;
+
+  bool operator==(const data_centre_status&) const = default;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_DISTRIBUTION_DATA_CENTRE_STATUS_H_
--- /dev/null
+++ b/libs/distribution/src/distribution.cc
@@ -0,0 +1,362 @@
+#include "distribution/distribution.h"
+
+#include <algorithm>
+#include <cassert>
+#include <memory>
+#include <utility>
+
+namespace pomelohall {
+distribution::distribution(distribution_options options, std::uint64_t seed)
+    : options_(options),
+      random_(seed),
+      puller_(options, random_.Next()),
+      recovery_(options),
+      head_reader_(options, random_.Next()),
+      counter_(options, random_.Next()) {}
+
+distribution_actions distribution::OnMembership(const membership_view& view,
+                                                instant now) {
+  const bool absent = view.absences > view_.absences;
+  view_ = view;
+  counter_.OnMembership(view_);
+  if (!started_ || absent) BeginRecovery(now);
+  started_ = true;
+  return Finish(now);
+}
+
+distribution_actions distribution::OnMessage(const std::string& from,
+                                             const peer_message& message,
+                                             instant now) {
+  assert(started_);
+  std::visit([&](const auto& body) { On(from, body, now); }, message);
+  return Finish(now);
+}
+
+distribution_actions distribution::Tick(instant now) {
+  assert(started_);
+  if (last_tick_ && now - *last_tick_ > options_.pause_limit) {
+    BeginRecovery(now);
+  }
+  last_tick_ = now;
+  std::erase_if(served_, [&](const auto& item) { return now >= item.until; });
+  AntiEntropy(now);
+  return Finish(now);
+}
+
+distribution_actions distribution::OnPlatformHead(
+    head_source source, const result<config_head>& head,
+    instant read_started_at, instant now) {
+  for (const auto& reply :
+       head_reader_.OnHead(source, head, read_started_at, now)) {
+    if (reply.to == view_.self) {
+      recovery_.OnFreshAnswer(reply.answer);
+    } else {
+      Send(reply.to, reply.answer);
+    }
+  }
+  return Finish(now);
+}
+
+distribution_actions distribution::OnPlatformSections(
+    config_version version,
+    const result<std::vector<config_delta::item>>& items, instant now) {
+  auto image = head_reader_.OnSections(version, items, *store_.Highest(), now);
+  if (image && *image != nullptr) Stage(std::move(*image), {});
+  return Finish(now);
+}
+
+distribution_actions distribution::OnImageInForce(config_version version,
+                                                  instant now) {
+  reported_in_force_ = std::max(reported_in_force_, version);
+  return Finish(now);
+}
+
+bool distribution::Recovered() const {
+  return recovery_.Floor() && StagedVersion() >= *recovery_.Floor();
+}
+
+bool distribution::IsReader() const {
+  return std::find(view_.readers.begin(), view_.readers.end(), view_.self) !=
+         view_.readers.end();
+}
+
+// --- Messages ---------------------------------------------------------------
+
+void distribution::On(const std::string& from, const offer_message& message,
+                      instant now) {
+  const bool same_data_centre = view_.members.contains(from);
+  if (same_data_centre) NoteCommitted(message.committed);
+  if (message.version > StagedVersion()) {
+    puller_.OnOffer(from, message.version);
+    return;
+  }
+  // A pull for which the source has nothing new is answered by an offer.
+  puller_.OnRefused(from, now);
+  std::erase_if(served_, [&](const auto& item) {
+    return item.member == from && message.version > 0;
+  });
+  const bool knows_less = message.version < StagedVersion() ||
+                          (same_data_centre && message.committed < committed_);
+  if (knows_less) Send(from, OwnOffer());
+}
+
+void distribution::On(const std::string& from, const pull_message& message,
+                      instant now) {
+  if (StagedVersion() <= message.base) return Send(from, OwnOffer());
+  if (message.base == 0 && !AdmitFullState(from, now)) {
+    return Send(from, busy_message{});
+  }
+  Send(from, delta_message{MakeDelta(*store_.Highest(), message.base)});
+}
+
+void distribution::On(const std::string& from, const delta_message& message,
+                      instant now) {
+  if (message.delta.head.version <= StagedVersion()) return;
+  auto image = Apply(message.delta);
+  if (image) return Stage(std::move(*image), from);
+  puller_.OnRefused(from, now);
+  actions_.emplace_back(delta_refused{from, image.error()});
+}
+
+void distribution::On(const std::string& from, const busy_message& /*message*/,
+                      instant now) {
+  puller_.OnRefused(from, now);
+}
+
+void distribution::On(const std::string& from, const ack_message& message,
+                      instant /*now*/) {
+  counter_.OnAck(from, message);
+}
+
+// The staged version only rises, so that a member which acked a version and
+// confirms it with the same incarnation held it all the time.
+void distribution::On(const std::string& from, const confirm_message& message,
+                      instant /*now*/) {
+  if (StagedVersion() < message.version) return;
+  Send(from, confirmed_message{.version = message.version,
+                               .round = message.round,
+                               .incarnation = view_.incarnation});
+}
+
+void distribution::On(const std::string& from, const confirmed_message& message,
+                      instant /*now*/) {
+  const auto version = counter_.OnConfirmed(from, message, view_);
+  if (version) NoteCommitted(*version);
+}
+
+void distribution::On(const std::string& from,
+                      const fresh_query_message& message, instant now) {
+  head_reader_.OnFreshQuery(from, message.id, now);
+}
+
+void distribution::On(const std::string& /*from*/,
+                      const fresh_answer_message& message, instant /*now*/) {
+  recovery_.OnFreshAnswer(message);
+}
+
+void distribution::On(const std::string& from,
+                      const recover_query_message& message, instant /*now*/) {
+  Send(from, recover_answer_message{.id = message.id,
+                                    .version = StagedVersion(),
+                                    .recovered = Recovered() && view_.complete,
+                                    .member_count = view_.quorum_members});
+}
+
+void distribution::On(const std::string& from,
+                      const recover_answer_message& message, instant /*now*/) {
+  recovery_.OnRecoverAnswer(from, message, view_);
+}
+
+// --- Versions ---------------------------------------------------------------
+
+void distribution::BeginRecovery(instant now) {
+  // A random id, so that an answer to an earlier process never counts.
+  recovery_.Begin(random_.Next(), now);
+}
+
+result<config_image_ptr> distribution::Apply(const config_delta& delta) const {
+  if (options_.defect == distribution_defect::kPartialStage &&
+      !delta.items.empty()) {
+    auto image = std::make_shared<config_image>();
+    image->head = delta.head;
+    image->sections = store_.Highest()->sections;
+    for (std::size_t i = 0; i + 1 < delta.items.size(); ++i) {
+      image->sections[delta.items[i].index] = delta.items[i].bytes;
+    }
+    return image;
+  }
+  return ApplyDelta(*store_.Highest(), delta);
+}
+
+void distribution::Stage(config_image_ptr image, const std::string& source) {
+  const config_version version = image->head.version;
+  store_.Stage(std::move(image));
+  puller_.OnStaged(version);
+  OfferToNeighbours({});
+  if (!source.empty() && !view_.members.contains(source)) {
+    Send(source, OwnOffer());
+  }
+  if (IsReader()) {
+    for (const auto& reader : view_.other_readers) Send(reader, OwnOffer());
+  }
+}
+
+void distribution::NoteCommitted(config_version version) {
+  if (version <= committed_) return;
+  committed_ = version;
+  OfferToNeighbours({});
+}
+
+// Committing a version covers the lower ones as well: whoever recovers
+// afterwards gets a floor that is at least as high.
+void distribution::TryPutInForce() {
+  const auto image = store_.BestUpTo(committed_);
+  if (image == nullptr) return;
+  const bool may =
+      store_.InForce() != nullptr ||
+      options_.defect == distribution_defect::kNoFloor ||
+      (recovery_.Floor() && image->head.version >= *recovery_.Floor());
+  if (!may) return;
+  store_.SetInForce(image);
+  actions_.emplace_back(put_in_force{image});
+}
+
+offer_message distribution::OwnOffer() const {
+  const auto& head = store_.Highest()->head;
+  return {
+      .version = head.version, .digest = head.digest, .committed = committed_};
+}
+
+void distribution::OfferToNeighbours(const std::string& except) {
+  for (const auto& name : view_.neighbours) {
+    if (name != except) Send(name, OwnOffer());
+  }
+}
+
+bool distribution::AdmitFullState(const std::string& member, instant now) {
+  std::erase_if(served_,
+                [&](const auto& item) { return item.member == member; });
+  if (served_.size() >= options_.full_states_at_once) return false;
+  served_.push_back({member, now + options_.full_state_time});
+  return true;
+}
+
+// --- Periodic work ----------------------------------------------------------
+
+void distribution::AntiEntropy(instant now) {
+  if (now < next_offer_ || options_.defect == distribution_defect::kNoRepair) {
+    return;
+  }
+  next_offer_ = now + Jitter(store_.InForce() == nullptr
+                                 ? options_.joining_offer_interval
+                                 : options_.anti_entropy_interval);
+  if (!view_.neighbours.empty()) {
+    Send(view_.neighbours[random_.Below(view_.neighbours.size())], OwnOffer());
+  }
+  if (IsReader() && !view_.other_readers.empty()) {
+    Send(view_.other_readers[random_.Below(view_.other_readers.size())],
+         OwnOffer());
+  }
+}
+
+void distribution::RunRecovery(instant now) {
+  const auto plan = recovery_.Tick(view_, now);
+  if (plan.fresh_query_to == view_.self) {
+    head_reader_.OnFreshQuery(view_.self, recovery_.Id(), now);
+  } else if (plan.fresh_query_to) {
+    Send(*plan.fresh_query_to, fresh_query_message{.id = recovery_.Id()});
+  }
+  for (const auto& name : plan.recover_query_to) {
+    Send(name, recover_query_message{.id = recovery_.Id()});
+  }
+}
+
+void distribution::RunPull(instant now) {
+  if (const auto source = puller_.Next(StagedVersion(), view_, now)) {
+    Send(*source, pull_message{.base = StagedVersion()});
+  }
+}
+
+void distribution::SendAck(instant now) {
+  const ack_message ack{.version = StagedVersion(),
+                        .incarnation = view_.incarnation,
+                        .in_force = reported_in_force_};
+  const bool changed = ack != last_ack_ || view_.readers != last_aggregators_;
+  if (!changed && now < next_ack_) return;
+  last_ack_ = ack;
+  last_aggregators_ = view_.readers;
+  next_ack_ = now + Jitter(StagedVersion() > committed_ ? options_.ack_repeat
+                                                        : options_.ack_refresh);
+  for (const auto& aggregator : view_.readers) {
+    if (aggregator == view_.self) {
+      counter_.OnAck(view_.self, ack);
+    } else {
+      Send(aggregator, ack);
+    }
+  }
+}
+
+void distribution::CountCommit(instant now) {
+  if (!IsReader() || StagedVersion() <= committed_) {
+    count_since_.reset();
+    return;
+  }
+  if (!count_since_) count_since_ = now;
+  if (view_.readers.front() != view_.self &&
+      now - *count_since_ < options_.second_aggregator_delay) {
+    return;
+  }
+  const auto round = counter_.Next(committed_, view_, now);
+  if (!round) return;
+  for (const auto& member : round->members) {
+    if (member == view_.self) {
+      On(view_.self,
+         confirmed_message{.version = round->confirm.version,
+                           .round = round->confirm.round,
+                           .incarnation = view_.incarnation},
+         now);
+    } else {
+      Send(member, round->confirm);
+    }
+  }
+}
+
+void distribution::WriteStatus(instant now) {
+  if (!IsReader() || view_.readers.front() != view_.self || !view_.complete) {
+    last_status_.reset();
+    return;
+  }
+  if (now < next_status_) return;
+  auto status = counter_.Status(view_);
+  if (status == last_status_) return;
+  next_status_ = now + options_.status_interval;
+  last_status_ = status;
+  actions_.emplace_back(write_status{std::move(status)});
+}
+
+void distribution::Send(const std::string& member, peer_message message) {
+  if (member == view_.self) return;
+  actions_.emplace_back(send_to_member{member, std::move(message)});
+}
+
+distribution_actions distribution::Finish(instant now) {
+  if (!started_) return std::exchange(actions_, {});
+  RunRecovery(now);
+  for (auto& action : head_reader_.Tick(IsReader(), *store_.Highest(), now)) {
+    actions_.push_back(std::move(action));
+  }
+  RunPull(now);
+  SendAck(now);
+  CountCommit(now);
+  TryPutInForce();
+  WriteStatus(now);
+  return std::exchange(actions_, {});
+}
+
+// Returns 75% to 125% of `span`.
+duration distribution::Jitter(duration span) {
+  const double factor = 0.75 + random_.Unit() / 2;
+  return std::chrono::duration_cast<duration>(span * factor);
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/distribution/src/recovery.cc
@@ -0,0 +1,69 @@
+#include "distribution/recovery.h"
+
+#include <algorithm>
+
+namespace pomelohall {
+
+recovery::recovery(const distribution_options& options) : options_(options) {}
+
+void recovery::Begin(std::uint64_t id, instant now) {
+  id_ = id;
+  started_ = now;
+  floor_.reset();
+  platform_unavailable_ = false;
+  next_fresh_ = now;
+  next_recover_ = now;
+  answers_.clear();
+  quorum_members_ = 0;
+}
+
+recovery::plan recovery::Tick(const membership_view& view, instant now) {
+  plan todo;
+  if (floor_) return todo;
+  if (now >= next_fresh_ && !view.readers.empty()) {
+    next_fresh_ = now + options_.fresh_query_interval;
+    todo.fresh_query_to = view.readers[fresh_attempts_ % view.readers.size()];
+    ++fresh_attempts_;
+  }
+  const bool ask_members =
+      platform_unavailable_ || now - started_ >= options_.recover_query_after;
+  if (ask_members && now >= next_recover_) {
+    next_recover_ = now + options_.recover_query_interval;
+    for (const auto& [name, incarnation] : view.members) {
+      if (name != view.self && !answers_.contains(name)) {
+        todo.recover_query_to.push_back(name);
+      }
+    }
+  }
+  return todo;
+}
+
+void recovery::OnFreshAnswer(const fresh_answer_message& answer) {
+  if (floor_ || answer.id != id_) return;
+  if (answer.available) {
+    floor_ = answer.version;
+  } else {
+    platform_unavailable_ = true;
+  }
+}
+
+void recovery::OnRecoverAnswer(const std::string& from,
+                               const recover_answer_message& answer,
+                               const membership_view& view) {
+  if (floor_ || answer.id != id_ || !answer.recovered || from == view.self ||
+      !view.members.contains(from)) {
+    return;
+  }
+  config_version& held = answers_[from];
+  held = std::max(held, answer.version);
+  const auto stated = static_cast<std::size_t>(answer.member_count);
+  quorum_members_ = std::max({quorum_members_, stated, view.quorum_members});
+  if (answers_.size() < RecoverQuorum(quorum_members_)) return;
+  config_version highest = 0;
+  for (const auto& [name, version] : answers_) {
+    highest = std::max(highest, version);
+  }
+  floor_ = highest;
+}
+
+}  // namespace pomelohall
--- a/libs/messages/include/messages/message.h
+++ b/libs/messages/include/messages/message.h
@@ -88,8 +88,9 @@
 /// Offers a version that the sender holds staged.
 struct offer_message {
   config_version version = 0;
-  std::string digest;      ///< SHA-256, 64 hexadecimal digits, or empty.
-  bool committed = false;  ///< Committed in the sender's data centre.
+  std::string digest;  ///< SHA-256, 64 hexadecimal digits, or empty.
+  /// Highest version known as committed in the sender's data centre.
+  config_version committed = 0;
 
   bool operator==(const offer_message&) const = default;
 };
--- a/libs/messages/src/codec.cc
+++ b/libs/messages/src/codec.cc
@@ -135,7 +135,7 @@
 void Fields(Io& io, M& m) {
   io.Number(m.version);
   io.Digest(m.digest);
-  io.Flag(m.committed);
+  io.Number(m.committed);
 }
 
 template <typename Io, is_message<pull_message> M>
--- a/libs/messages/tests/codec_test.cc
+++ b/libs/messages/tests/codec_test.cc
@@ -45,7 +45,7 @@
           member_event_message{{SampleRecord()}},
           member_digest_message{.digest = "abc", .count = 3, .reply = true},
           member_sync_message{{SampleRecord(), SampleRecord()}, true},
-          offer_message{.version = 9, .digest = digest, .committed = true},
+          offer_message{.version = 9, .digest = digest, .committed = 8},
           pull_message{.base = 4},
           SampleDelta(),
           busy_message{},
