Add the acceptance of a configuration version

Cause: a change must take effect at most once and never overwrite another one unseen, also when answers are lost or the writer was paused. Ruled out: a random change id without the version, because a later resume could not tell a lost race from a change that the head has forgotten.

--- /dev/null
+++ b/libs/acceptance/include/acceptance/acceptance_writer.h
@@ -0,0 +1,79 @@
+#ifndef POMELOHALL_ACCEPTANCE_ACCEPTANCE_WRITER_H_
+#define POMELOHALL_ACCEPTANCE_ACCEPTANCE_WRITER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "acceptance/acceptance_action.h"
+#include "model/configuration.h"
+#include "model/image.h"
+
+namespace pomelohall {
+
+class retry_backoff;
+
+/// Writer of one new version (docs/design.md, section 5): validates the whole
+/// document, reads the head, creates the missing sections and updates the head
+/// on condition that it has not changed since. Pure: it takes answers and
+/// returns actions.
+///
+/// The condition makes every try safe: an update that was delayed or sent twice
+/// takes effect at most once, and a head that moved on is never overwritten.
+/// After a conflict or a lost answer the head is read again, and the change id
+/// decides.
+///
+/// Use: carry out the actions of Start(), pass each answer to its function and
+/// carry out the actions that it returns, until acceptance_done.
+class acceptance_writer {
+ public:
+  /// @param nonce See MakeChangeId().
+  /// @param seed For the jitter of the pauses.
+  acceptance_writer(configuration document, std::string nonce,
+                    acceptance_options options, std::uint64_t seed);
+  ~acceptance_writer();
+  acceptance_writer(const acceptance_writer&) = delete;
+  acceptance_writer& operator=(const acceptance_writer&) = delete;
+
+  acceptance_actions Start(instant now);
+  acceptance_actions OnHead(const result<stored_object>& answer, instant now);
+  acceptance_actions OnSection(const std::string& digest,
+                               const result<stored_object>& answer,
+                               instant now);
+  acceptance_actions OnHeadWritten(const result<stored_object>& answer,
+                                   instant now);
+  acceptance_actions OnTick(instant now);
+
+ private:
+  enum class step { kReadHead, kSections, kWriteHead, kResolve, kDone };
+
+  acceptance_actions BuildFrom(const config_head& base);
+  acceptance_actions CreateSections();
+  acceptance_actions WriteHead();
+  acceptance_actions Resolve(const config_head& head);
+  acceptance_actions ResolveNotYet(const config_head& head);
+  acceptance_actions Retry(const error& failure, instant now);
+  acceptance_actions GiveUp(const error& failure);
+  acceptance_actions Lost(std::optional<accepted_change> winner);
+  acceptance_actions Unknown(const std::string& reason);
+  acceptance_actions Finish(acceptance_done done);
+
+  configuration document_;
+  std::string nonce_;
+  acceptance_options options_;
+  std::unique_ptr<retry_backoff> backoff_;
+  instant give_up_at_;
+  step step_ = step::kReadHead;
+  std::string base_resource_version_;  // empty: there was no head
+  config_head base_;
+  config_image_ptr image_;
+  std::size_t next_section_ = 0;
+  bool paused_ = false;
+  bool maybe_written_ = false;  // an update of the head may have taken effect
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_ACCEPTANCE_ACCEPTANCE_WRITER_H_
--- /dev/null
+++ b/libs/acceptance/src/acceptance_writer.cc
@@ -0,0 +1,227 @@
+#include "acceptance/acceptance_writer.h"
+
+#include <utility>
+
+#include "acceptance/config_objects.h"
+#include "retry_backoff.h"
+
+namespace pomelohall {
+namespace {
+
+// An object that does not exist yet counts as the head of version 0.
+result<config_head> HeadFrom(const result<stored_object>& answer) {
+  if (answer) return HeadOf(*answer);
+  if (answer.error().kind == error_kind::kNotFound) return EmptyImage()->head;
+  return tl::unexpected(answer.error());
+}
+
+std::string Describe(const accepted_change& change) {
+  return "version " + std::to_string(change.version) + " (change id " +
+         change.change_id + ")";
+}
+
+}  // namespace
+
+acceptance_writer::acceptance_writer(configuration document, std::string nonce,
+                                     acceptance_options options,
+                                     std::uint64_t seed)
+    : document_(std::move(document)),
+      nonce_(std::move(nonce)),
+      options_(options),
+      backoff_(std::make_unique<retry_backoff>(options.backoff_base,
+                                               options.backoff_cap, seed)) {}
+
+acceptance_writer::~acceptance_writer() = default;
+
+acceptance_actions acceptance_writer::Start(instant now) {
+  give_up_at_ = now + options_.give_up_after;
+  const auto issues = Validate(document_);
+  if (!issues.empty()) {
+    return Finish({.outcome = Fail(error_kind::kInvalidConfiguration,
+                                   FormatIssues(issues)),
+                   .change_id = "",
+                   .winner = std::nullopt});
+  }
+  return {read_head{}};
+}
+
+acceptance_actions acceptance_writer::OnHead(
+    const result<stored_object>& answer, instant now) {
+  if (paused_ || (step_ != step::kReadHead && step_ != step::kResolve)) {
+    return {};
+  }
+  const auto head = HeadFrom(answer);
+  if (!head) return Retry(head.error(), now);
+  const std::string version = answer ? answer->resource_version : "";
+  if (step_ == step::kReadHead) {
+    base_resource_version_ = version;
+    return BuildFrom(*head);
+  }
+  if (*head == base_) base_resource_version_ = version;
+  return Resolve(*head);
+}
+
+acceptance_actions acceptance_writer::BuildFrom(const config_head& base) {
+  config_image previous;
+  previous.head = base;
+  auto image =
+      BuildImage(document_, &previous, MakeChangeId(base.version + 1, nonce_));
+  if (!image) {
+    return Finish({.outcome = tl::unexpected(image.error()),
+                   .change_id = "",
+                   .winner = std::nullopt});
+  }
+  if (base.version > 0 && (*image)->head.digest == base.digest) {
+    return Finish({.outcome = accepted_change{base.version, base.change_id},
+                   .change_id = "",
+                   .winner = std::nullopt,
+                   .changed = false});
+  }
+  base_ = base;
+  image_ = std::move(*image);
+  step_ = step::kSections;
+  return CreateSections();
+}
+
+// Creates one section after another. Up to 64 at once would be a burst of a
+// good part of the writes that the platform sustains in a second.
+acceptance_actions acceptance_writer::CreateSections() {
+  for (; next_section_ < kSectionCount; ++next_section_) {
+    const section_ref& section = image_->head.sections[next_section_];
+    if (section.changed_at != image_->head.version) continue;
+    return {create_section{
+        SectionObject(section.digest, *image_->sections[next_section_])}};
+  }
+  step_ = step::kWriteHead;
+  return WriteHead();
+}
+
+acceptance_actions acceptance_writer::OnSection(
+    const std::string& digest, const result<stored_object>& answer,
+    instant now) {
+  if (paused_ || step_ != step::kSections ||
+      digest != image_->head.sections[next_section_].digest) {
+    return {};
+  }
+  // The digest is the name, so a section that exists has the same content.
+  if (!answer && answer.error().kind != error_kind::kConflict) {
+    return Retry(answer.error(), now);
+  }
+  ++next_section_;
+  return CreateSections();
+}
+
+acceptance_actions acceptance_writer::WriteHead() {
+  return {write_head{HeadObject(image_->head, base_resource_version_)}};
+}
+
+acceptance_actions acceptance_writer::OnHeadWritten(
+    const result<stored_object>& answer, instant now) {
+  if (paused_ || step_ != step::kWriteHead) return {};
+  if (answer) {
+    return Finish({.outcome = accepted_change{image_->head.version,
+                                              image_->head.change_id},
+                   .change_id = image_->head.change_id,
+                   .winner = std::nullopt});
+  }
+  if (answer.error().ran != run_state::kNotRun) maybe_written_ = true;
+  step_ = step::kResolve;
+  if (answer.error().kind == error_kind::kConflict ||
+      answer.error().kind == error_kind::kNotFound) {
+    return {read_head{}};
+  }
+  return Retry(answer.error(), now);
+}
+
+acceptance_actions acceptance_writer::Resolve(const config_head& head) {
+  const auto answer =
+      FateOf({image_->head.version, image_->head.change_id}, head);
+  switch (answer.fate) {
+    case change_fate::kAccepted:
+      return Finish({.outcome = accepted_change{image_->head.version,
+                                                image_->head.change_id},
+                     .change_id = image_->head.change_id,
+                     .winner = std::nullopt});
+    case change_fate::kLost:
+      return Lost(answer.winner);
+    case change_fate::kNotYet:
+      return ResolveNotYet(head);
+    case change_fate::kForgotten:
+      break;
+  }
+  if (!maybe_written_) {
+    return Lost(accepted_change{head.version, head.change_id});
+  }
+  return Unknown("the head has moved on to version " +
+                 std::to_string(head.version) +
+                 ", beyond the change ids it remembers");
+}
+
+// The same update with the same condition cannot take effect a second time.
+acceptance_actions acceptance_writer::ResolveNotYet(const config_head& head) {
+  if (head == base_) {
+    step_ = step::kWriteHead;
+    return WriteHead();
+  }
+  const std::string reason = "the head was replaced: it was version " +
+                             std::to_string(base_.version) +
+                             " and is version " + std::to_string(head.version);
+  if (maybe_written_) return Unknown(reason);
+  return Finish({.outcome = Fail(error_kind::kConflict, reason),
+                 .change_id = "",
+                 .winner = std::nullopt});
+}
+
+acceptance_actions acceptance_writer::Retry(const error& failure, instant now) {
+  const bool passing = failure.kind == error_kind::kPlatformUnavailable;
+  if (!passing || now >= give_up_at_) return GiveUp(failure);
+  paused_ = true;
+  return {pause_for{backoff_->Next()}};
+}
+
+acceptance_actions acceptance_writer::OnTick(instant now) {
+  if (!paused_) return {};
+  paused_ = false;
+  if (now >= give_up_at_) {
+    return GiveUp({error_kind::kPlatformUnavailable,
+                   "the platform did not answer in time"});
+  }
+  if (step_ == step::kSections) return CreateSections();
+  return {read_head{}};
+}
+
+acceptance_actions acceptance_writer::GiveUp(const error& failure) {
+  if (maybe_written_) return Unknown(failure.message);
+  // Without an update of the head nothing is changed, whatever was lost.
+  return Finish({.outcome = tl::unexpected(
+                     error(failure.kind, failure.message + "; nothing changed",
+                           run_state::kNotRun)),
+                 .change_id = "",
+                 .winner = std::nullopt});
+}
+
+acceptance_actions acceptance_writer::Lost(
+    std::optional<accepted_change> winner) {
+  const std::string text = winner ? "another change won: " + Describe(*winner) +
+                                        "; compare with `diff` and apply again"
+                                  : "another change won";
+  return Finish({.outcome = Fail(error_kind::kConflict, text),
+                 .change_id = "",
+                 .winner = std::move(winner)});
+}
+
+acceptance_actions acceptance_writer::Unknown(const std::string& reason) {
+  const std::string& id = image_->head.change_id;
+  return Finish({.outcome = Fail(
+                     error_kind::kOutcomeUnknown,
+                     "the outcome of change " + id + " is unknown: " + reason),
+                 .change_id = id,
+                 .winner = std::nullopt});
+}
+
+acceptance_actions acceptance_writer::Finish(acceptance_done done) {
+  step_ = step::kDone;
+  return {std::move(done)};
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/acceptance/src/change_resolver.cc
@@ -0,0 +1,86 @@
+#include "acceptance/change_resolver.h"
+
+#include <utility>
+
+#include "acceptance/config_objects.h"
+#include "retry_backoff.h"
+
+namespace pomelohall {
+
+change_resolver::change_resolver(std::string change_id,
+                                 acceptance_options options, std::uint64_t seed)
+    : change_{VersionOfChangeId(change_id).value_or(0), change_id},
+      options_(options),
+      backoff_(std::make_unique<retry_backoff>(options.backoff_base,
+                                               options.backoff_cap, seed)) {}
+
+change_resolver::~change_resolver() = default;
+
+acceptance_actions change_resolver::Start(instant now) {
+  give_up_at_ = now + options_.give_up_after;
+  if (change_.version > 0) return {read_head{}};
+  return Finish(
+      {.outcome = Fail(error_kind::kInvalidRequest,
+                       "found change id \"" + change_.change_id +
+                           "\", allowed is <version>-<text>, as apply prints"),
+       .change_id = "",
+       .winner = std::nullopt});
+}
+
+acceptance_actions change_resolver::OnHead(const result<stored_object>& answer,
+                                           instant now) {
+  if (done_) return {};
+  if (!answer && answer.error().kind == error_kind::kNotFound) {
+    return Decide(EmptyImage()->head);
+  }
+  const auto head = answer ? HeadOf(*answer) : tl::unexpected(answer.error());
+  if (head) return Decide(*head);
+  const bool passing = head.error().kind == error_kind::kPlatformUnavailable;
+  if (passing && now < give_up_at_) return {pause_for{backoff_->Next()}};
+  return Finish({.outcome = Fail(error_kind::kOutcomeUnknown,
+                                 "the outcome of change " + change_.change_id +
+                                     " is unknown: " + head.error().message),
+                 .change_id = change_.change_id,
+                 .winner = std::nullopt});
+}
+
+acceptance_actions change_resolver::OnTick(instant) {
+  if (done_) return {};
+  return {read_head{}};
+}
+
+acceptance_actions change_resolver::Decide(const config_head& head) {
+  const std::string at = "the head is version " + std::to_string(head.version);
+  const auto answer = FateOf(change_, head);
+  acceptance_done done{.outcome = change_,
+                       .change_id = change_.change_id,
+                       .winner = answer.winner};
+  switch (answer.fate) {
+    case change_fate::kAccepted:
+      break;
+    case change_fate::kNotYet:
+      done.outcome =
+          Fail(error_kind::kNotFound,
+               "change " + change_.change_id + " has not taken effect, " + at);
+      break;
+    case change_fate::kLost:
+      done.outcome = Fail(error_kind::kConflict,
+                          "change " + change_.change_id +
+                              " did not take effect, another change won: " +
+                              answer.winner->change_id);
+      break;
+    case change_fate::kForgotten:
+      done.outcome = Fail(error_kind::kOutcomeUnknown,
+                          "the outcome of change " + change_.change_id +
+                              " is no longer recorded, " + at);
+      break;
+  }
+  return Finish(std::move(done));
+}
+
+acceptance_actions change_resolver::Finish(acceptance_done done) {
+  done_ = true;
+  return {std::move(done)};
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/acceptance/src/retry_backoff.h
@@ -0,0 +1,28 @@
+#ifndef POMELOHALL_ACCEPTANCE_RETRY_BACKOFF_H_
+#define POMELOHALL_ACCEPTANCE_RETRY_BACKOFF_H_
+
+#include <cstdint>
+
+#include "base/random.h"
+#include "base/time.h"
+
+namespace pomelohall {
+
+/// Pauses between tries: doubled from `base` up to `cap`, each reduced by a
+/// random part of up to one half, so that writers do not try in step.
+class retry_backoff {
+ public:
+  retry_backoff(duration base, duration cap, std::uint64_t seed)
+      : next_(base), cap_(cap), random_(seed) {}
+
+  duration Next();
+
+ private:
+  duration next_;
+  duration cap_;
+  random_source random_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_ACCEPTANCE_RETRY_BACKOFF_H_
--- /dev/null
+++ b/libs/acceptance/tests/acceptance_driver.h
@@ -0,0 +1,143 @@
+#ifndef POMELOHALL_ACCEPTANCE_TESTS_ACCEPTANCE_DRIVER_H_
+#define POMELOHALL_ACCEPTANCE_TESTS_ACCEPTANCE_DRIVER_H_
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "acceptance/acceptance_writer.h"
+#include "acceptance/change_resolver.h"
+#include "acceptance/config_objects.h"
+#include "platform/fake_object_store.h"
+
+namespace pomelohall {
+
+inline configuration DocumentOf(int services) {
+  configuration document;
+  for (int i = 0; i < services; ++i) {
+    document.services.push_back({"service-" + std::to_string(i)});
+  }
+  return document;
+}
+
+/// Carries out the actions of a writer against a fake store, one at a time, so
+/// that a test can stop between two of them.
+class acceptance_driver {
+ public:
+  acceptance_driver(fake_object_store& store, configuration document,
+                    std::string nonce)
+      : store_(store),
+        writer_(std::move(document), std::move(nonce), {}, /*seed=*/1) {
+    Add(writer_.Start(now_));
+  }
+
+  /// Carries out the next action and delivers its answer. Returns false once
+  /// the writer has finished.
+  bool Step() {
+    if (done_) return false;
+    const auto action = queue_.front();
+    queue_.pop_front();
+    std::visit([this](const auto& each) { Do(each); }, action);
+    store_.Advance();
+    return !done_;
+  }
+
+  acceptance_done Run() {
+    while (!done_) Step();
+    return *done_;
+  }
+
+  /// Steps until the next action is an update of the head.
+  void RunToHeadWrite() {
+    while (!std::holds_alternative<write_head>(queue_.front())) Step();
+  }
+
+ private:
+  void Add(const acceptance_actions& actions) {
+    queue_.insert(queue_.end(), actions.begin(), actions.end());
+  }
+  void Do(const read_head&) {
+    store_.Get(kHeadPlural, kHeadName, [this](const auto& answer) {
+      Add(writer_.OnHead(answer, now_));
+    });
+  }
+  void Do(const create_section& action) {
+    store_.Create(action.object,
+                  [this, name = action.object.name](const auto& answer) {
+                    Add(writer_.OnSection(name, answer, now_));
+                  });
+  }
+  void Do(const write_head& action) {
+    const auto done = [this](const auto& answer) {
+      Add(writer_.OnHeadWritten(answer, now_));
+    };
+    if (action.object.resource_version.empty()) {
+      store_.Create(action.object, done);
+    } else {
+      store_.Update(action.object, done);
+    }
+  }
+  void Do(const pause_for& action) {
+    now_ += action.span;
+    Add(writer_.OnTick(now_));
+  }
+  void Do(const acceptance_done& action) { done_ = action; }
+
+  fake_object_store& store_;
+  acceptance_writer writer_;
+  std::deque<acceptance_action> queue_;
+  std::optional<acceptance_done> done_;
+  instant now_;
+};
+
+class acceptance_fixture {
+ protected:
+  acceptance_done Accept(int services, const std::string& nonce) {
+    return acceptance_driver(store_, DocumentOf(services), nonce).Run();
+  }
+
+  config_head Head() {
+    return HeadOf(*store_.Table().Get(kHeadPlural, kHeadName)).value();
+  }
+
+  /// Reads the whole version back, as a daemon does.
+  configuration StoredDocument() {
+    config_image image = *EmptyImage();
+    image.head = Head();
+    for (std::size_t i = 0; i < kSectionCount; ++i) {
+      const auto& section = image.head.sections[i];
+      if (section.changed_at == 0) continue;
+      const auto object = store_.Table().Get(kSectionPlural, section.digest);
+      REQUIRE(object.has_value());
+      image.sections[i] = SectionBytesOf(*object).value();
+    }
+    return ImageDocument(image).value();
+  }
+
+  acceptance_done Resolve(const std::string& change_id) {
+    change_resolver resolver(change_id, {}, /*seed=*/1);
+    instant now;
+    auto actions = resolver.Start(now);
+    while (!std::holds_alternative<acceptance_done>(actions.front())) {
+      if (const auto* pause = std::get_if<pause_for>(&actions.front())) {
+        now += pause->span;
+        actions = resolver.OnTick(now);
+        continue;
+      }
+      store_.Get(kHeadPlural, kHeadName, [&](const auto& answer) {
+        actions = resolver.OnHead(answer, now);
+      });
+      store_.Advance();
+    }
+    return std::get<acceptance_done>(actions.front());
+  }
+
+  fake_object_store store_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_ACCEPTANCE_TESTS_ACCEPTANCE_DRIVER_H_
--- /dev/null
+++ b/libs/acceptance/tests/acceptance_writer_test.cc
@@ -0,0 +1,178 @@
+#include "acceptance/acceptance_writer.h"
+
+#include <catch2/catch.hpp>
+
+#include "acceptance_driver.h"
+
+namespace pomelohall {
+
+TEST_CASE_METHOD(acceptance_fixture, "Accept_FirstAndNext_AreVersions1And2") {
+  CHECK(Accept(100, "a").outcome->version == 1);
+  CHECK(StoredDocument().services.size() == 100);
+  CHECK(Accept(101, "b").outcome->version == 2);
+  CHECK(StoredDocument().services.size() == 101);
+}
+
+// Guards against writes of sections that have not changed: they would use up
+// the platform's write rate.
+TEST_CASE_METHOD(acceptance_fixture,
+                 "Accept_OneServiceAdded_CreatesOneSection") {
+  Accept(100, "a");
+  const int before = store_.Calls("create");
+  Accept(101, "b");
+  CHECK(store_.Calls("create") == before + 1);
+}
+
+TEST_CASE_METHOD(acceptance_fixture, "Accept_SameDocument_MakesNoVersion") {
+  Accept(3, "a");
+  const auto again = Accept(3, "b");
+  CHECK_FALSE(again.changed);
+  CHECK(again.outcome->version == 1);
+  CHECK(Head().version == 1);
+}
+
+TEST_CASE_METHOD(acceptance_fixture, "Accept_InvalidDocument_WritesNothing") {
+  auto document = DocumentOf(2);
+  document.routes.push_back(
+      {.path_prefix = "/a", .method = "", .work_class = "missing"});
+  const auto done = acceptance_driver(store_, document, "a").Run();
+  CHECK(done.outcome.error().kind == error_kind::kInvalidConfiguration);
+  CHECK(store_.Table().Version() == 0);
+}
+
+// Guards against a head that names sections which are not stored.
+TEST_CASE_METHOD(acceptance_fixture, "Accept_EachStepOfWrite_HeadIsWhole") {
+  Accept(10, "a");
+  acceptance_driver driver(store_, DocumentOf(40), "b");
+  while (driver.Step()) CHECK_NOTHROW(StoredDocument());
+  CHECK(StoredDocument().services.size() == 40);
+}
+
+// Guards against an operator's change that another one overwrites unseen.
+TEST_CASE_METHOD(acceptance_fixture,
+                 "Race_OtherWriterFirst_LoserLearnsWinner") {
+  Accept(5, "a");
+  acceptance_driver slow(store_, DocumentOf(6), "b");
+  slow.RunToHeadWrite();
+  const auto winner = Accept(7, "c");
+  const auto loser = slow.Run();
+  REQUIRE_FALSE(loser.outcome.has_value());
+  CHECK(loser.outcome.error().kind == error_kind::kConflict);
+  CHECK(loser.winner == *winner.outcome);
+  CHECK(StoredDocument().services.size() == 7);
+}
+
+// Guards against a writer that wakes after many changes and reverts them.
+TEST_CASE_METHOD(acceptance_fixture,
+                 "PausedWriter_HeadMovedFar_ChangesNothing") {
+  Accept(5, "a");
+  acceptance_driver paused(store_, DocumentOf(6), "b");
+  paused.RunToHeadWrite();
+  for (int i = 0; i < 70; ++i) Accept(7 + i, "c" + std::to_string(i));
+  const auto done = paused.Run();
+  CHECK(done.outcome.error().kind == error_kind::kConflict);
+  CHECK(done.outcome.error().ran == run_state::kNotRun);
+  CHECK(Head().version == 71);
+}
+
+// Guards against a lost answer reported as a failure, or written twice.
+TEST_CASE_METHOD(acceptance_fixture, "AnswerLost_EachWrite_IsAcceptedOnce") {
+  Accept(5, "a");
+  const auto lost = GENERATE(range(0, 8));
+  acceptance_driver driver(store_, DocumentOf(10), "b");
+  for (int i = 0; i < lost; ++i) driver.Step();
+  store_.LoseAnswers(1);
+  const auto done = driver.Run();
+  REQUIRE(done.outcome.has_value());
+  CHECK(done.outcome->version == 2);
+  CHECK(Head().version == 2);
+  CHECK(StoredDocument().services.size() == 10);
+}
+
+// Guards against a lost answer whose version another writer has passed.
+TEST_CASE_METHOD(acceptance_fixture, "AnswerLost_HeadMovedOn_IsStillAccepted") {
+  Accept(5, "a");
+  acceptance_driver driver(store_, DocumentOf(6), "b");
+  driver.RunToHeadWrite();
+  store_.LoseAnswers(1);
+  driver.Step();
+  Accept(9, "c");
+  Accept(10, "d");
+  const auto done = driver.Run();
+  REQUIRE(done.outcome.has_value());
+  CHECK(done.outcome->version == 2);
+  CHECK(StoredDocument().services.size() == 10);
+}
+
+// Guards against "lost the race" for a change that did take effect.
+TEST_CASE_METHOD(acceptance_fixture, "AnswerLost_ChangeIdForgotten_IsUnknown") {
+  Accept(5, "a");
+  acceptance_driver driver(store_, DocumentOf(6), "b");
+  driver.RunToHeadWrite();
+  store_.LoseAnswers(1);
+  driver.Step();
+  for (int i = 0; i < 64; ++i) Accept(7 + i, "c" + std::to_string(i));
+  const auto done = driver.Run();
+  REQUIRE_FALSE(done.outcome.has_value());
+  CHECK(done.outcome.error().kind == error_kind::kOutcomeUnknown);
+  CHECK(done.change_id == "2-b");
+}
+
+// Guards against a short outage that fails the change, at every step.
+TEST_CASE_METHOD(acceptance_fixture,
+                 "PlatformDown_ShortAtEachStep_IsAccepted") {
+  Accept(5, "a");
+  const auto at = GENERATE(range(0, 7));
+  acceptance_driver driver(store_, DocumentOf(10), "b");
+  for (int i = 0; i < at; ++i) driver.Step();
+  store_.SetDown(true);
+  for (int i = 0; i < 5; ++i) driver.Step();
+  store_.SetDown(false);
+  CHECK(driver.Run().outcome->version == 2);
+  CHECK(StoredDocument().services.size() == 10);
+}
+
+// Guards against "unknown" for a change that certainly did not take effect.
+TEST_CASE_METHOD(acceptance_fixture,
+                 "PlatformDown_BeforeHeadWrite_NothingChanged") {
+  Accept(5, "a");
+  const auto at = GENERATE(range(0, 5));
+  acceptance_driver driver(store_, DocumentOf(10), "b");
+  for (int i = 0; i < at; ++i) driver.Step();
+  store_.SetDown(true);
+  const auto done = driver.Run();
+  CHECK(done.outcome.error().kind == error_kind::kPlatformUnavailable);
+  CHECK(done.outcome.error().ran == run_state::kNotRun);
+  CHECK(Head().version == 1);
+}
+
+// Guards against "nothing changed" for a change that took effect, and against
+// an outcome that cannot be found later.
+TEST_CASE_METHOD(acceptance_fixture, "AnswerLost_ThenDown_IsResolvedByResume") {
+  Accept(5, "a");
+  acceptance_driver driver(store_, DocumentOf(6), "b");
+  driver.RunToHeadWrite();
+  store_.LoseAnswers(1);
+  driver.Step();
+  store_.SetDown(true);
+  const auto done = driver.Run();
+  REQUIRE_FALSE(done.outcome.has_value());
+  CHECK(done.outcome.error().kind == error_kind::kOutcomeUnknown);
+  store_.SetDown(false);
+  CHECK(Resolve(done.change_id).outcome->version == 2);
+}
+
+// Guards against an answer delivered twice, which would start a step twice.
+TEST_CASE("Writer_AnswersOfOtherSteps_AreIgnored") {
+  acceptance_writer writer(DocumentOf(1), "a", {}, /*seed=*/1);
+  const instant now;
+  const auto missing = Fail(error_kind::kNotFound, "none");
+  writer.Start(now);
+  CHECK(writer.OnHeadWritten(missing, now).empty());
+  CHECK(writer.OnTick(now).empty());
+  REQUIRE(writer.OnHead(missing, now).size() == 1);
+  CHECK(writer.OnHead(missing, now).empty());
+  CHECK(writer.OnSection("other", stored_object{}, now).empty());
+}
+
+}  // namespace pomelohall
