--- a/libs/peer/include/peer/transport.h
+++ b/libs/peer/include/peer/transport.h
@@ -20,7 +20,8 @@
   std::uint32_t idle_close_ms = 60'000;  ///< Links without traffic are closed.
 };
 
-/// Byte and frame counts since start, for the control bytes measure.
+/// Byte and frame counts since start, for the control bytes measure. Bytes
+/// include WebSocket headers and opening handshakes, not TCP and IP headers.
 struct transport_counters {
   std::uint64_t frames_sent = 0;
   std::uint64_t frames_received = 0;
@@ -28,6 +29,9 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t frames_dropped = 0;
   std::uint64_t links_opened = 0;
+  /// Frames that closed their link: malformed, not binary, or without the
+  /// opening statement of the peer's listen address.
+  std::uint64_t frames_malformed = 0;
 };
 
 /// Carries frames between daemons. One link (connection) per pair of daemons is
