--- a/libs/peer/src/websocket/websocket_engine_impl.cc
+++ b/libs/peer/src/websocket/websocket_engine_impl.cc
@@ -291,8 +291,8 @@
                                       const message_ptr& message) {
   std::string& frame = message->get_raw_payload();
   link->last_traffic = clock::now();
-  ++counters_.frames_received;
   counters_.bytes_received += link->ReceivedSize(frame.size());
+  ++counters_.frames_received;
   if (message->get_opcode() != websocketpp::frame::opcode::binary) {
     CloseMalformed(link, "the frame is not binary");
   } else if (link->address.empty()) {
@@ -398,8 +398,9 @@
 
 void websocket_engine_impl::CountWritten(peer_link& link) {
   const link_traffic written = link.TakeWritten();
-  counters_.frames_sent += written.frames;
+  // Bytes first: whoever sees the frame counted also sees its bytes.
   counters_.bytes_sent += written.bytes;
+  counters_.frames_sent += written.frames;
 }
 
 void websocket_engine_impl::ScheduleTick() {
--- a/libs/peer/src/websocket_transport.cc
+++ b/libs/peer/src/websocket_transport.cc
@@ -13,7 +13,7 @@
 // Adapts the C++17 engine to the C++20 interface.
 class websocket_transport : public peer_transport {
  public:
-  explicit websocket_transport(transport_options options)
+  explicit websocket_transport(transport_options&& options)
       : engine_(MakeWebsocketEngine(
             {options.listen_address, options.max_frame_bytes,
              options.max_queue_bytes, options.connect_timeout_ms,
--- a/libs/peer/tests/transport_test.cc
+++ b/libs/peer/tests/transport_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <vector>
@@ -136,18 +137,23 @@
 TEST_CASE("Transport_Counters_IncludeFraming") {
   test_peer first;
   test_peer second;
-  REQUIRE(first.Reaches(second, "open"));
-  REQUIRE(second.Reaches(first, "open"));
-  REQUIRE(Eventually([&] {
-    return second->Counters().frames_received == first->Counters().frames_sent;
-  }));
+  // The sender counts after its write, possibly later than the receiver.
+  const auto counted = [&](std::uint64_t to_second, std::uint64_t to_first) {
+    return Eventually([&] {
+      const auto one = first->Counters();
+      const auto two = second->Counters();
+      return one.frames_sent == to_second && two.frames_received == to_second &&
+             two.frames_sent == to_first && one.frames_received == to_first;
+    });
+  };
+  first->Send(second.Address(), "open");
+  REQUIRE(Eventually([&] { return second.Received("open"); }));
+  second->Send(first.Address(), "open");
+  REQUIRE(counted(2, 1));  // The greeting goes to the second.
   const auto before = second->Counters();
   second->Send(first.Address(), std::string(1000, 'x'));
   first->Send(second.Address(), std::string(1000, 'x'));
-  REQUIRE(Eventually([&] {
-    return second->Counters().frames_sent == before.frames_sent + 1 &&
-           second->Counters().frames_received == before.frames_received + 1;
-  }));
+  REQUIRE(counted(3, 2));
   const auto after = second->Counters();
   CHECK(after.bytes_sent - before.bytes_sent == 1004);
   CHECK(after.bytes_received - before.bytes_received == 1008);
