--- /dev/null
+++ b/libs/daemon/include/daemon/daemon.h
@@ -0,0 +1,48 @@
+#ifndef POMELOHALL_DAEMON_DAEMON_H_
+#define POMELOHALL_DAEMON_DAEMON_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "base/error.h"
+#include "daemon/daemon_options.h"
+
+namespace pomelohall {
+
+/// The daemon: data path, control actor, transport and local API of one VM. All
+/// members are called on the thread of the I/O context.
+///
+/// Use:
+/// @code
+/// boost::asio::io_context io;
+/// pomelohall::daemon daemon(io, options);
+/// if (auto started = daemon.Start(); !started) return Report(started.error());
+/// // On SIGTERM: daemon.Stop([&io] { io.stop(); });
+/// io.run();
+/// @endcode
+class daemon {
+ public:
+  /// @param io Must outlive the daemon.
+  daemon(boost::asio::io_context& io, daemon_options options);
+  ~daemon();
+  daemon(const daemon&) = delete;
+  daemon& operator=(const daemon&) = delete;
+
+  /// Opens all listeners and joins the cluster. Fails with `kInvalidSettings`
+  /// or `kPeerUnreachable` if an address cannot be bound.
+  result<void> Start();
+
+  /// Stops as planned: announces that the backend server drains, refuses new
+  /// work, lets every call in flight end, leaves the cluster, then calls
+  /// `done`. Later calls are ignored.
+  void Stop(std::function<void()> done);
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_DAEMON_DAEMON_H_
--- /dev/null
+++ b/libs/daemon/src/daemon.cc
@@ -0,0 +1,441 @@
+#include "daemon/daemon.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "caller/call_service.h"
+#include "daemon/backend_lease.h"
+#include "daemon/control_actor.h"
+#include "daemon/platform_gateway.h"
+#include "local_api.h"
+#include "logging/log_event.h"
+#include "messages/message.h"
+#include "peer/transport.h"
+#include "platform/http_object_store.h"
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kLeaseCheckInterval(200);
+constexpr std::uint32_t kHeadWaitMs = 30'000;
+// Time for the last frames (member left) to reach the neighbours.
+constexpr std::uint32_t kTransportGraceMs = 500;
+
+std::uint64_t UnixMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string StatusSpec(const data_centre_status& status) {
+  return json{{"data_centre", status.data_centre},
+              {"members", status.members},
+              {"lowest", status.lowest_version},
+              {"highest", status.highest_version},
+              {"at_highest", status.members_at_highest},
+              {"updated_unix_ms", UnixMillis()}}
+      .dump();
+}
+
+}  // namespace
+
+class daemon::impl : private control_effects, private local_api_handler {
+ public:
+  impl(boost::asio::io_context& io, daemon_options options)
+      : io_(io),
+        options_(std::move(options)),
+        incarnation_(UnixMillis()),
+        store_(io, {.address = options_.platform_address,
+                    .name_space = options_.platform_namespace}),
+        gateway_(store_),
+        local_api_(io, *this),
+        calls_(io, CallOptions()),
+        lease_timer_(io) {}
+
+  ~impl() override {
+    transport_ready_ = false;
+    if (transport_) transport_->Stop(0);
+    if (control_) control_->Stop();
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  result<void> Start() {
+    if (auto started = calls_.Start(); !started) return started;
+    if (auto started = StartTransport(); !started) return started;
+    control_ = std::make_unique<control_actor>(
+        ControlOptions(), static_cast<control_effects&>(*this), RandomSeed());
+    transport_ready_ = true;
+    if (auto started = local_api_.Listen(options_.local_address); !started) {
+      return started;
+    }
+    ScheduleLeaseCheck();
+    log_event(log_level::kInfo, "daemon_started")
+        .With("member", options_.name)
+        .With("data_centre", options_.data_centre)
+        .With("incarnation", incarnation_)
+        .With("caller", calls_.caller_address())
+        .With("forward", calls_.forward_address())
+        .With("peer", transport_->LocalAddress())
+        .With("local", local_api_.Address());
+    return {};
+  }
+
+  void Stop(std::function<void()> done) {
+    if (stopping_) return;
+    stopping_ = true;
+    log_event(log_level::kInfo, "daemon_stopping").With("member", Name());
+    if (lease_.Drain()) OnLeaseChanged();
+    calls_.Stop([this, done = std::move(done)]() mutable {
+      LeaveCluster(std::move(done));
+    });
+  }
+
+ private:
+  const std::string& Name() const { return options_.name; }
+
+  call_service_options CallOptions() {
+    call_service_options options;
+    options.member = options_.name;
+    options.data_centre = options_.data_centre;
+    options.region = options_.region;
+    options.incarnation = incarnation_;
+    options.seed = RandomSeed();
+    options.caller_address = options_.caller_address;
+    options.forward_address = options_.forward_address;
+    options.backend = [this] { return Backend(); };
+    options.find_member = [this](const std::string& member) {
+      return FindMember(member);
+    };
+    options.on_suspect = [this](const suspect_event& event) {
+      log_event(log_level::kWarning, "request_suspected")
+          .With("service", event.service)
+          .With("fingerprint", event.fingerprint)
+          .With("state", SuspectStateName(event.state));
+      control_->Post([event](control_core& core, instant now) {
+        core.ReportSuspect(event, now);
+      });
+    };
+    options.claims = &store_;
+    return options;
+  }
+
+  control_options ControlOptions() const {
+    control_options options;
+    options.membership.cluster = options_.cluster;
+    options.membership.seeds = options_.seeds;
+    auto& self = options.membership.self;
+    self.name = options_.name;
+    self.region = options_.region;
+    self.data_centre = options_.data_centre;
+    self.forward_address = calls_.forward_address();
+    self.peer_address = transport_->LocalAddress();
+    self.incarnation = incarnation_;
+    return options;
+  }
+
+  result<void> StartTransport() {
+    transport_ =
+        MakeWebsocketTransport({.listen_address = options_.peer_address});
+    for (const auto& address : options_.blocked_peers) {
+      transport_->SetBlocked(address, true);
+    }
+    return transport_->Start(
+        [this](const std::string& from, std::string frame) {
+          return OnFrame(from, frame);
+        });
+  }
+
+  // Runs on the transport's thread.
+  bool OnFrame(const std::string& from, const std::string& frame) {
+    auto message = DecodeEnvelope(frame);
+    if (!message) {
+      ++frames_refused_;
+      log_event(log_level::kError, "frame_refused")
+          .With("from", from)
+          .With("reason", message.error().message);
+      return false;
+    }
+    if (!transport_ready_) return true;
+    auto shared = std::make_shared<envelope>(std::move(*message));
+    control_->Post([from, shared](control_core& core, instant now) {
+      core.OnMessage(from, *shared, now);
+    });
+    return true;
+  }
+
+  backend_view Backend() const {
+    const auto& current = lease_.Current();
+    if (!current) return {};
+    return {.address = current->address,
+            .service = current->service,
+            .slots = current->slots,
+            .state = current->state};
+  }
+
+  std::optional<member_address> FindMember(const std::string& member) const {
+    if (!members_) return std::nullopt;
+    const auto found = members_->find(member);
+    if (found == members_->end()) return std::nullopt;
+    return member_address{.forward_address = found->second.forward_address,
+                          .incarnation = found->second.incarnation};
+  }
+
+  void LeaveCluster(std::function<void()> done) {
+    control_->Post(
+        [this, done = std::move(done)](control_core& core, instant now) {
+          core.Leave(now);
+          boost::asio::post(io_, [this, done] { CloseDown(done); });
+        });
+  }
+
+  void CloseDown(const std::function<void()>& done) {
+    lease_timer_.cancel();
+    transport_ready_ = false;
+    transport_->Stop(kTransportGraceMs);
+    local_api_.Stop([this, done] {
+      control_->Stop();
+      log_event(log_level::kInfo, "daemon_stopped").With("member", Name());
+      done();
+    });
+  }
+
+  // Backend server ----------------------------------------------------------
+
+  void ScheduleLeaseCheck() {
+    lease_timer_.expires_after(kLeaseCheckInterval);
+    lease_timer_.async_wait([this](boost::system::error_code failure) {
+      if (failure) return;
+      lease_.Tick(MonotonicNow());
+      OnLeaseChanged();
+      ScheduleLeaseCheck();
+    });
+  }
+
+  void OnLeaseChanged() {
+    const backend_record record = lease_.Record();
+    if (record == announced_) return;
+    announced_ = record;
+    calls_.OnBackendChanged();
+    control_->Post([record](control_core& core, instant now) {
+      core.SetBackend(record, now);
+    });
+  }
+
+  result<void> OnAnnounce(backend_announcement announcement) override {
+    auto taken = lease_.Announce(std::move(announcement), MonotonicNow());
+    if (taken && stopping_) static_cast<void>(lease_.Drain());
+    OnLeaseChanged();
+    return taken;
+  }
+
+  void OnWithdraw() override {
+    lease_.Withdraw();
+    OnLeaseChanged();
+  }
+
+  result<void> OnDrain() override {
+    auto drained = lease_.Drain();
+    OnLeaseChanged();
+    return drained;
+  }
+
+  // Local API ---------------------------------------------------------------
+
+  bool IsReady() const override { return version_in_force_ > 0 && !stopping_; }
+
+  void GetStatus(text_callback done) override {
+    control_->Post(
+        [this, done = std::move(done)](control_core& core, instant now) {
+          const control_status status = core.Status(now);
+          boost::asio::post(
+              io_, [this, status, done] { done(StatusJson(status).dump()); });
+        });
+  }
+
+  json StatusJson(const control_status& status) const {
+    const call_service_status calls = calls_.Status();
+    return {{"member", options_.name},
+            {"data_centre", options_.data_centre},
+            {"incarnation", incarnation_},
+            {"version_in_force", version_in_force_},
+            {"in_force_since_unix_ms", in_force_since_ms_},
+            {"staged_version", status.staged_version},
+            {"recovered", status.recovered},
+            {"reader", status.reader},
+            {"members_alive", status.members_alive},
+            {"members_by_data_centre", status.members_by_data_centre},
+            {"unreachable_data_centres", status.unreachable_data_centres},
+            {"backend_servers", routed_servers_},
+            {"backend_state", BackendStateName()},
+            {"draining", calls.draining},
+            {"entry_calls", calls.entry_calls},
+            {"owner_running", calls.owner_running},
+            {"owner_queued", calls.owner_queued},
+            {"caller_connections", calls.caller_connections}};
+  }
+
+  std::string BackendStateName() const {
+    switch (lease_.Record().state) {
+      case backend_state::kNone:
+        return "none";
+      case backend_state::kStarting:
+        return "starting";
+      case backend_state::kReady:
+        return "ready";
+      case backend_state::kDraining:
+        return "draining";
+      case backend_state::kGone:
+        return "gone";
+    }
+    return "none";
+  }
+
+  void GetMetrics(text_callback done) override { done(""); }
+
+  // Effects of the control actor; run on its thread ---------------------------
+
+  void SendFrame(const std::string& address, std::string frame) override {
+    transport_->Send(address, std::move(frame));
+  }
+
+  void ReadHead(head_source source) override {
+    boost::asio::post(io_, [this, source] {
+      const instant started = MonotonicNow();
+      auto done = [this, source, started](const result<config_head>& head) {
+        control_->Post(
+            [source, started, head](control_core& core, instant now) {
+              core.OnHead(source, head, started, now);
+            });
+      };
+      if (source == head_source::kRead) return gateway_.ReadHead(done);
+      gateway_.WaitForHead(kHeadWaitMs, done);
+    });
+  }
+
+  void ReadSections(const config_head& head,
+                    const std::vector<std::size_t>& indexes) override {
+    boost::asio::post(io_, [this, head, indexes] {
+      std::vector<std::string> digests;
+      for (const auto index : indexes) {
+        digests.push_back(head.sections[index].digest);
+      }
+      gateway_.ReadSections(
+          digests, [this, head, indexes](
+                       const result<platform_gateway::section_map>& found) {
+            OnSectionsRead(head, indexes, found);
+          });
+    });
+  }
+
+  void OnSectionsRead(const config_head& head,
+                      const std::vector<std::size_t>& indexes,
+                      const result<platform_gateway::section_map>& found) {
+    result<std::vector<config_delta::item>> items;
+    if (found) {
+      for (const auto index : indexes) {
+        items->push_back(
+            {.index = index, .bytes = found->at(head.sections[index].digest)});
+      }
+    } else {
+      items = tl::unexpected(found.error());
+    }
+    control_->Post(
+        [version = head.version, items](control_core& core, instant now) {
+          core.OnSections(version, items, now);
+        });
+  }
+
+  void WriteStatus(const data_centre_status& status) override {
+    boost::asio::post(io_, [this, status] {
+      gateway_.Replace("datacentrestatuses", status.data_centre,
+                       StatusSpec(status), [](const result<void>& written) {
+                         if (written) return;
+                         log_event(log_level::kWarning, "status_not_written")
+                             .With("reason", written.error().message);
+                       });
+    });
+  }
+
+  void Publish(const published_state& state) override {
+    boost::asio::post(io_, [this, state] { OnPublish(state); });
+  }
+
+  void OnPublish(const published_state& state) {
+    members_ = state.members;
+    if (!state.routes) return;
+    calls_.SetSnapshot(state.routes);
+    routed_servers_.clear();
+    for (const auto& service : state.routes->services) {
+      routed_servers_[service.name] = service.servers.size();
+    }
+    if (state.routes->version == version_in_force_) return;
+    version_in_force_ = state.routes->version;
+    in_force_since_ms_ = UnixMillis();
+    log_event(log_level::kInfo, "config_in_force")
+        .With("member", Name())
+        .With("version", version_in_force_);
+    control_->Post(
+        [version = version_in_force_](control_core& core, instant now) {
+          core.OnPublished(version, now);
+        });
+  }
+
+  void ApplySuspect(const suspect_event& event) override {
+    boost::asio::post(io_, [this, event] { calls_.ApplySuspect(event); });
+  }
+
+  void OnSloWindow(const std::string& /*payload*/) override {}
+
+  boost::asio::io_context& io_;
+  const daemon_options options_;
+  const std::uint64_t incarnation_;
+
+  http_object_store store_;
+  platform_gateway gateway_;
+  local_api local_api_;
+  backend_lease lease_;
+  backend_record announced_;
+  call_service calls_;
+  boost::asio::steady_timer lease_timer_;
+
+  std::shared_ptr<const member_directory> members_;
+  std::map<std::string, std::size_t> routed_servers_;  ///< By service.
+  config_version version_in_force_ = 0;
+  std::uint64_t in_force_since_ms_ = 0;
+  bool stopping_ = false;
+
+  std::atomic<std::uint64_t> frames_refused_ = 0;
+  // Set once the transport's thread may use control_.
+  std::atomic<bool> transport_ready_ = false;
+  std::unique_ptr<peer_transport> transport_;
+  std::unique_ptr<control_actor> control_;
+};
+
+daemon::daemon(boost::asio::io_context& io, daemon_options options)
+    : impl_(std::make_unique<impl>(io, std::move(options))) {}
+
+daemon::~daemon() = default;
+
+result<void> daemon::Start() { return impl_->Start(); }
+
+void daemon::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
+
+}  // namespace pomelohall
--- a/libs/daemon/src/platform_gateway.cc
+++ b/libs/daemon/src/platform_gateway.cc
@@ -59,8 +59,8 @@
                          .resource_version = known_[plural + "/" + name],
                          .spec = std::move(spec)};
     auto answered = [self = weak_from_this(), object, attempts,
-                     done = std::move(done)](
-                        const result<stored_object>& answer) {
+                     done =
+                         std::move(done)](const result<stored_object>& answer) {
       if (const auto alive = self.lock()) {
         alive->OnReplaced(object, attempts, done, answer);
       }
--- a/libs/messages/include/messages/message.h
+++ b/libs/messages/include/messages/message.h
@@ -176,6 +176,7 @@
   std::string service;
   std::uint64_t fingerprint = 0;
   std::uint64_t state = 0;  ///< Enumerator of quarantine's suspect_state.
+  std::uint64_t id = 0;     ///< Random; each event is relayed once.
 
   bool operator==(const suspect_event_message&) const = default;
 };
--- a/libs/messages/src/codec.cc
+++ b/libs/messages/src/codec.cc
@@ -204,6 +204,7 @@
   io.Text(m.service);
   io.Number(m.fingerprint);
   io.Number(m.state);
+  io.Number(m.id);
 }
 
 template <typename Io, is_message<slo_window_message> M>
