--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -6,7 +6,7 @@
 #include <memory>
 
 #include "base/error.h"
-#include "daemon/daemon_options.h"
+#include "settings/daemon_settings.h"
 
 namespace pomelohall {
 
@@ -24,7 +24,7 @@
 class daemon {
  public:
   /// @param io Must outlive the daemon.
-  daemon(boost::asio::io_context& io, daemon_options options);
+  daemon(boost::asio::io_context& io, daemon_settings options);
   ~daemon();
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -57,12 +57,12 @@
 
 class daemon::impl : private control_effects, private local_api_handler {
  public:
-  impl(boost::asio::io_context& io, daemon_options options)
+  impl(boost::asio::io_context& io, daemon_settings options)
       : io_(io),
-        options_(std::move(options)),
+        settings_(std::move(options)),
         incarnation_(UnixMillis()),
-        store_(io, {.address = options_.platform_address,
-                    .name_space = options_.platform_namespace}),
+        store_(io, {.address = settings_.platform_address,
+                    .name_space = settings_.platform_namespace}),
         gateway_(store_),
         local_api_(io, *this),
         calls_(io, CallOptions()),
@@ -83,13 +83,13 @@
     control_ = std::make_unique<control_actor>(
         ControlOptions(), static_cast<control_effects&>(*this), RandomSeed());
     transport_ready_ = true;
-    if (auto started = local_api_.Listen(options_.local_address); !started) {
+    if (auto started = local_api_.Listen(settings_.listeners.local); !started) {
       return started;
     }
     ScheduleLeaseCheck();
     log_event(log_level::kInfo, "daemon_started")
-        .With("member", options_.name)
-        .With("data_centre", options_.data_centre)
+        .With("member", settings_.name)
+        .With("data_centre", settings_.data_centre)
         .With("incarnation", incarnation_)
         .With("caller", calls_.caller_address())
         .With("forward", calls_.forward_address())
@@ -109,17 +109,17 @@
   }
 
  private:
-  const std::string& Name() const { return options_.name; }
+  const std::string& Name() const { return settings_.name; }
 
   call_service_options CallOptions() {
     call_service_options options;
-    options.member = options_.name;
-    options.data_centre = options_.data_centre;
-    options.region = options_.region;
+    options.member = settings_.name;
+    options.data_centre = settings_.data_centre;
+    options.region = settings_.region;
     options.incarnation = incarnation_;
     options.seed = RandomSeed();
-    options.caller_address = options_.caller_address;
-    options.forward_address = options_.forward_address;
+    options.caller_address = settings_.listeners.caller;
+    options.forward_address = settings_.listeners.forward;
     options.backend = [this] { return Backend(); };
     options.find_member = [this](const std::string& member) {
       return FindMember(member);
@@ -139,12 +139,12 @@
 
   control_options ControlOptions() const {
     control_options options;
-    options.membership.cluster = options_.cluster;
-    options.membership.seeds = options_.seeds;
+    options.membership.cluster = settings_.cluster;
+    options.membership.seeds = settings_.seeds;
     auto& self = options.membership.self;
-    self.name = options_.name;
-    self.region = options_.region;
-    self.data_centre = options_.data_centre;
+    self.name = settings_.name;
+    self.region = settings_.region;
+    self.data_centre = settings_.data_centre;
     self.forward_address = calls_.forward_address();
     self.peer_address = transport_->LocalAddress();
     self.incarnation = incarnation_;
@@ -153,8 +153,8 @@
 
   result<void> StartTransport() {
     transport_ =
-        MakeWebsocketTransport({.listen_address = options_.peer_address});
-    for (const auto& address : options_.blocked_peers) {
+        MakeWebsocketTransport({.listen_address = settings_.listeners.peer});
+    for (const auto& address : settings_.test.blocked_peers) {
       transport_->SetBlocked(address, true);
     }
     return transport_->Start(
@@ -272,8 +272,9 @@
 
   json StatusJson(const control_status& status) const {
     const call_service_status calls = calls_.Status();
-    return {{"member", options_.name},
-            {"data_centre", options_.data_centre},
+    const transport_counters control = transport_->Counters();
+    return {{"member", settings_.name},
+            {"data_centre", settings_.data_centre},
             {"incarnation", incarnation_},
             {"version_in_force", version_in_force_},
             {"in_force_since_unix_ms", in_force_since_ms_},
@@ -289,7 +290,11 @@
             {"entry_calls", calls.entry_calls},
             {"owner_running", calls.owner_running},
             {"owner_queued", calls.owner_queued},
-            {"caller_connections", calls.caller_connections}};
+            {"caller_connections", calls.caller_connections},
+            {"control_bytes_sent", control.bytes_sent},
+            {"control_bytes_received", control.bytes_received},
+            {"control_frames_sent", control.frames_sent},
+            {"control_frames_dropped", control.frames_dropped}};
   }
 
   std::string BackendStateName() const {
@@ -405,7 +410,7 @@
   void OnSloWindow(const std::string& /*payload*/) override {}
 
   boost::asio::io_context& io_;
-  const daemon_options options_;
+  const daemon_settings settings_;
   const std::uint64_t incarnation_;
 
   http_object_store store_;
@@ -429,7 +434,7 @@
   std::unique_ptr<control_actor> control_;
 };
 
-daemon::daemon(boost::asio::io_context& io, daemon_options options)
+daemon::daemon(boost::asio::io_context& io, daemon_settings options)
     : impl_(std::make_unique<impl>(io, std::move(options))) {}
 
 daemon::~daemon() = default;
