Give the acceptance machines a common interface

Cause: the operators' command runs the writer and the resolver in the same way. Change: acceptance_machine; write_head names the change id, so that it can be noted down before the write.

--- a/libs/acceptance/include/acceptance/acceptance_action.h
+++ b/libs/acceptance/include/acceptance/acceptance_action.h
@@ -25,6 +25,7 @@
 /// OnHeadWritten().
 struct write_head {
   stored_object object;
+  std::string change_id;  ///< Worth noting down before the write.
 };
 
 /// Call OnTick() after `span`.
--- a/libs/acceptance/include/acceptance/acceptance_writer.h
+++ b/libs/acceptance/include/acceptance/acceptance_writer.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "acceptance/acceptance_action.h"
+#include "acceptance/acceptance_machine.h"
 #include "model/configuration.h"
 #include "model/image.h"
 
@@ -24,27 +24,25 @@
 /// takes effect at most once, and a head that moved on is never overwritten.
 /// After a conflict or a lost answer the head is read again, and the change id
 /// decides.
-///
-/// Use: carry out the actions of Start(), pass each answer to its function and
-/// carry out the actions that it returns, until acceptance_done.
-class acceptance_writer {
+class acceptance_writer : public acceptance_machine {
  public:
   /// @param nonce See MakeChangeId().
   /// @param seed For the jitter of the pauses.
   acceptance_writer(configuration document, std::string nonce,
                     acceptance_options options, std::uint64_t seed);
-  ~acceptance_writer();
+  ~acceptance_writer() override;
   acceptance_writer(const acceptance_writer&) = delete;
   acceptance_writer& operator=(const acceptance_writer&) = delete;
 
-  acceptance_actions Start(instant now);
-  acceptance_actions OnHead(const result<stored_object>& answer, instant now);
+  acceptance_actions Start(instant now) override;
+  acceptance_actions OnHead(const result<stored_object>& answer,
+                            instant now) override;
   acceptance_actions OnSection(const std::string& digest,
                                const result<stored_object>& answer,
-                               instant now);
+                               instant now) override;
   acceptance_actions OnHeadWritten(const result<stored_object>& answer,
-                                   instant now);
-  acceptance_actions OnTick(instant now);
+                                   instant now) override;
+  acceptance_actions OnTick(instant now) override;
 
  private:
   enum class step { kReadHead, kSections, kWriteHead, kResolve, kDone };
--- a/libs/acceptance/include/acceptance/change_resolver.h
+++ b/libs/acceptance/include/acceptance/change_resolver.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "acceptance/acceptance_action.h"
+#include "acceptance/acceptance_machine.h"
 
 namespace pomelohall {
 
@@ -13,18 +13,28 @@
 
 /// Finds out whether a change whose outcome was unknown took effect
 /// (`apply --resume`). Pure, like acceptance_writer; it writes nothing.
-class change_resolver {
+class change_resolver : public acceptance_machine {
  public:
   /// @param seed For the jitter of the pauses.
   change_resolver(std::string change_id, acceptance_options options,
                   std::uint64_t seed);
-  ~change_resolver();
+  ~change_resolver() override;
   change_resolver(const change_resolver&) = delete;
   change_resolver& operator=(const change_resolver&) = delete;
 
-  acceptance_actions Start(instant now);
-  acceptance_actions OnHead(const result<stored_object>& answer, instant now);
-  acceptance_actions OnTick(instant now);
+  acceptance_actions Start(instant now) override;
+  acceptance_actions OnHead(const result<stored_object>& answer,
+                            instant now) override;
+  acceptance_actions OnTick(instant now) override;
+  /// The resolver writes nothing, so these return no actions.
+  acceptance_actions OnSection(const std::string&, const result<stored_object>&,
+                               instant) override {
+    return {};
+  }
+  acceptance_actions OnHeadWritten(const result<stored_object>&,
+                                   instant) override {
+    return {};
+  }
 
  private:
   acceptance_actions Decide(const config_head& head);
--- a/libs/acceptance/src/acceptance_writer.cc
+++ b/libs/acceptance/src/acceptance_writer.cc
@@ -112,7 +112,8 @@
 }
 
 acceptance_actions acceptance_writer::WriteHead() {
-  return {write_head{HeadObject(image_->head, base_resource_version_)}};
+  return {write_head{HeadObject(image_->head, base_resource_version_),
+                     image_->head.change_id}};
 }
 
 acceptance_actions acceptance_writer::OnHeadWritten(
--- a/libs/acceptance/tests/acceptance_driver.h
+++ b/libs/acceptance/tests/acceptance_driver.h
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,16 +24,21 @@
   return document;
 }
 
-/// Carries out the actions of a writer against a fake store, one at a time, so
+/// Carries out the actions of a machine against a fake store, one at a time, so
 /// that a test can stop between two of them.
 class acceptance_driver {
  public:
+  acceptance_driver(fake_object_store& store,
+                    std::unique_ptr<acceptance_machine> machine)
+      : store_(store), machine_(std::move(machine)) {
+    Add(machine_->Start(now_));
+  }
+
   acceptance_driver(fake_object_store& store, configuration document,
                     std::string nonce)
-      : store_(store),
-        writer_(std::move(document), std::move(nonce), {}, /*seed=*/1) {
-    Add(writer_.Start(now_));
-  }
+      : acceptance_driver(store, std::make_unique<acceptance_writer>(
+                                     std::move(document), std::move(nonce),
+                                     acceptance_options{}, /*seed=*/1)) {}
 
   /// Carries out the next action and delivers its answer. Returns false once
   /// the writer has finished.
@@ -61,18 +67,18 @@
   }
   void Do(const read_head&) {
     store_.Get(kHeadPlural, kHeadName, [this](const auto& answer) {
-      Add(writer_.OnHead(answer, now_));
+      Add(machine_->OnHead(answer, now_));
     });
   }
   void Do(const create_section& action) {
     store_.Create(action.object,
                   [this, name = action.object.name](const auto& answer) {
-                    Add(writer_.OnSection(name, answer, now_));
+                    Add(machine_->OnSection(name, answer, now_));
                   });
   }
   void Do(const write_head& action) {
     const auto done = [this](const auto& answer) {
-      Add(writer_.OnHeadWritten(answer, now_));
+      Add(machine_->OnHeadWritten(answer, now_));
     };
     if (action.object.resource_version.empty()) {
       store_.Create(action.object, done);
@@ -82,12 +88,12 @@
   }
   void Do(const pause_for& action) {
     now_ += action.span;
-    Add(writer_.OnTick(now_));
+    Add(machine_->OnTick(now_));
   }
   void Do(const acceptance_done& action) { done_ = action; }
 
   fake_object_store& store_;
-  acceptance_writer writer_;
+  std::unique_ptr<acceptance_machine> machine_;
   std::deque<acceptance_action> queue_;
   std::optional<acceptance_done> done_;
   instant now_;
@@ -118,21 +124,10 @@
   }
 
   acceptance_done Resolve(const std::string& change_id) {
-    change_resolver resolver(change_id, {}, /*seed=*/1);
-    instant now;
-    auto actions = resolver.Start(now);
-    while (!std::holds_alternative<acceptance_done>(actions.front())) {
-      if (const auto* pause = std::get_if<pause_for>(&actions.front())) {
-        now += pause->span;
-        actions = resolver.OnTick(now);
-        continue;
-      }
-      store_.Get(kHeadPlural, kHeadName, [&](const auto& answer) {
-        actions = resolver.OnHead(answer, now);
-      });
-      store_.Advance();
-    }
-    return std::get<acceptance_done>(actions.front());
+    return acceptance_driver(store_,
+                             std::make_unique<change_resolver>(
+                                 change_id, acceptance_options{}, /*seed=*/1))
+        .Run();
   }
 
   fake_object_store store_;
