Add the operators' package and the command pomelohall

Cause: operators declare targets and read back whether a version is in force. Ruled out: a wait that takes a fleet without reports as converged.

--- /dev/null
+++ b/libs/operators/include/operators/apply_command.h
@@ -0,0 +1,31 @@
+#ifndef POMELOHALL_OPERATORS_APPLY_COMMAND_H_
+#define POMELOHALL_OPERATORS_APPLY_COMMAND_H_
+
+#include <string>
+
+#include "base/time.h"
+#include "operators/command_output.h"
+#include "operators/environment.h"
+
+namespace pomelohall {
+
+struct apply_options {
+  std::string document;  ///< JSON text; not used with `resume`.
+  std::string resume;    ///< Change id to resolve instead of a new change.
+  bool wait = false;     ///< Wait until the version is in force everywhere.
+  /// For reaching the platform, and again for `wait`.
+  duration timeout = std::chrono::seconds(30);
+  output_format format = output_format::kTable;
+};
+
+/// Accepts a document as the next version, or resolves the outcome of an
+/// earlier change, and shows version and change id.
+///
+/// Errors: see acceptance_done; with `wait` also `kDeadlineExceeded` (ran)
+/// if the change was accepted and data centres, named in the message and in the
+/// details, do not have it in force in time.
+command_output RunApply(environment& where, const apply_options& options);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_APPLY_COMMAND_H_
--- /dev/null
+++ b/libs/operators/include/operators/configuration_diff.h
@@ -0,0 +1,35 @@
+#ifndef POMELOHALL_OPERATORS_CONFIGURATION_DIFF_H_
+#define POMELOHALL_OPERATORS_CONFIGURATION_DIFF_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model/configuration.h"
+
+namespace pomelohall {
+
+/// What happened to an item of a configuration.
+enum class difference_kind { kAdded, kRemoved, kChanged };
+
+/// Returns "added", "removed" or "changed".
+std::string_view DifferenceKindName(difference_kind kind);
+
+/// One item that differs between two documents.
+struct difference {
+  difference_kind kind = difference_kind::kAdded;
+  std::string item;    ///< "service <name>", "class <name>" or "route <...>".
+  std::string before;  ///< Empty if added.
+  std::string after;   ///< Empty if removed.
+
+  bool operator==(const difference&) const = default;
+};
+
+/// Returns the items that differ: services, then classes, then routes, each in
+/// the order of their names. The order inside the documents does not matter.
+std::vector<difference> CompareConfigurations(const configuration& before,
+                                              const configuration& after);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_CONFIGURATION_DIFF_H_
--- /dev/null
+++ b/libs/operators/include/operators/drain_command.h
@@ -0,0 +1,24 @@
+#ifndef POMELOHALL_OPERATORS_DRAIN_COMMAND_H_
+#define POMELOHALL_OPERATORS_DRAIN_COMMAND_H_
+
+#include <string>
+
+#include "base/time.h"
+#include "operators/command_output.h"
+
+namespace pomelohall {
+
+struct drain_options {
+  std::string daemon;  ///< "ip:port" of the daemon's `local` listener.
+  duration timeout = std::chrono::seconds(5);
+  output_format format = output_format::kTable;
+};
+
+/// Asks a daemon to give no new work to the backend server of its VM. Sending
+/// it twice does no harm. Errors: `kPeerUnreachable`, `kDeadlineExceeded` and
+/// the error that the daemon answers.
+command_output RunDrain(const drain_options& options);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_DRAIN_COMMAND_H_
--- /dev/null
+++ b/libs/operators/include/operators/environment.h
@@ -0,0 +1,31 @@
+#ifndef POMELOHALL_OPERATORS_ENVIRONMENT_H_
+#define POMELOHALL_OPERATORS_ENVIRONMENT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+#include "platform/object_store.h"
+
+namespace pomelohall {
+
+/// What the commands need from outside: the platform, time and randomness.
+/// Commands run on one thread and wait by RunOnce() and Sleep().
+class environment {
+ public:
+  virtual ~environment() = default;
+
+  virtual object_store& Store() = 0;
+  virtual instant Now() = 0;
+  /// Waits for an answer of the store and delivers it.
+  virtual void RunOnce() = 0;
+  virtual void Sleep(duration span) = 0;
+  /// Returns 64 random bits, different in every process.
+  virtual std::uint64_t RandomBits() = 0;
+  /// Shows a line to the operator while a command runs.
+  virtual void Notice(const std::string& line) = 0;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_ENVIRONMENT_H_
--- /dev/null
+++ b/libs/operators/include/operators/status_command.h
@@ -0,0 +1,28 @@
+#ifndef POMELOHALL_OPERATORS_STATUS_COMMAND_H_
+#define POMELOHALL_OPERATORS_STATUS_COMMAND_H_
+
+#include <vector>
+
+#include "base/error.h"
+#include "operators/command_output.h"
+#include "operators/data_centre_status.h"
+#include "operators/environment.h"
+
+namespace pomelohall {
+
+struct status_options {
+  bool services = false;  ///< Table: also the backend servers of each service.
+  output_format format = output_format::kTable;
+};
+
+/// Reads the status of every data centre, in the order of their names. Fails
+/// with `kPlatformUnavailable` or `kProtocolError`.
+result<std::vector<data_centre_status>> ReadStatuses(environment& where);
+
+/// Shows the accepted version and, for each data centre, the versions in force
+/// and the number of daemons that lag.
+command_output RunStatus(environment& where, const status_options& options);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_STATUS_COMMAND_H_
--- /dev/null
+++ b/libs/operators/include/operators/store_calls.h
@@ -0,0 +1,42 @@
+#ifndef POMELOHALL_OPERATORS_STORE_CALLS_H_
+#define POMELOHALL_OPERATORS_STORE_CALLS_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "operators/environment.h"
+#include "platform/object_store.h"
+
+namespace pomelohall {
+
+/// Starts a call by `start(callback)` and waits for its answer.
+template <typename Answer, typename Start>
+result<Answer> Await(environment& where, Start start) {
+  const auto answer = std::make_shared<std::optional<result<Answer>>>();
+  start([answer](result<Answer> got) { *answer = std::move(got); });
+  while (!answer->has_value()) where.RunOnce();
+  return std::move(**answer);
+}
+
+/// Waiting forms of object_store::Get() and List().
+inline result<stored_object> GetObject(environment& where,
+                                       const std::string& plural,
+                                       const std::string& name) {
+  return Await<stored_object>(where, [&](auto done) {
+    where.Store().Get(plural, name, std::move(done));
+  });
+}
+
+inline result<std::vector<stored_object>> ListObjects(
+    environment& where, const std::string& plural) {
+  return Await<std::vector<stored_object>>(
+      where, [&](auto done) { where.Store().List(plural, std::move(done)); });
+}
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_STORE_CALLS_H_
--- /dev/null
+++ b/libs/operators/src/acceptance_runner.h
@@ -0,0 +1,37 @@
+#ifndef POMELOHALL_OPERATORS_ACCEPTANCE_RUNNER_H_
+#define POMELOHALL_OPERATORS_ACCEPTANCE_RUNNER_H_
+
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "acceptance/acceptance_machine.h"
+#include "operators/environment.h"
+
+namespace pomelohall {
+
+/// Carries out the actions of an acceptance machine until it is done.
+class acceptance_runner {
+ public:
+  acceptance_runner(environment& where, acceptance_machine& machine)
+      : environment_(where), machine_(machine) {}
+
+  acceptance_done Run();
+
+ private:
+  acceptance_actions Do(const read_head& action);
+  acceptance_actions Do(const create_section& action);
+  acceptance_actions Do(const write_head& action);
+  acceptance_actions Do(const pause_for& action);
+  acceptance_actions Do(const acceptance_done& action);
+  void ShowChangeId(const std::string& change_id);
+
+  environment& environment_;
+  acceptance_machine& machine_;
+  std::string shown_change_id_;
+  std::optional<acceptance_done> done_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_OPERATORS_ACCEPTANCE_RUNNER_H_
