--- a/libs/operators/include/operators/apply_command.h
+++ b/libs/operators/include/operators/apply_command.h
@@ -10,9 +10,9 @@
 namespace pomelohall {
 
 struct apply_options {
-  std::string document;  ///< JSON text; not used with `resume`.
-  std::string resume;    ///< Change id to resolve instead of a new change.
-  bool wait = false;     ///< Wait until the version is in force everywhere.
+  std::string document{};  ///< JSON text; not used with `resume`.
+  std::string resume{};    ///< Change id to resolve instead of a new change.
+  bool wait = false;       ///< Wait until the version is in force everywhere.
   /// For reaching the platform, and again for `wait`.
   duration timeout = std::chrono::seconds(30);
   output_format format = output_format::kTable;
--- a/libs/operators/include/operators/diff_command.h
+++ b/libs/operators/include/operators/diff_command.h
@@ -9,7 +9,7 @@
 namespace pomelohall {
 
 struct diff_options {
-  std::string document;  ///< JSON text.
+  std::string document{};  ///< JSON text.
   output_format format = output_format::kTable;
 };
 
--- a/libs/operators/include/operators/drain_command.h
+++ b/libs/operators/include/operators/drain_command.h
@@ -9,7 +9,7 @@
 namespace pomelohall {
 
 struct drain_options {
-  std::string daemon;  ///< "ip:port" of the daemon's `local` listener.
+  std::string daemon{};  ///< "ip:port" of the daemon's `local` listener.
   duration timeout = std::chrono::seconds(5);
   output_format format = output_format::kTable;
 };
--- a/libs/operators/tests/status_command_test.cc
+++ b/libs/operators/tests/status_command_test.cc
@@ -0,0 +1,71 @@
+#include "operators/status_command.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "fake_environment.h"
+#include "operators/apply_command.h"
+
+namespace pomelohall {
+namespace {
+
+const data_centre_status kPlant{.data_centre = "plant",
+                                .members = 3,
+                                .lowest = 1,
+                                .highest = 2,
+                                .at_highest = 1,
+                                .backend_servers = {{"orders", 3}},
+                                .updated_unix_ms = 1'700'000'000'000};
+
+}  // namespace
+
+TEST_CASE("DataCentreStatus_RoundTrip_KeepsEveryField") {
+  const auto parsed = ParseDataCentreStatus(FormatDataCentreStatus(kPlant));
+  REQUIRE(parsed.has_value());
+  CHECK(*parsed == kPlant);
+}
+
+TEST_CASE("DataCentreStatus_FieldMissing_IsNamed") {
+  auto value = nlohmann::json::parse(FormatDataCentreStatus(kPlant));
+  value.erase("at_highest");
+  const auto parsed = ParseDataCentreStatus(value.dump());
+  REQUIRE_FALSE(parsed.has_value());
+  CHECK(parsed.error().message.find("/at_highest") != std::string::npos);
+}
+
+// Guards against daemons counted as up to date below the accepted version.
+TEST_CASE("LaggingMembers_HighestBelowVersion_AreAll") {
+  CHECK(LaggingMembers(kPlant, 1) == 0);
+  CHECK(LaggingMembers(kPlant, 2) == 2);
+  CHECK(LaggingMembers(kPlant, 3) == 3);
+}
+
+TEST_CASE("Status_TwoDataCentres_ShowsVersionsAndLag") {
+  fake_environment where;
+  RunApply(where, {.document = DocumentText(1)});
+  RunApply(where, {.document = DocumentText(2)});
+  where.Report(kPlant);
+  auto depot = kPlant;
+  depot.data_centre = "depot";
+  depot.lowest = 2;
+  depot.at_highest = 3;
+  where.Report(depot);
+  const auto table = RunStatus(where, {.services = true}).text;
+  CHECK(table.find("accepted version 2") == 0);
+  CHECK(table.find("depot        3        2         0        3") !=
+        std::string::npos);
+  CHECK(table.find("plant        3        1-2       2        3") !=
+        std::string::npos);
+  CHECK(table.find("orders   3      3") != std::string::npos);
+  const auto shown = nlohmann::json::parse(
+      RunStatus(where, {.format = output_format::kJson}).text);
+  CHECK(shown["data_centres"][1]["lagging"] == 2);
+}
+
+TEST_CASE("Status_PlatformDown_ExitCode5") {
+  fake_environment where;
+  where.Fake().SetDown(true);
+  CHECK(ExitCode(RunStatus(where, {})) == 5);
+}
+
+}  // namespace pomelohall
--- a/libs/platform/tests/http_object_store_test.cc
+++ b/libs/platform/tests/http_object_store_test.cc
@@ -109,8 +109,9 @@
 TEST_CASE_METHOD(store_fixture, "HttpStore_Wait_SeesTheNextChangeOfItsObject") {
   const auto first = Create(Object("a", "1"));
   std::optional<result<stored_object>> changed;
-  store_->WaitForChange("claims", "a", first->resource_version, 60'000,
-                        [&](result<stored_object> got) { changed = got; });
+  store_->WaitForChange(
+      "claims", "a", first->resource_version, 60'000,
+      [&](const result<stored_object>& got) { changed = got; });
   REQUIRE(Create(Object("b", "1")).has_value());
   CHECK_FALSE(changed.has_value());
   REQUIRE(Update(Object("a", "2", first->resource_version)).has_value());
@@ -121,7 +122,7 @@
 TEST_CASE_METHOD(store_fixture, "HttpStore_WaitForNewObject_EndsWhenCreated") {
   std::optional<result<stored_object>> found;
   store_->WaitForChange("claims", "a", "", 60'000,
-                        [&](result<stored_object> got) { found = got; });
+                        [&](const result<stored_object>& got) { found = got; });
   REQUIRE(Create(Object("a", "1")).has_value());
   while (!found) REQUIRE(io_.run_one() > 0);
   CHECK((*found)->spec == "1");
@@ -160,8 +161,9 @@
 TEST_CASE_METHOD(store_fixture, "HttpStore_Down_IsUnavailableAndEndsWaits") {
   std::optional<result<stored_object>> waited;
   const auto first = Create(Object("a", "1"));
-  store_->WaitForChange("claims", "a", first->resource_version, 60'000,
-                        [&](result<stored_object> got) { waited = got; });
+  store_->WaitForChange(
+      "claims", "a", first->resource_version, 60'000,
+      [&](const result<stored_object>& got) { waited = got; });
   REQUIRE(Get("a").has_value());
   SetFault(R"({"mode":"down"})");
   while (!waited) REQUIRE(io_.run_one() > 0);
--- a/tools/pomelohall/src/main.cc
+++ b/tools/pomelohall/src/main.cc
@@ -7,7 +7,6 @@
 #include <functional>
 #include <iostream>
 #include <iterator>
-#include <map>
 #include <memory>
 #include <string>
 
@@ -45,12 +44,9 @@
     app_.add_option("--namespace", global_.name_space,
                     "Namespace of the objects on the platform")
         ->capture_default_str();
-    app_.add_option("--output", global_.format, "json or table")
-        ->transform(
-            CLI::CheckedTransformer(std::map<std::string, output_format>{
-                {"json", output_format::kJson},
-                {"table", output_format::kTable}}))
-        ->option_text("json|table");
+    app_.add_option("--output", format_name_, "json or table")
+        ->check(CLI::IsMember({"json", "table"}))
+        ->capture_default_str();
     AddValidate();
     AddApply();
     AddDiff();
@@ -60,7 +56,11 @@
 
   CLI::App& App() { return app_; }
   output_format Format() const { return global_.format; }
-  command_output RunSelected() { return selected_(); }
+  /// @pre The command line was parsed.
+  command_output RunSelected() {
+    if (format_name_ == "json") global_.format = output_format::kJson;
+    return selected_();
+  }
 
  private:
   CLI::App* Add(const std::string& name, const std::string& description,
@@ -191,6 +191,7 @@
       "exceeded, 1 anything else.",
       "pomelohall"};
   global_options global_;
+  std::string format_name_ = "table";
   std::string file_;
   std::string daemon_;
   double timeout_s_ = 30;
@@ -220,5 +221,6 @@
                      .exit_code
                : 0;
   }
-  return pomelohall::Print(line.RunSelected(), line.Format());
+  const auto output = line.RunSelected();
+  return pomelohall::Print(output, line.Format());
 }
