--- a/libs/acceptance/include/acceptance/acceptance_writer.h
+++ b/libs/acceptance/include/acceptance/acceptance_writer.h
@@ -3,11 +3,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
-#include "acceptance/acceptance_action.h"
+#include "acceptance/acceptance_machine.h"
 #include "model/configuration.h"
 #include "model/image.h"
 
@@ -24,33 +25,33 @@
 /// takes effect at most once, and a head that moved on is never overwritten.
 /// After a conflict or a lost answer the head is read again, and the change id
 /// decides.
-///
-/// Use: carry out the actions of Start(), pass each answer to its function and
-/// carry out the actions that it returns, until acceptance_done.
-class acceptance_writer {
+class acceptance_writer : public acceptance_machine {
  public:
   /// @param nonce See MakeChangeId().
   /// @param seed For the jitter of the pauses.
   acceptance_writer(configuration document, std::string nonce,
                     acceptance_options options, std::uint64_t seed);
-  ~acceptance_writer();
+  ~acceptance_writer() override;
   acceptance_writer(const acceptance_writer&) = delete;
   acceptance_writer& operator=(const acceptance_writer&) = delete;
 
-  acceptance_actions Start(instant now);
-  acceptance_actions OnHead(const result<stored_object>& answer, instant now);
+  acceptance_actions Start(instant now) override;
+  acceptance_actions OnHead(const result<stored_object>& answer,
+                            instant now) override;
   acceptance_actions OnSection(const std::string& digest,
                                const result<stored_object>& answer,
-                               instant now);
+                               instant now) override;
   acceptance_actions OnHeadWritten(const result<stored_object>& answer,
-                                   instant now);
-  acceptance_actions OnTick(instant now);
+                                   instant now) override;
+  acceptance_actions OnTick(instant now) override;
 
  private:
   enum class step { kReadHead, kSections, kWriteHead, kResolve, kDone };
 
   acceptance_actions BuildFrom(const config_head& base);
+  void ListMissingSections();
   acceptance_actions CreateSections();
+  acceptance_actions RetrySections(const error& failure, instant now);
   acceptance_actions WriteHead();
   acceptance_actions Resolve(const config_head& head);
   acceptance_actions ResolveNotYet(const config_head& head);
@@ -69,7 +70,10 @@
   std::string base_resource_version_;  // empty: there was no head
   config_head base_;
   config_image_ptr image_;
-  std::size_t next_section_ = 0;
+  // Sections by digest, with an index that has it.
+  std::map<std::string, std::size_t> sections_to_create_;
+  std::map<std::string, std::size_t> sections_in_flight_;
+  std::optional<error> section_failure_;  // of one created at the same time
   bool paused_ = false;
   bool maybe_written_ = false;  // an update of the head may have taken effect
 };
--- /dev/null
+++ b/libs/operators/src/acceptance_runner.cc
@@ -0,0 +1,67 @@
+#include "acceptance_runner.h"
+
+#include <utility>
+#include <variant>
+
+#include "acceptance/config_objects.h"
+
+namespace pomelohall {
+
+acceptance_done acceptance_runner::Run() {
+  Add(machine_.Start(environment_.Now()));
+  while (!done_) {
+    if (queue_.empty()) {
+      environment_.RunOnce();
+      continue;
+    }
+    const acceptance_action action = std::move(queue_.front());
+    queue_.pop_front();
+    std::visit([this](const auto& each) { Do(each); }, action);
+  }
+  return *done_;
+}
+
+void acceptance_runner::Add(const acceptance_actions& actions) {
+  queue_.insert(queue_.end(), actions.begin(), actions.end());
+}
+
+void acceptance_runner::Do(const read_head&) {
+  environment_.Store().Get(kHeadPlural, kHeadName, [this](const auto& answer) {
+    Add(machine_.OnHead(answer, environment_.Now()));
+  });
+}
+
+void acceptance_runner::Do(const create_section& action) {
+  environment_.Store().Create(
+      action.object, [this, digest = action.object.name](const auto& answer) {
+        Add(machine_.OnSection(digest, answer, environment_.Now()));
+      });
+}
+
+void acceptance_runner::Do(const write_head& action) {
+  ShowChangeId(action.change_id);
+  const auto done = [this](const result<stored_object>& answer) {
+    Add(machine_.OnHeadWritten(answer, environment_.Now()));
+  };
+  if (action.object.resource_version.empty()) {
+    environment_.Store().Create(action.object, done);
+  } else {
+    environment_.Store().Update(action.object, done);
+  }
+}
+
+void acceptance_runner::Do(const pause_for& action) {
+  environment_.Sleep(action.span);
+  Add(machine_.OnTick(environment_.Now()));
+}
+
+void acceptance_runner::Do(const acceptance_done& action) { done_ = action; }
+
+// Shown before the write, so that an operator whose command is killed can
+// still find out what became of the change.
+void acceptance_runner::ShowChangeId(const std::string& change_id) {
+  if (std::exchange(shown_change_id_, change_id) == change_id) return;
+  environment_.Notice("writing change " + change_id);
+}
+
+}  // namespace pomelohall
