--- a/libs/policy/include/policy/call_plan.h
+++ b/libs/policy/include/policy/call_plan.h
@@ -122,6 +122,11 @@
   /// Returns whether no more events are expected. The plan may be destroyed.
   bool Finished() const;
 
+  /// Returns whether the answer of `attempt` is being passed on to the caller.
+  bool Delivers(std::uint32_t attempt) const {
+    return phase_ == phase::kDelivering && delivering_ == attempt;
+  }
+
   /// Returns the value of Pomelohall-Attempt to send with `attempt`.
   std::uint32_t AttemptHeader(std::uint32_t attempt) const {
     return request_.inbound_attempt + attempt - 1;
@@ -177,6 +182,7 @@
   std::vector<std::string> tried_members_;
   std::uint32_t delivering_ = 0;
   std::uint32_t retries_done_ = 0;
+  std::uint32_t backend_failures_ = 0;
   instant started_at_{};
   std::optional<instant> hedge_at_;
   bool granted_ = false;
--- a/libs/policy/src/call_plan.cc
+++ b/libs/policy/src/call_plan.cc
@@ -24,6 +24,10 @@
     {plan_action_kind::kReleaseKey, "release_key"},
 }}};
 
+/// A call that crashed this many backend servers is not sent again: it may be
+/// what crashes them, and the word of it spreads more slowly than retries.
+constexpr std::uint32_t kMaxBackendFailures = 2;
+
 plan_action Action(plan_action_kind kind, std::uint32_t attempt = 0) {
   plan_action action;
   action.kind = kind;
@@ -92,8 +96,9 @@
       // The grant may have taken effect and its answer be lost.
       granted_ = true;
       return FailCaller({error_kind::kLedgerUnavailable,
-                         "the home of the idempotency key did not answer",
-                         run_state::kNotRun});
+                         "the ledger of the idempotency key did not answer; "
+                         "an earlier request with this key may have run",
+                         run_state::kUnknown});
     case grant_verdict::kOutcomeUnknown:
       break;
   }
@@ -304,8 +309,10 @@
     SettleKeyAfterFailure(out);
     return out;
   }
+  if (reason.kind == error_kind::kBackendFailed) ++backend_failures_;
   // The other one of two hedged attempts may still succeed.
   if (RunningCount() > 0) return {};
+  if (backend_failures_ >= kMaxBackendFailures) return FailCaller(reason);
   return RetryOrFail(reason, now);
 }
 
@@ -387,7 +394,8 @@
 
 error call_plan::Describe(const error& reason) const {
   const auto ran = Strongest(ran_, reason.ran);
-  const bool lost = !IsIdempotent(request_.kind) && ran != run_state::kNotRun;
+  const bool lost = !IsIdempotent(request_.kind) && ran != run_state::kNotRun &&
+                    reason.kind != error_kind::kLedgerUnavailable;
   if (!lost) return {reason.kind, reason.message, ran};
   return {error_kind::kOutcomeUnknown, reason.message, ran};
 }
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -101,7 +101,9 @@
       if (left.fingerprint != right.fingerprint) {
         return left.fingerprint < right.fingerprint;
       }
-      return std::string_view(left.service) < std::string_view(right.service);
+      const std::string_view left_service = left.service;
+      const std::string_view right_service = right.service;
+      return left_service < right_service;
     }
   };
   struct entry {
--- a/libs/routing/include/routing/server_selector.h
+++ b/libs/routing/include/routing/server_selector.h
@@ -28,7 +28,7 @@
   duration data_centre_penalty{1'000};
   /// Added to the score of a server in another region.
   duration region_penalty{20'000};
-  server_health_options health;
+  server_health_options health = {};
 };
 
 /// What an attempt on a server showed.
--- /dev/null
+++ b/tests/matrix/calls/journal.cc
@@ -0,0 +1,112 @@
+#include "journal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelohall::matrix::calls {
+namespace {
+
+constexpr duration kDrainBound{3'000'000};
+constexpr std::size_t kCrashBound = 2;
+
+std::string Name(std::size_t request) {
+  return "request " + std::to_string(request);
+}
+
+}  // namespace
+
+std::size_t journal::Add(request_record record) {
+  requests_.push_back(std::move(record));
+  return requests_.size() - 1;
+}
+
+std::string journal::AnswerOf(std::size_t request) {
+  return "answer to " + Name(request) + " in three parts";
+}
+
+void journal::OnExecution(const execution& run) {
+  const auto& record = requests_[run.request];
+  const auto same = [&run](const execution& other) {
+    return other.request == run.request;
+  };
+  if (!IsIdempotent(record.kind) &&
+      std::any_of(executions_.begin(), executions_.end(), same)) {
+    Broken(promise::kAtMostOnce, Name(run.request) + " ran again in try " +
+                                     std::to_string(run.try_number));
+  }
+  const auto told = last_not_run_.find(run.request);
+  if (told != last_not_run_.end() && told->second >= run.try_number) {
+    Broken(promise::kNotRunTrue, Name(run.request) + " ran in try " +
+                                     std::to_string(run.try_number) +
+                                     " after its caller was told not_run");
+  }
+  const auto leaving = leaving_.find(run.backend);
+  if (leaving != leaving_.end() && run.at > leaving->second + kDrainBound) {
+    Broken(promise::kDrainQuick,
+           Name(run.request) + " started on a leaving server after " +
+               std::to_string(ToMillis(run.at - leaving->second)) + " ms");
+  }
+  executions_.push_back(run);
+}
+
+void journal::OnToldNotRun(std::size_t request, std::size_t try_number) {
+  // The tries of one key are one request to its caller.
+  const bool keyed = requests_[request].IsKeyed();
+  const auto ran = [&](const execution& run) {
+    return run.request == request && (keyed || run.try_number == try_number);
+  };
+  if (std::any_of(executions_.begin(), executions_.end(), ran)) {
+    Broken(promise::kNotRunTrue, Name(request) + " had run before try " +
+                                     std::to_string(try_number) +
+                                     " was told not_run");
+  }
+  auto& last = last_not_run_[request];
+  last = std::max(last, try_number);
+}
+
+void journal::OnAnswer(std::size_t request, const std::string& body) {
+  requests_[request].answered = true;
+  if (body == AnswerOf(request)) return;
+  Broken(promise::kWholeAnswer,
+         Name(request) + " got \"" + body + "\" as its whole answer");
+}
+
+void journal::OnLeaving(process_id backend, instant now) {
+  leaving_.emplace(backend, now);
+}
+
+void journal::OnCrash(process_id /*backend*/, instant now) {
+  crashes_.push_back(now);
+}
+
+void journal::CheckAnswered() {
+  for (std::size_t i = 0; i < requests_.size(); ++i) {
+    const auto& record = requests_[i];
+    if (record.answered || record.poison || !IsIdempotent(record.kind)) {
+      continue;
+    }
+    Broken(promise::kWholeAnswer, Name(i) + " was never answered");
+  }
+}
+
+void journal::CheckCrashes(duration spreading) {
+  std::size_t counted = 0;
+  for (const auto& run : executions_) {
+    if (!requests_[run.request].poison) continue;
+    const auto spreads = [&](instant crash) {
+      return run.at >= crash && run.at - crash <= spreading;
+    };
+    if (std::none_of(crashes_.begin(), crashes_.end(), spreads)) ++counted;
+  }
+  if (counted <= kCrashBound) return;
+  Broken(promise::kWholeAnswer,
+         "a poison request ran " + std::to_string(counted) +
+             " times outside of the spreading time, allowed are " +
+             std::to_string(kCrashBound));
+}
+
+void journal::Broken(promise which, std::string detail) {
+  violations_.push_back({which, std::move(detail)});
+}
+
+}  // namespace pomelohall::matrix::calls
--- /dev/null
+++ b/tests/matrix/calls/journal.h
@@ -0,0 +1,84 @@
+#ifndef POMELOHALL_TESTS_MATRIX_CALLS_JOURNAL_H_
+#define POMELOHALL_TESTS_MATRIX_CALLS_JOURNAL_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "../matrix.h"
+#include "base/time.h"
+#include "model/configuration.h"
+#include "scenario.h"
+#include "world.h"
+
+namespace pomelohall::matrix::calls {
+
+/// One run of a request on a backend server.
+struct execution {
+  std::size_t request = 0;
+  std::size_t try_number = 0;
+  process_id backend = 0;
+  instant at;
+};
+
+/// A request that the caller has to get done.
+struct request_record {
+  class_kind kind = class_kind::kLookup;
+  key_source key_from = key_source::kNone;
+  std::string key = {};
+  bool poison = false;
+  bool answered = false;
+
+  bool IsKeyed() const { return key_from != key_source::kNone; }
+};
+
+/// What really happened, and the promises that it broke.
+class journal {
+ public:
+  /// Adds a request and returns its number.
+  std::size_t Add(request_record record);
+
+  request_record& Request(std::size_t number) { return requests_[number]; }
+  std::size_t RequestCount() const { return requests_.size(); }
+
+  /// Returns the whole answer that belongs to a request.
+  static std::string AnswerOf(std::size_t request);
+
+  /// Records that a backend server runs a request.
+  void OnExecution(const execution& run);
+
+  /// Records that the caller was told that a try did not run.
+  void OnToldNotRun(std::size_t request, std::size_t try_number);
+
+  /// Records an answer that looked whole to the caller.
+  void OnAnswer(std::size_t request, const std::string& body);
+
+  /// From then on a backend server counts as leaving.
+  void OnLeaving(process_id backend, instant now);
+
+  void OnCrash(process_id backend, instant now);
+
+  /// Checks at the end that idempotent requests were answered.
+  void CheckAnswered();
+
+  /// Checks that a poison request crashed at most 2 servers and those that
+  /// started to run it within `spreading` of a crash.
+  void CheckCrashes(duration spreading);
+
+  void Broken(promise which, std::string detail);
+  const std::vector<violation>& Violations() const { return violations_; }
+
+ private:
+  std::vector<request_record> requests_;
+  std::vector<execution> executions_;
+  std::map<std::size_t, std::size_t> last_not_run_;
+  std::map<process_id, instant> leaving_;
+  std::vector<instant> crashes_;
+  std::vector<violation> violations_;
+};
+
+}  // namespace pomelohall::matrix::calls
+
+#endif  // POMELOHALL_TESTS_MATRIX_CALLS_JOURNAL_H_
--- /dev/null
+++ b/tests/matrix/calls/key_process.cc
@@ -0,0 +1,68 @@
+#include "key_process.h"
+
+namespace pomelohall::matrix::calls {
+
+key_process::key_process(network& net, process_id self, key_source source)
+    : net_(net), self_(self), source_(source) {
+  OnRestart();
+}
+
+void key_process::OnRestart() {
+  // The platform keeps its claims.
+  if (source_ != key_source::kIssued) return;
+  const auto epoch = net_.clock.EpochOf(self_);
+  ledger_ = std::make_unique<key_ledger>("home", epoch,
+                                         net_.options.seed * 100 + epoch);
+}
+
+std::string key_process::Issue() { return ledger_->Issue(net_.clock.Now()); }
+
+grant_answer key_process::Run(claim_op operation, const std::string& key,
+                              const std::string& holder,
+                              const kept_answer& answer) {
+  return source_ == key_source::kIssued
+             ? RunIssued(operation, key, holder, answer)
+             : RunChosen(operation, key, holder);
+}
+
+grant_answer key_process::RunIssued(claim_op operation, const std::string& key,
+                                    const std::string& holder,
+                                    const kept_answer& answer) {
+  const auto now = net_.clock.Now();
+  switch (operation) {
+    case claim_op::kGrant: {
+      auto granted = ledger_->Grant(key, holder, now);
+      if (granted.verdict == grant_verdict::kGranted) last_holder_ = holder;
+      if (net_.Defect("forget_granted_key")) {
+        ledger_->Release(key, holder, now);
+      }
+      return granted;
+    }
+    case claim_op::kComplete:
+      ledger_->Complete(key, holder, answer, now);
+      return {};
+    case claim_op::kCompleteNotKept:
+      ledger_->Complete(key, holder, {.complete = false}, now);
+      return {};
+    case claim_op::kRelease:
+      ledger_->Release(
+          key, net_.Defect("release_without_holder") ? last_holder_ : holder,
+          now);
+      return {};
+  }
+  return {};
+}
+
+grant_answer key_process::RunChosen(claim_op operation, const std::string& key,
+                                    const std::string& holder) {
+  const auto found = claims_.find(key);
+  const bool mine = found != claims_.end() && found->second == holder;
+  if (operation == claim_op::kRelease && mine) claims_.erase(found);
+  if (operation != claim_op::kGrant) return {};
+  if (found == claims_.end()) claims_.emplace(key, holder);
+  const bool granted = found == claims_.end() || mine;
+  return {granted ? grant_verdict::kGranted : grant_verdict::kOutcomeUnknown,
+          std::nullopt};
+}
+
+}  // namespace pomelohall::matrix::calls
