--- a/tests/matrix/calls/network.h
+++ b/tests/matrix/calls/network.h
@@ -20,6 +20,9 @@
 
 inline constexpr std::string_view kService = "orders";
 inline constexpr std::string_view kWorkClass = "work";
+/// From the start of a poison request to the crash of its server.
+inline constexpr duration kCrashTime{1'000};
+
 inline constexpr std::size_t kObserved = 0;  ///< Number of that request.
 
 /// One send of a request by the caller.
@@ -36,6 +39,7 @@
   caller_try origin;
   process_id entry = 0;
   process_id owner = 0;
+  instant sent_at = {};  ///< To the backend server; set by the owner.
 
   std::string Connection() const {
     return call_id + "/" + std::to_string(attempt);
--- a/tests/matrix/calls/owner_process.cc
+++ b/tests/matrix/calls/owner_process.cc
@@ -94,6 +94,7 @@
 void owner_process::StartCall(ticket id) {
   auto& owned = calls_.at(id);
   owned.started_at = net_.clock.Now();
+  owned.call.sent_at = owned.started_at;
   owned.state.OnFirstByte();
   net_.reached("sent", owned.call.origin, owned.call.entry, self_);
   if (net_.clock.Alive(self_) && calls_.contains(id)) SendToBackend(id, owned);
--- a/tests/matrix/calls/scenario_run.h
+++ b/tests/matrix/calls/scenario_run.h
@@ -23,6 +23,8 @@
   std::vector<violation> Run();
 
  private:
+  /// Returns the time until every daemon knows of a crash.
+  duration SpreadingTime() const;
   void AddProcesses();
   void Connect();
   void ConnectAnswers();
--- a/tests/matrix/calls/world.h
+++ b/tests/matrix/calls/world.h
@@ -42,6 +42,12 @@
 /// instant run in the order in which they were scheduled.
 class world {
  public:
+  /// Delay of a delayed message.
+  static constexpr duration kDelay{1'500'000};
+  /// Delay of a crossed message, long enough for the next messages on other
+  /// connections to overtake it.
+  static constexpr duration kCrossingDelay{25'000};
+
   explicit world(std::uint64_t seed) : random_(seed) {}
 
   /// Adds a process in a data centre; "" reaches every data centre.
