--- a/libs/caller/src/call_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -60,7 +60,7 @@
 };
 
 result<void> call_server::impl::Listen() {
-  const auto endpoint = ParseEndpoint(options_.address);
+  const auto endpoint = ParseTcpEndpoint(options_.address);
   if (!endpoint) {
     return Fail(error_kind::kInvalidSettings,
                 "\"" + options_.address + "\" is not an address \"ip:port\"");
--- a/libs/peer/src/websocket/endpoint_address.cc
+++ b/libs/peer/src/websocket/endpoint_address.cc
@@ -34,7 +34,7 @@
   return boost::asio::ip::tcp::endpoint(ip, *port);
 }
 
-std::string FormatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint) {
+std::string FormatPeerEndpoint(const boost::asio::ip::tcp::endpoint& endpoint) {
   const std::string ip = endpoint.address().to_string();
   const std::string port = std::to_string(endpoint.port());
   if (endpoint.address().is_v6()) return "[" + ip + "]:" + port;
--- a/libs/peer/src/websocket/endpoint_address.h
+++ b/libs/peer/src/websocket/endpoint_address.h
@@ -13,7 +13,7 @@
     const std::string& address);
 
 /// Returns "ip:port" or "[ipv6]:port".
-std::string FormatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint);
+std::string FormatPeerEndpoint(const boost::asio::ip::tcp::endpoint& endpoint);
 
 }  // namespace pomelohall
 
--- a/libs/peer/src/websocket/websocket_engine_impl.cc
+++ b/libs/peer/src/websocket/websocket_engine_impl.cc
@@ -75,7 +75,7 @@
            fault.message();
   }
   boost::system::error_code unbound;
-  local_address_ = FormatEndpoint(server_.get_local_endpoint(unbound));
+  local_address_ = FormatPeerEndpoint(server_.get_local_endpoint(unbound));
   listens_on_any_ = endpoint->address().is_unspecified();
   return "";
 }
@@ -212,7 +212,7 @@
   if (listens_on_any_ && !peer.links.empty()) {
     // The peer knows this side by the address that the connection uses.
     const auto port = ParseEndpoint(local_address_)->port();
-    self = FormatEndpoint(tcp::endpoint(peer.links.front()->LocalIp(), port));
+    self = FormatPeerEndpoint(tcp::endpoint(peer.links.front()->LocalIp(), port));
   }
   return peer.Active(self < address);
 }
@@ -315,7 +315,7 @@
     return;
   }
   if (stated->address().is_unspecified()) stated->address(link->RemoteIp());
-  link->address = FormatEndpoint(*stated);
+  link->address = FormatPeerEndpoint(*stated);
   Adopt(link);
 }
 
