Test that a replaced head is not overwritten

Cause: a check removed for a trial, that the head is the one that was read, was noticed by no test. Change: a test with a head restored from a backup and one with another change of the same version; the invalid document now also must cause no read.

--- a/libs/acceptance/tests/acceptance_writer_test.cc
+++ b/libs/acceptance/tests/acceptance_writer_test.cc
@@ -37,6 +37,7 @@
       {.path_prefix = "/a", .method = "", .work_class = "missing"});
   const auto done = acceptance_driver(store_, document, "a").Run();
   CHECK(done.outcome.error().kind == error_kind::kInvalidConfiguration);
+  CHECK(store_.Calls("get") == 0);
   CHECK(store_.Table().Version() == 0);
 }
 
@@ -75,6 +76,29 @@
   CHECK(Head().version == 71);
 }
 
+// Guards against a write on top of a head that the writer has not read: one
+// restored from a backup, or of the same version by another change.
+TEST_CASE_METHOD(acceptance_fixture,
+                 "HeadReplaced_BeforeWrite_IsNotOverwritten") {
+  Accept(5, "a");
+  const auto older = *store_.Table().Get(kHeadPlural, kHeadName);
+  Accept(6, "b");
+  acceptance_driver driver(store_, DocumentOf(7), "c");
+  driver.RunToHeadWrite();
+  auto replaced = *store_.Table().Get(kHeadPlural, kHeadName);
+  SECTION("by an older version") { replaced.spec = older.spec; }
+  SECTION("by another change") {
+    auto head = HeadOf(replaced).value();
+    head.change_id = "2-other";
+    replaced.spec = FormatHead(head);
+  }
+  REQUIRE(store_.Table().Update(replaced));
+  const auto done = driver.Run();
+  REQUIRE_FALSE(done.outcome.has_value());
+  CHECK(done.outcome.error().kind == error_kind::kConflict);
+  CHECK(store_.Table().Get(kHeadPlural, kHeadName)->spec == replaced.spec);
+}
+
 // Guards against a lost answer reported as a failure, or written twice.
 TEST_CASE_METHOD(acceptance_fixture, "AnswerLost_EachWrite_IsAcceptedOnce") {
   Accept(5, "a");
