--- a/libs/acceptance/include/acceptance/acceptance_writer.h
+++ b/libs/acceptance/include/acceptance/acceptance_writer.h
@@ -75,6 +75,7 @@
   std::map<std::string, std::size_t> sections_in_flight_;
   std::optional<error> section_failure_;  // of one created at the same time
   bool paused_ = false;
+  bool conflicted_ = false;     // an update of the head was refused
   bool maybe_written_ = false;  // an update of the head may have taken effect
 };
 
--- a/libs/acceptance/src/acceptance_writer.cc
+++ b/libs/acceptance/src/acceptance_writer.cc
@@ -152,11 +152,15 @@
   }
   if (answer.error().ran != run_state::kNotRun) maybe_written_ = true;
   step_ = step::kResolve;
-  if (answer.error().kind == error_kind::kConflict ||
-      answer.error().kind == error_kind::kNotFound) {
-    return {read_head{}};
-  }
-  return Retry(answer.error(), now);
+  const bool conflict = answer.error().kind == error_kind::kConflict ||
+                        answer.error().kind == error_kind::kNotFound;
+  if (!conflict) return Retry(answer.error(), now);
+  if (!std::exchange(conflicted_, true)) return {read_head{}};
+  // Conflicts go on although the head is the one that was read. Without a pause
+  // and the time limit this would repeat for ever.
+  return Retry({error_kind::kPlatformUnavailable,
+                "the platform refuses to update an unchanged head"},
+               now);
 }
 
 acceptance_actions acceptance_writer::Resolve(const config_head& head) {
--- a/libs/acceptance/tests/acceptance_writer_test.cc
+++ b/libs/acceptance/tests/acceptance_writer_test.cc
@@ -210,6 +210,27 @@
   CHECK(name(again[0]) == name(creates[0]));
 }
 
+// Guards against an endless loop without pauses when the platform answers
+// "conflict" although the head has not changed.
+TEST_CASE("Writer_ConflictsWithUnchangedHead_PausesAndGivesUp") {
+  acceptance_writer writer(DocumentOf(1), "a", {}, /*seed=*/1);
+  instant now;
+  writer.Start(now);
+  const auto missing = Fail(error_kind::kNotFound, "");
+  const auto conflict = Fail(error_kind::kConflict, "");
+  const auto created = writer.OnHead(missing, now);
+  writer.OnSection(std::get<create_section>(created.at(0)).object.name,
+                   stored_object{}, now);
+  writer.OnHeadWritten(conflict, now);
+  writer.OnHead(missing, now);
+  const auto paused = writer.OnHeadWritten(conflict, now);
+  REQUIRE(std::holds_alternative<pause_for>(paused.at(0)));
+  now += std::chrono::hours(1);
+  const auto end = writer.OnTick(now);
+  const auto& done = std::get<acceptance_done>(end.at(0));
+  CHECK(done.outcome.error().kind == error_kind::kPlatformUnavailable);
+}
+
 // Guards against an answer delivered twice, which would start a step twice.
 TEST_CASE("Writer_AnswersOfOtherSteps_AreIgnored") {
   acceptance_writer writer(DocumentOf(1), "a", {}, /*seed=*/1);
