--- a/libs/distribution/src/puller.cc
+++ b/libs/distribution/src/puller.cc
@@ -67,7 +67,7 @@
     ++failures_;
   }
   if (offers_.empty() || now < not_before_) return std::nullopt;
-  const auto source = held == 0 ? ChooseForFullState(view) : ChooseOfferer();
+  auto source = held == 0 ? ChooseForFullState(view) : ChooseOfferer();
   if (!source) return std::nullopt;
   in_flight_ = {.source = *source,
                 .deadline = now + (held == 0 ? options_.full_state_timeout
--- /dev/null
+++ b/tests/matrix/control/control_sequences_test.cc
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/tests/matrix/control/promise_checker.cc
@@ -0,0 +1,66 @@
+#include "matrix/control/promise_checker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelohall::matrix {
+namespace {
+
+// One fault of a run repeats at every event; the first ones tell enough.
+constexpr std::size_t kMaxViolations = 20;
+
+bool HasReadyServer(const member_record& record) {
+  return IsLive(record.state) && record.backend.state == backend_state::kReady;
+}
+
+}  // namespace
+
+void promise_checker::Report(promise which, std::string detail, instant now) {
+  if (violations_.size() >= kMaxViolations) return;
+  detail += " at " + std::to_string(ToMillis(now.time_since_epoch())) + " ms";
+  violations_.push_back({which, std::move(detail)});
+}
+
+void promise_checker::OnPutInForce(
+    const std::string& member, const config_image& image,
+    const std::map<config_version, config_image_ptr>& accepted, instant now) {
+  const config_version version = image.head.version;
+  config_version& highest = highest_in_force_[member];
+  if (version < highest) {
+    Report(promise::kNoRegress,
+           member + " goes from version " + std::to_string(highest) + " to " +
+               std::to_string(version),
+           now);
+  }
+  highest = std::max(highest, version);
+  const auto found = accepted.find(version);
+  if (found == accepted.end() || found->second->head != image.head ||
+      !ImageDocument(image)) {
+    Report(promise::kWholeVersion,
+           member + " has version " + std::to_string(version) +
+               " in force, which is not what was accepted",
+           now);
+  }
+}
+
+void promise_checker::CheckRouting(const std::string& member,
+                                   const routing_state& routing,
+                                   const membership& table, instant now) {
+  for (const auto& server : routing.servers) {
+    const member_record* known = table.Find(server.name);
+    if (known == nullptr || !IsLive(known->state)) {
+      Report(promise::kNoDangling,
+             member + " routes to " + server.name + ", which is gone", now);
+    }
+  }
+}
+
+routing_state BuildRouting(config_image_ptr image, const membership& table) {
+  routing_state routing{.image = std::move(image), .servers = {}};
+  for (auto& record : table.Records()) {
+    if (HasReadyServer(record)) routing.servers.push_back(std::move(record));
+  }
+  return routing;
+}
+
+}  // namespace pomelohall::matrix
