Connect the daemon to the accepted sections and the status object

Cause: the daemon read sections as quoted text, while the writer stores them as JSON values, so no reader could stage a version. The readers of objects now come from libs/acceptance and libs/operators, which the writer uses too. The struct of distribution is renamed in_force_summary, because operators has a data_centre_status in the same namespace.

--- a/libs/daemon/include/daemon/control_effects.h
+++ b/libs/daemon/include/daemon/control_effects.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "distribution/data_centre_status.h"
+#include "distribution/in_force_summary.h"
 #include "distribution/distribution_action.h"
 #include "membership/member_record.h"
 #include "model/image.h"
@@ -39,7 +39,7 @@
   /// Answered by control_core::OnSections().
   virtual void ReadSections(const config_head& head,
                             const std::vector<std::size_t>& indexes) = 0;
-  virtual void WriteStatus(const data_centre_status& status) = 0;
+  virtual void WriteStatus(const in_force_summary& status) = 0;
   /// Hands a new state to the data path, which answers with
   /// control_core::OnPublished() if `state.routes` is set.
   virtual void Publish(const published_state& state) = 0;
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -18,6 +18,7 @@
 #include "local_api.h"
 #include "logging/log_event.h"
 #include "messages/message.h"
+#include "operators/data_centre_status.h"
 #include "peer/transport.h"
 #include "platform/http_object_store.h"
 
@@ -43,16 +44,6 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-std::string StatusSpec(const data_centre_status& status) {
-  return json{{"data_centre", status.data_centre},
-              {"members", status.members},
-              {"lowest", status.lowest_version},
-              {"highest", status.highest_version},
-              {"at_highest", status.members_at_highest},
-              {"updated_unix_ms", UnixMillis()}}
-      .dump();
-}
-
 }  // namespace
 
 class daemon::impl : private control_effects, private local_api_handler {
@@ -368,10 +359,10 @@
         });
   }
 
-  void WriteStatus(const data_centre_status& status) override {
+  void WriteStatus(const in_force_summary& status) override {
     boost::asio::post(io_, [this, status] {
-      gateway_.Replace("datacentrestatuses", status.data_centre,
-                       StatusSpec(status), [](const result<void>& written) {
+      gateway_.Replace(kStatusPlural, status.data_centre, StatusSpec(status),
+                       [](const result<void>& written) {
                          if (written) return;
                          log_event(log_level::kWarning, "status_not_written")
                              .With("reason", written.error().message);
@@ -379,6 +370,21 @@
     });
   }
 
+  std::string StatusSpec(const in_force_summary& summary) const {
+    data_centre_status status{
+        .data_centre = summary.data_centre,
+        .members = static_cast<std::uint32_t>(summary.members),
+        .lowest = summary.lowest_version,
+        .highest = summary.highest_version,
+        .at_highest = static_cast<std::uint32_t>(summary.members_at_highest),
+        .backend_servers = {},
+        .updated_unix_ms = static_cast<std::int64_t>(UnixMillis())};
+    for (const auto& [service, count] : routed_servers_) {
+      status.backend_servers[service] = static_cast<std::uint32_t>(count);
+    }
+    return FormatDataCentreStatus(status);
+  }
+
   void Publish(const published_state& state) override {
     boost::asio::post(io_, [this, state] { OnPublish(state); });
   }
--- a/libs/daemon/src/platform_gateway.cc
+++ b/libs/daemon/src/platform_gateway.cc
@@ -1,33 +1,15 @@
 #include "daemon/platform_gateway.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/digest.h"
+#include "acceptance/config_objects.h"
 
 namespace pomelohall {
 namespace {
 
 constexpr int kReplaceAttempts = 3;
 
-result<section_bytes> SectionFrom(const stored_object& object,
-                                  const std::string& digest) {
-  const auto spec = nlohmann::json::parse(object.spec, nullptr, false);
-  if (!spec.is_object() || !spec.contains("data") ||
-      !spec["data"].is_string()) {
-    return Fail(error_kind::kProtocolError,
-                "section " + digest + " has no field data");
-  }
-  auto bytes =
-      std::make_shared<const std::string>(spec["data"].get<std::string>());
-  if (Sha256Hex(*bytes) != digest) {
-    return Fail(error_kind::kProtocolError,
-                "section " + digest + " does not have the digest of its name");
-  }
-  return bytes;
-}
-
 }  // namespace
 
 class platform_gateway::impl : public std::enable_shared_from_this<impl> {
@@ -35,11 +17,11 @@
   explicit impl(object_store& store) : store_(store) {}
 
   void ReadHead(head_callback done) {
-    store_.Get("configheads", "head", HeadAnswer(std::move(done)));
+    store_.Get(kHeadPlural, kHeadName, HeadAnswer(std::move(done)));
   }
 
   void WaitForHead(std::uint32_t timeout_ms, head_callback done) {
-    store_.WaitForChange("configheads", "head", head_resource_version_,
+    store_.WaitForChange(kHeadPlural, kHeadName, head_resource_version_,
                          timeout_ms, HeadAnswer(std::move(done)));
   }
 
@@ -93,7 +75,7 @@
       }
       return EmptyImage()->head;
     }
-    auto head = ParseHead(answer->spec);
+    auto head = HeadOf(*answer);
     if (head) head_resource_version_ = answer->resource_version;
     return head;
   }
@@ -105,7 +87,7 @@
       return batch->done(std::move(batch->found));
     }
     const std::string digest = batch->digests[batch->found.size()];
-    store_.Get("configsections", digest,
+    store_.Get(kSectionPlural, digest,
                [self = weak_from_this(), batch,
                 digest](const result<stored_object>& answer) {
                  const auto alive = self.lock();
@@ -113,7 +95,7 @@
                  if (!answer) {
                    return batch->done(tl::unexpected(answer.error()));
                  }
-                 auto bytes = SectionFrom(*answer, digest);
+                 auto bytes = SectionBytesOf(*answer);
                  if (!bytes) return batch->done(tl::unexpected(bytes.error()));
                  batch->found[digest] = *bytes;
                  alive->ReadNext(batch);
--- a/libs/distribution/include/distribution/commit_counter.h
+++ b/libs/distribution/include/distribution/commit_counter.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "distribution/data_centre_status.h"
+#include "distribution/in_force_summary.h"
 #include "distribution/distribution_options.h"
 #include "membership/membership_view.h"
 #include "messages/message.h"
@@ -53,7 +53,7 @@
   /// Forgets the members that are not in the view.
   void OnMembership(const membership_view& view);
 
-  data_centre_status Status(const membership_view& view) const;
+  in_force_summary Status(const membership_view& view) const;
 
  private:
   struct running_round {
--- a/libs/distribution/include/distribution/distribution.h
+++ b/libs/distribution/include/distribution/distribution.h
@@ -134,7 +134,7 @@
   std::vector<std::string> last_aggregators_;
   instant next_ack_{};
   std::optional<instant> count_since_;  ///< First quorum seen, second-ranked.
-  std::optional<data_centre_status> last_status_;
+  std::optional<in_force_summary> last_status_;
   instant next_status_{};
 };
 
--- a/libs/distribution/include/distribution/distribution_action.h
+++ b/libs/distribution/include/distribution/distribution_action.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/error.h"
-#include "distribution/data_centre_status.h"
+#include "distribution/in_force_summary.h"
 #include "membership/membership_action.h"
 #include "model/image.h"
 
@@ -42,7 +42,7 @@
 
 /// Write the status object of the data centre.
 struct write_status {
-  data_centre_status status;
+  in_force_summary status;
 };
 
 /// A member sent a delta that was refused whole; for log and metrics.
--- a/libs/distribution/include/distribution/data_centre_status.h
+++ b/libs/distribution/include/distribution/in_force_summary.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_DISTRIBUTION_DATA_CENTRE_STATUS_H_
-#define POMELOHALL_DISTRIBUTION_DATA_CENTRE_STATUS_H_
+#ifndef POMELOHALL_DISTRIBUTION_IN_FORCE_SUMMARY_H_
+#define POMELOHALL_DISTRIBUTION_IN_FORCE_SUMMARY_H_
 
 #include <cstddef>
 #include <string>
@@ -9,16 +9,16 @@
 namespace pomelohall {
 
 /// Versions in force in one data centre, as its aggregator counts them.
-struct data_centre_status {
+struct in_force_summary {
   std::string data_centre;
   std::size_t members = 0;            ///< Alive and suspect members.
   config_version lowest_version = 0;  ///< 0: a member has none in force.
   config_version highest_version = 0;
   std::size_t members_at_highest = 0;
 
-  bool operator==(const data_centre_status&) const = default;
+  bool operator==(const in_force_summary&) const = default;
 };
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_DISTRIBUTION_DATA_CENTRE_STATUS_H_
+#endif  // POMELOHALL_DISTRIBUTION_IN_FORCE_SUMMARY_H_
--- a/libs/distribution/src/commit_counter.cc
+++ b/libs/distribution/src/commit_counter.cc
@@ -96,8 +96,8 @@
   });
 }
 
-data_centre_status commit_counter::Status(const membership_view& view) const {
-  data_centre_status status{.data_centre = view.data_centre,
+in_force_summary commit_counter::Status(const membership_view& view) const {
+  in_force_summary status{.data_centre = view.data_centre,
                             .members = view.members.size(),
                             .lowest_version = 0,
                             .highest_version = 0,
--- a/libs/distribution/tests/commit_counter_test.cc
+++ b/libs/distribution/tests/commit_counter_test.cc
@@ -112,7 +112,7 @@
   CHECK(counter_.Status(view_).lowest_version == 0);  // a5 is silent
   Ack("a5", 7);
   const auto status = counter_.Status(view_);
-  CHECK(status == data_centre_status{.data_centre = "a",
+  CHECK(status == in_force_summary{.data_centre = "a",
                                      .members = 5,
                                      .lowest_version = 6,
                                      .highest_version = 7,
