--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -248,13 +248,20 @@
     # Operators --------------------------------------------------------------
 
     def command(self, *arguments, timeout=60):
-        """Runs the operators' command; returns (exit code, output)."""
+        """Runs the operators' command; returns (exit code, output).
+
+        Progress goes to standard error; it is part of the output only if the
+        command failed.
+        """
         done = subprocess.run(
             [os.path.join(self.bin_dir, "pomelohall"), "--platform",
              self.platform_address(), *arguments],
             stdin=subprocess.DEVNULL, stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT, timeout=timeout, check=False)
-        return done.returncode, done.stdout.decode()
+            stderr=subprocess.PIPE, timeout=timeout, check=False)
+        output = done.stdout.decode()
+        if done.returncode != 0:
+            output += done.stderr.decode()
+        return done.returncode, output
 
     def write_config(self, config, name="config.json"):
         path = self.path(name)
