--- /dev/null
+++ b/libs/slo/include/slo/latency_histogram.h
@@ -0,0 +1,52 @@
+#ifndef POMELOHALL_SLO_LATENCY_HISTOGRAM_H_
+#define POMELOHALL_SLO_LATENCY_HISTOGRAM_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+
+namespace pomelohall {
+
+/// Distribution of latencies: 8 buckets per decade from 0.1 ms to 100 s, and
+/// one bucket on either side. All histograms have the same buckets, so those of
+/// different daemons can be added. Not thread-safe.
+class latency_histogram {
+ public:
+  /// Number of buckets with the two outer ones.
+  static constexpr std::size_t kBuckets = 50;
+
+  latency_histogram();
+  ~latency_histogram();
+  latency_histogram(const latency_histogram& other);
+  latency_histogram(latency_histogram&& other) noexcept;
+  latency_histogram& operator=(latency_histogram other) noexcept;
+
+  void Record(duration latency);
+  void Add(const latency_histogram& other);
+
+  /// Adds `count` latencies to a bucket. Returns false if there is no bucket
+  /// with this index.
+  bool AddToBucket(std::size_t bucket, std::uint64_t count);
+
+  /// Returns index and count of the buckets that are not empty.
+  std::vector<std::pair<std::size_t, std::uint64_t>> Buckets() const;
+
+  std::uint64_t Count() const;
+
+  /// Returns the upper edge of the bucket with the quantile, in ms; 0 if the
+  /// histogram is empty, 100,000 if it is above the last edge.
+  /// @param quantile In (0, 1].
+  double QuantileMillis(double quantile) const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SLO_LATENCY_HISTOGRAM_H_
--- /dev/null
+++ b/libs/slo/src/latency_histogram.cc
@@ -0,0 +1,99 @@
+#include "slo/latency_histogram.h"
+
+#include <algorithm>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <cmath>
+
+namespace pomelohall {
+namespace {
+
+namespace bh = boost::histogram;
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using histogram_type =
+    decltype(bh::make_histogram_with(std::vector<std::uint64_t>(), log_axis()));
+
+constexpr double kLowestMs = 0.1;
+constexpr double kHighestMs = 100'000;
+constexpr int kInnerBuckets = static_cast<int>(latency_histogram::kBuckets) - 2;
+
+}  // namespace
+
+struct latency_histogram::state {
+  // Bucket 0 is the axis' underflow bin, whose index is -1.
+  static int AxisIndex(std::size_t bucket) {
+    return static_cast<int>(bucket) - 1;
+  }
+
+  histogram_type values =
+      bh::make_histogram_with(std::vector<std::uint64_t>(),
+                              log_axis(kInnerBuckets, kLowestMs, kHighestMs));
+};
+
+latency_histogram::latency_histogram() : state_(std::make_unique<state>()) {}
+latency_histogram::~latency_histogram() = default;
+latency_histogram::latency_histogram(const latency_histogram& other)
+    : state_(std::make_unique<state>(*other.state_)) {}
+latency_histogram::latency_histogram(latency_histogram&& other) noexcept =
+    default;
+
+latency_histogram& latency_histogram::operator=(
+    latency_histogram other) noexcept {
+  state_ = std::move(other.state_);
+  return *this;
+}
+
+void latency_histogram::Record(duration latency) {
+  // The logarithm of 0 and below is no number, which would count as overflow.
+  const double millis = ToMillis(latency);
+  if (millis > 0) {
+    state_->values(millis);
+  } else {
+    state_->values.at(-1) += 1;
+  }
+}
+
+void latency_histogram::Add(const latency_histogram& other) {
+  state_->values += other.state_->values;
+}
+
+bool latency_histogram::AddToBucket(std::size_t bucket, std::uint64_t count) {
+  if (bucket >= kBuckets) return false;
+  state_->values.at(state::AxisIndex(bucket)) += count;
+  return true;
+}
+
+std::vector<std::pair<std::size_t, std::uint64_t>> latency_histogram::Buckets()
+    const {
+  std::vector<std::pair<std::size_t, std::uint64_t>> filled;
+  for (std::size_t i = 0; i < kBuckets; ++i) {
+    const std::uint64_t count = state_->values.at(state::AxisIndex(i));
+    if (count > 0) filled.emplace_back(i, count);
+  }
+  return filled;
+}
+
+std::uint64_t latency_histogram::Count() const {
+  std::uint64_t total = 0;
+  for (const auto& [bucket, count] : Buckets()) total += count;
+  return total;
+}
+
+double latency_histogram::QuantileMillis(double quantile) const {
+  const std::uint64_t total = Count();
+  if (total == 0) return 0;
+  const auto rank = static_cast<std::uint64_t>(
+      std::ceil(quantile * static_cast<double>(total)));
+  std::uint64_t below = 0;
+  for (const auto& [bucket, count] : Buckets()) {
+    below += count;
+    if (below < rank) continue;
+    const int index = state::AxisIndex(bucket);
+    if (index >= kInnerBuckets) return kHighestMs;
+    return state_->values.axis(0).value(index + 1);
+  }
+  return kHighestMs;
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/slo/src/slo_render.cc
@@ -0,0 +1,184 @@
+#include "slo/slo_render.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+#include <cstdio>
+#include <ctime>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "slo_text.h"
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+using table_row = std::vector<std::string>;
+
+constexpr double kPercent = 100;
+
+template <typename T>
+json OrNull(const std::optional<T>& value) {
+  return value ? json(*value) : json(nullptr);
+}
+
+json SpansToJson(const std::vector<slo_span>& spans) {
+  json list = json::array();
+  for (const auto& span : spans) {
+    list.push_back({{"unix_seconds", span.unix_seconds},
+                    {"requests", span.requests},
+                    {"missed", span.missed}});
+  }
+  return list;
+}
+
+json TargetToJson(const std::optional<work_class>& definition) {
+  if (!definition) return nullptr;
+  json target = {{"within_ms", definition->target.within_ms},
+                 {"share", definition->target.share}};
+  if (definition->target.min_bytes_per_s > 0) {
+    target["min_bytes_per_s"] = definition->target.min_bytes_per_s;
+  }
+  return target;
+}
+
+json ClassToJson(const slo_class_report& item) {
+  return {{"class", item.name},
+          {"target", TargetToJson(item.definition)},
+          {"requests", item.requests},
+          {"met", item.met},
+          {"assumed_missed", item.assumed_missed},
+          {"figure", OrNull(item.figure)},
+          {"budget_left", OrNull(item.budget_left)},
+          {"burn_5min", OrNull(item.burn_5min)},
+          {"burn_1h", OrNull(item.burn_1h)},
+          {"p50_ms", item.p50_ms},
+          {"p99_ms", item.p99_ms},
+          {"worst_windows", SpansToJson(item.worst)}};
+}
+
+// Aligns the first column to the left, the others to the right.
+std::string Align(const std::vector<table_row>& rows) {
+  std::vector<std::size_t> widths(rows.front().size(), 0);
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  }
+  std::string out;
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      const std::string padding(widths[i] - row[i].size(), ' ');
+      if (i > 0) out += "  ";
+      out += i == 0 ? row[i] + padding : padding + row[i];
+    }
+    out += "\n";
+  }
+  return out;
+}
+
+std::string WorstText(const slo_class_report& item) {
+  std::string out;
+  for (const auto& span : item.worst) {
+    out += "  " + item.name + "  " + TimeText(span.unix_seconds) + "  missed " +
+           Fixed(span.missed, 0) + " of " + Fixed(span.requests, 0) + "\n";
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string Fixed(double value, int digits) {
+  std::array<char, 64> text{};
+  std::snprintf(text.data(), text.size(), "%.*f", digits, value);
+  return text.data();
+}
+
+std::string TimeText(std::int64_t unix_seconds) {
+  const std::time_t time = unix_seconds;
+  std::tm utc{};
+  gmtime_r(&time, &utc);
+  std::array<char, 32> text{};
+  std::strftime(text.data(), text.size(), "%Y-%m-%d %H:%M:%SZ", &utc);
+  return text.data();
+}
+
+std::string FigureText(const slo_report& report, const slo_class_report& item) {
+  if (!item.figure) {
+    return report.observed_minutes == 0 ? "unobserved" : "no requests";
+  }
+  // Rounded down: 99.9999% must not be shown as 100%.
+  constexpr double kDigits = 1000;
+  return Fixed(std::floor(*item.figure * kPercent * kDigits) / kDigits, 3) +
+         "%";
+}
+
+std::string TargetText(const slo_class_report& item) {
+  if (!item.definition) return "none";
+  const auto& target = item.definition->target;
+  std::string text = Fixed(target.share * kPercent, 2) + "% in " +
+                     std::to_string(target.within_ms) + " ms";
+  if (target.min_bytes_per_s > 0) {
+    text += " + body at " + std::to_string(target.min_bytes_per_s) + " B/s";
+  }
+  return text;
+}
+
+std::string BudgetText(const slo_class_report& item) {
+  if (!item.budget_left) return "-";
+  return Fixed(*item.budget_left * kPercent, 1) + "%";
+}
+
+std::string BurnText(const std::optional<double>& burn) {
+  return burn ? Fixed(*burn, 2) : "-";
+}
+
+std::string ObservationText(const slo_report& report) {
+  return std::to_string(report.observed_minutes) +
+         " minutes of data centres observed, " +
+         std::to_string(report.unobserved_minutes) +
+         " not observed and counted as missed; " +
+         std::to_string(report.missing_windows) +
+         " windows of single daemons missing and counted as missed; " +
+         std::to_string(report.duplicate_windows) +
+         " duplicate windows dropped; " +
+         std::to_string(report.unreadable_objects) + " objects unreadable.";
+}
+
+std::string RenderSloTable(const slo_report& report) {
+  std::vector<table_row> rows{{"class", "target", "figure", "requests",
+                               "missed", "assumed", "budget left", "burn 5min",
+                               "burn 1h", "p50 ms", "p99 ms"}};
+  std::string worst;
+  for (const auto& item : report.classes) {
+    rows.push_back({item.name, TargetText(item), FigureText(report, item),
+                    std::to_string(item.requests),
+                    std::to_string(item.requests - item.met),
+                    std::to_string(item.assumed_missed), BudgetText(item),
+                    BurnText(item.burn_5min), BurnText(item.burn_1h),
+                    Fixed(item.p50_ms, 1), Fixed(item.p99_ms, 1)});
+    worst += WorstText(item);
+  }
+  std::string out = TimeText(report.from_seconds) + " to " +
+                    TimeText(report.to_seconds) + "\n" + Align(rows);
+  if (!worst.empty()) out += "worst windows of 10 s\n" + worst;
+  return out + ObservationText(report) + "\n";
+}
+
+std::string RenderSloJson(const slo_report& report) {
+  json classes = json::array();
+  for (const auto& item : report.classes) classes.push_back(ClassToJson(item));
+  const json value = {{"from", report.from_seconds},
+                      {"to", report.to_seconds},
+                      {"observed_minutes", report.observed_minutes},
+                      {"unobserved_minutes", report.unobserved_minutes},
+                      {"missing_windows", report.missing_windows},
+                      {"duplicate_windows", report.duplicate_windows},
+                      {"unreadable_objects", report.unreadable_objects},
+                      {"classes", std::move(classes)}};
+  return value.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+}  // namespace pomelohall
