--- /dev/null
+++ b/libs/acceptance/include/acceptance/acceptance_writer.h
@@ -0,0 +1,83 @@
+#ifndef POMELOHALL_ACCEPTANCE_ACCEPTANCE_WRITER_H_
+#define POMELOHALL_ACCEPTANCE_ACCEPTANCE_WRITER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "acceptance/acceptance_machine.h"
+#include "model/configuration.h"
+#include "model/image.h"
+
+namespace pomelohall {
+
+class retry_backoff;
+
+/// Writer of one new version (docs/design.md, section 5): validates the whole
+/// document, reads the head, creates the missing sections and updates the head
+/// on condition that it has not changed since. Pure: it takes answers and
+/// returns actions.
+///
+/// The condition makes every try safe: an update that was delayed or sent twice
+/// takes effect at most once, and a head that moved on is never overwritten.
+/// After a conflict or a lost answer the head is read again, and the change id
+/// decides.
+class acceptance_writer : public acceptance_machine {
+ public:
+  /// @param nonce See MakeChangeId().
+  /// @param seed For the jitter of the pauses.
+  acceptance_writer(configuration document, std::string nonce,
+                    acceptance_options options, std::uint64_t seed);
+  ~acceptance_writer() override;
+  acceptance_writer(const acceptance_writer&) = delete;
+  acceptance_writer& operator=(const acceptance_writer&) = delete;
+
+  acceptance_actions Start(instant now) override;
+  acceptance_actions OnHead(const result<stored_object>& answer,
+                            instant now) override;
+  acceptance_actions OnSection(const std::string& digest,
+                               const result<stored_object>& answer,
+                               instant now) override;
+  acceptance_actions OnHeadWritten(const result<stored_object>& answer,
+                                   instant now) override;
+  acceptance_actions OnTick(instant now) override;
+
+ private:
+  enum class step { kReadHead, kSections, kWriteHead, kResolve, kDone };
+
+  acceptance_actions BuildFrom(const config_head& base);
+  void ListMissingSections();
+  acceptance_actions CreateSections();
+  acceptance_actions RetrySections(const error& failure, instant now);
+  acceptance_actions WriteHead();
+  acceptance_actions Resolve(const config_head& head);
+  acceptance_actions ResolveNotYet(const config_head& head);
+  acceptance_actions Retry(const error& failure, instant now);
+  acceptance_actions GiveUp(const error& failure);
+  acceptance_actions Lost(std::optional<accepted_change> winner);
+  acceptance_actions Unknown(const std::string& reason);
+  acceptance_actions Finish(acceptance_done done);
+
+  configuration document_;
+  std::string nonce_;
+  acceptance_options options_;
+  std::unique_ptr<retry_backoff> backoff_;
+  instant give_up_at_;
+  step step_ = step::kReadHead;
+  std::string base_resource_version_;  // empty: there was no head
+  config_head base_;
+  config_image_ptr image_;
+  // Sections by digest, with an index that has it.
+  std::map<std::string, std::size_t> sections_to_create_;
+  std::map<std::string, std::size_t> sections_in_flight_;
+  std::optional<error> section_failure_;  // of one created at the same time
+  bool paused_ = false;
+  bool maybe_written_ = false;  // an update of the head may have taken effect
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_ACCEPTANCE_ACCEPTANCE_WRITER_H_
