--- a/libs/backend/include/backend/beast_fields.h
+++ b/libs/backend/include/backend/beast_fields.h
@@ -19,9 +19,9 @@
 // HTTP only.
 
 /// Largest header of a message, in bytes.
-inline constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+inline constexpr std::size_t kMaxHeaderBytes = 16UL * 1024;
 /// Largest piece of a body held in memory, in bytes.
-inline constexpr std::size_t kBodyPartBytes = 64 * 1024;
+inline constexpr std::size_t kBodyPartBytes = 64UL * 1024;
 
 inline std::string_view ToView(boost::beast::string_view text) {
   return {text.data(), text.size()};
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -39,7 +39,7 @@
   // Fails the call if it made no progress since the progress timeout.
   void CheckProgress(instant now);
   // True once no event follows any more.
-  bool done() const { return done_; }
+  bool Done() const { return done_; }
 
   // exchange
   void Cancel() override;
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -167,7 +167,7 @@
 
 void connection_pool::impl::Run(const exchange_ptr& call,
                                 client_connection_ptr connection) {
-  if (call->done()) {
+  if (call->Done()) {
     Release(std::move(connection), true);
     return;
   }
@@ -237,7 +237,7 @@
   auto& target = targets_[address];
   while (!target.waiting.empty()) {
     const auto call = target.waiting.front();
-    if (call->done()) {
+    if (call->Done()) {
       target.waiting.pop_front();
       continue;
     }
@@ -262,7 +262,7 @@
   }
   std::erase_if(running_, [](const auto& entry) {
     const auto call = entry.second.lock();
-    return !call || call->done();
+    return !call || call->Done();
   });
   for (const auto& call : calls) call->CheckProgress(now);
 }
--- a/libs/caller/include/caller/call_service.h
+++ b/libs/caller/include/caller/call_service.h
@@ -54,8 +54,8 @@
   result<void> Start();
 
   /// Addresses in use, "ip:port". Start() must have succeeded.
-  std::string caller_address() const;
-  std::string forward_address() const;
+  std::string CallerAddress() const;
+  std::string ForwardAddress() const;
 
   /// Puts a snapshot into force. Calls before the first one are answered
   /// `kConfigUnknown`. Calls in progress keep theirs.
--- a/libs/caller/include/caller/http_server.h
+++ b/libs/caller/include/caller/http_server.h
@@ -51,7 +51,7 @@
   result<void> Listen();
 
   /// Returns the address in use, "ip:port". Listen() must have succeeded.
-  std::string address() const;
+  std::string Address() const;
 
   /// Stops to accept connections, closes idle ones, and lets the requests in
   /// progress end with `Connection: close`. `done` is called when the last
--- a/libs/caller/include/caller/incoming_request.h
+++ b/libs/caller/include/caller/incoming_request.h
@@ -25,11 +25,11 @@
  public:
   virtual ~incoming_request() = default;
 
-  virtual const request_head& head() const = 0;
+  virtual const request_head& Head() const = 0;
   /// Time at which the header was complete.
-  virtual instant received_at() const = 0;
+  virtual instant ReceivedAt() const = 0;
   /// The request's body; null if it has none. The same object at each call.
-  virtual std::shared_ptr<body_source> body() = 0;
+  virtual std::shared_ptr<body_source> Body() = 0;
 
   /// Writes the answer and reads its body to the end, as fast as the caller
   /// takes it. `done` may be empty.
--- a/libs/caller/src/body_tools.h
+++ b/libs/caller/src/body_tools.h
@@ -11,7 +11,7 @@
 namespace pomelohall {
 
 // Bodies up to this size are held in memory, so that they can be sent again.
-inline constexpr std::size_t kMaxBufferedBodyBytes = 64 * 1024;
+inline constexpr std::size_t kMaxBufferedBodyBytes = 64UL * 1024;
 
 // The start of a body, or all of it.
 struct body_start {
--- a/libs/caller/src/call_service.cc
+++ b/libs/caller/src/call_service.cc
@@ -69,9 +69,9 @@
   void Stop(std::function<void()> done);
   call_service_status Status() const;
 
-  service_context& context() { return *context_; }
-  const http_server& callers() const { return callers_; }
-  const http_server& daemons() const { return daemons_; }
+  service_context& Context() { return *context_; }
+  const http_server& Callers() const { return callers_; }
+  const http_server& Daemons() const { return daemons_; }
 
  private:
   void ScheduleSweep();
@@ -132,7 +132,7 @@
 
 call_service_status call_service::impl::Status() const {
   auto status = context_->counters;
-  const auto& admission = context_->owner_side->admission();
+  const auto& admission = context_->owner_side->Admission();
   status.version = context_->current ? context_->current->version : 0;
   status.draining = context_->draining;
   status.caller_connections = callers_.OpenConnections();
@@ -155,24 +155,24 @@
 
 result<void> call_service::Start() { return impl_->Start(); }
 
-std::string call_service::caller_address() const {
-  return impl_->callers().address();
+std::string call_service::CallerAddress() const {
+  return impl_->Callers().Address();
 }
 
-std::string call_service::forward_address() const {
-  return impl_->daemons().address();
+std::string call_service::ForwardAddress() const {
+  return impl_->Daemons().Address();
 }
 
 void call_service::SetSnapshot(snapshot_ptr next) {
-  impl_->context().SetSnapshot(std::move(next));
+  impl_->Context().SetSnapshot(std::move(next));
 }
 
 void call_service::ApplySuspect(const suspect_event& event) {
-  impl_->context().quarantine.Apply(event, MonotonicNow());
+  impl_->Context().quarantine.Apply(event, MonotonicNow());
 }
 
 void call_service::OnBackendChanged() {
-  impl_->context().owner_side->OnBackendChanged();
+  impl_->Context().owner_side->OnBackendChanged();
 }
 
 void call_service::Stop(std::function<void()> done) {
--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -53,7 +53,7 @@
                        std::shared_ptr<incoming_request> request)
     : context_(std::move(context)),
       request_(std::move(request)),
-      head_(request_->head()),
+      head_(request_->Head()),
       call_id_(context_->NewCallId()),
       timer_(context_->io) {
   ++context_->entry_calls;
@@ -69,7 +69,7 @@
     AnswerError(prepared.error());
     return;
   }
-  const auto body = request_->body();
+  const auto body = request_->Body();
   if (!body) {
     buffered_ = std::make_shared<const std::string>();
     Begin({});
@@ -108,7 +108,7 @@
   if (!deadline_ms) return tl::unexpected(deadline_ms.error());
   const auto attempt = NumberField(fields, kAttemptField, 0, kMaxAttempt);
   if (!attempt) return tl::unexpected(attempt.error());
-  deadline_ = request_->received_at() + std::chrono::milliseconds(*deadline_ms);
+  deadline_ = request_->ReceivedAt() + std::chrono::milliseconds(*deadline_ms);
   inbound_attempt_ = static_cast<std::uint32_t>(*attempt);
   RemoveHopFields(fields);
   RemoveMeshFields(fields);
@@ -127,7 +127,7 @@
         buffered_->empty() ? body_framing::kNone : body_framing::kLength;
     head_.length = buffered_->size();
   } else {
-    streamed_ = std::make_shared<prefixed_body>(start->bytes, request_->body());
+    streamed_ = std::make_shared<prefixed_body>(start->bytes, request_->Body());
   }
   Begin(*start->bytes);
 }
@@ -224,7 +224,7 @@
 }
 
 std::optional<error> entry_call::RefusalBeforeSending() const {
-  if (streamed_ && streamed_->consumed()) {
+  if (streamed_ && streamed_->Consumed()) {
     // Of all kinds, this one blames no server and is not retried.
     return error(error_kind::kCancelled,
                  "the request body was sent already and is not kept",
@@ -537,7 +537,7 @@
       {.work_class = definition.name,
        .kind = definition.kind,
        .target = definition.target,
-       .elapsed = MonotonicNow() - request_->received_at(),
+       .elapsed = MonotonicNow() - request_->ReceivedAt(),
        .body_bytes = written.body_bytes,
        .whole_answer = written.whole && !failure,
        .ran = ran,
--- a/libs/caller/src/entry_handler.cc
+++ b/libs/caller/src/entry_handler.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 void entry_handler::OnRequest(std::shared_ptr<incoming_request> request) {
-  const auto& head = request->head();
+  const auto& head = request->Head();
   if (head.method == "POST" && head.target == kKeysTarget) {
     IssueKey(*request);
     return;
--- a/libs/caller/src/forward_handler.cc
+++ b/libs/caller/src/forward_handler.cc
@@ -27,14 +27,14 @@
 
 // The deadline as it is at this daemon; the clocks of two daemons differ.
 result<instant> DeadlineOf(const incoming_request& request) {
-  const auto* text = FindField(request.head().fields, kDeadlineField);
+  const auto* text = FindField(request.Head().fields, kDeadlineField);
   const auto milliseconds = text == nullptr ? std::nullopt : ParseNumber(*text);
   if (!milliseconds || *milliseconds > 3'600'000) {
     return Fail(error_kind::kInvalidRequest, "a forwarded call needs " +
                                                  std::string(kDeadlineField) +
                                                  " from 0 to 3600000");
   }
-  return request.received_at() + std::chrono::milliseconds(*milliseconds);
+  return request.ReceivedAt() + std::chrono::milliseconds(*milliseconds);
 }
 
 // Tells the entry daemon if the request was in flight at a crash.
@@ -52,7 +52,7 @@
 }  // namespace
 
 void forward_handler::OnRequest(std::shared_ptr<incoming_request> request) {
-  const auto& head = request->head();
+  const auto& head = request->Head();
   if (head.method == "POST" && head.target == kClaimsTarget &&
       FindField(head.fields, kClassField) == nullptr) {
     OnClaim(request);
@@ -63,7 +63,7 @@
 
 void forward_handler::OnClaim(
     const std::shared_ptr<incoming_request>& request) {
-  const auto body = request->body();
+  const auto body = request->Body();
   if (!body) {
     request->Answer(
         ErrorAnswer({error_kind::kInvalidRequest, "a claim needs a body"}),
@@ -92,7 +92,7 @@
 
 result<owner_request> forward_handler::TakeCall(
     incoming_request& request) const {
-  const auto& head = request.head();
+  const auto& head = request.Head();
   const auto* name = FindField(head.fields, kClassField);
   if (name == nullptr) {
     return Fail(error_kind::kInvalidRequest,
@@ -106,7 +106,7 @@
   const auto deadline = DeadlineOf(request);
   if (!deadline) return tl::unexpected(deadline.error());
   owner_request call{
-      .request = {head, request.body()},
+      .request = {head, request.Body()},
       .service = context_->current->services[entry->service].name,
       .work_class = *name,
       .kind = entry->definition.kind,
@@ -121,7 +121,7 @@
 }
 
 void forward_handler::OnCall(const std::shared_ptr<incoming_request>& request) {
-  const auto* id = FindField(request->head().fields, kCallIdField);
+  const auto* id = FindField(request->Head().fields, kCallIdField);
   const std::string call_id = id == nullptr ? std::string() : *id;
   const auto answer_error = [request, call_id](incoming_answer answer) {
     SetField(answer.head.fields, kCallIdField, call_id);
@@ -132,7 +132,7 @@
     answer_error(ErrorAnswer(call.error()));
     return;
   }
-  if (FindField(request->head().fields, kSuspectField) != nullptr) {
+  if (FindField(request->Head().fields, kSuspectField) != nullptr) {
     context_->quarantine.Apply(
         {call->service, call->fingerprint, suspect_state::kSuspect},
         MonotonicNow());
--- a/libs/caller/src/http_server.cc
+++ b/libs/caller/src/http_server.cc
@@ -37,7 +37,7 @@
         timer_(io) {}
 
   result<void> Listen();
-  std::string address() const;
+  std::string Address() const;
   void Stop(std::function<void()> done);
   void Abort();
   void Sweep(instant now);
@@ -83,7 +83,7 @@
   return {};
 }
 
-std::string http_server::impl::address() const {
+std::string http_server::impl::Address() const {
   std::ostringstream text;
   text << acceptor_.local_endpoint();
   return text.str();
@@ -148,7 +148,7 @@
 
 void http_server::impl::Forget() {
   std::erase_if(sessions_,
-                [](const auto& session) { return session->closed(); });
+                [](const auto& session) { return session->Closed(); });
 }
 
 void http_server::impl::Sweep(instant now) {
@@ -166,7 +166,7 @@
 
 result<void> http_server::Listen() { return impl_->Listen(); }
 
-std::string http_server::address() const { return impl_->address(); }
+std::string http_server::Address() const { return impl_->Address(); }
 
 void http_server::Stop(std::function<void()> done) {
   impl_->Stop(std::move(done));
--- a/libs/caller/src/owner.cc
+++ b/libs/caller/src/owner.cc
@@ -99,7 +99,7 @@
                        const std::shared_ptr<owner_task>& task,
                        std::function<void()> done) {
   // A crash ends all calls, one after the other: it is counted once.
-  if (!check_ && task->in_crash_group()) {
+  if (!check_ && task->InCrashGroup()) {
     done();
     return;
   }
@@ -108,11 +108,11 @@
     return;
   }
   check_ = std::make_unique<crash_check>();
-  check_->service = task->service();
+  check_->service = task->Service();
   check_->waiting.push_back(std::move(done));
   for (const auto& [id, other] : tasks_) {
-    if (!other->exposed()) continue;
-    other->set_in_crash_group(true);
+    if (!other->Exposed()) continue;
+    other->SetInCrashGroup(true);
     check_->group.push_back(other);
   }
   context_.backend.Probe(context_.options.backend().address,
@@ -123,7 +123,7 @@
   const auto check = std::move(check_);
   if (!alive) ReportCrash(*check);
   for (const auto& task : check->group) {
-    if (alive) task->set_in_crash_group(false);
+    if (alive) task->SetInCrashGroup(false);
   }
   for (const auto& done : check->waiting) done();
 }
@@ -136,7 +136,7 @@
 void owner::ReportCrash(const crash_check& check) {
   std::vector<std::uint64_t> in_flight;
   for (const auto& task : check.group) {
-    if (task->exposed()) in_flight.push_back(task->fingerprint());
+    if (task->Exposed()) in_flight.push_back(task->Fingerprint());
   }
   ++context_.counters.backend_crashes;
   context_.Emit(
--- a/libs/caller/src/owner.h
+++ b/libs/caller/src/owner.h
@@ -43,7 +43,7 @@
   // To be called when the announcement of the backend server has changed.
   void OnBackendChanged();
   std::size_t InFlight() const { return tasks_.size(); }
-  const class admission& admission() const { return admission_; }
+  const class admission& Admission() const { return admission_; }
 
   // Cancels all calls.
   void Abort();
--- a/libs/caller/src/owner_task.h
+++ b/libs/caller/src/owner_task.h
@@ -30,12 +30,12 @@
   // Closes the connection to the backend server whatever runs on it.
   void Abort();
 
-  const std::string& service() const { return request_.service; }
-  std::uint64_t fingerprint() const { return request_.fingerprint; }
+  const std::string& Service() const { return request_.service; }
+  std::uint64_t Fingerprint() const { return request_.fingerprint; }
   // Whether a crash of the backend server would hit this call.
-  bool exposed() const { return state_.Sent() && !ended_; }
-  bool in_crash_group() const { return in_crash_group_; }
-  void set_in_crash_group(bool in_group) { in_crash_group_ = in_group; }
+  bool Exposed() const { return state_.Sent() && !ended_; }
+  bool InCrashGroup() const { return in_crash_group_; }
+  void SetInCrashGroup(bool in_group) { in_crash_group_ = in_group; }
 
  private:
   void OnSent();
--- a/libs/caller/src/prefixed_body.h
+++ b/libs/caller/src/prefixed_body.h
@@ -28,7 +28,7 @@
 
   // Whether a byte was handed to a connection, so that the body cannot be sent
   // again.
-  bool consumed() const { return consumed_; }
+  bool Consumed() const { return consumed_; }
 
  private:
   std::shared_ptr<const std::string> start_;
--- a/libs/caller/src/server_request.cc
+++ b/libs/caller/src/server_request.cc
@@ -2,7 +2,7 @@
 
 namespace pomelohall {
 
-std::shared_ptr<body_source> server_request::body() {
+std::shared_ptr<body_source> server_request::Body() {
   if (head_.framing == body_framing::kNone) return nullptr;
   return shared_from_this();
 }
--- a/libs/caller/src/server_request.h
+++ b/libs/caller/src/server_request.h
@@ -22,9 +22,9 @@
         session_(std::move(session)) {}
 
   // incoming_request
-  const request_head& head() const override { return head_; }
-  instant received_at() const override { return received_at_; }
-  std::shared_ptr<body_source> body() override;
+  const request_head& Head() const override { return head_; }
+  instant ReceivedAt() const override { return received_at_; }
+  std::shared_ptr<body_source> Body() override;
   void Answer(incoming_answer answer,
               std::function<void(answer_written)> done) override;
   void Abort() override;
--- a/libs/caller/src/server_session.cc
+++ b/libs/caller/src/server_session.cc
@@ -280,7 +280,7 @@
   }
   answering_ = true;
   answer_ = std::move(answer);
-  if (current_ && current_->head().method == "HEAD") DropAnswerBody();
+  if (current_ && current_->Head().method == "HEAD") DropAnswerBody();
   on_answered_ = std::move(done);
   answer_bytes_ = 0;
   last_progress_ = MonotonicNow();
--- a/libs/caller/src/server_session.h
+++ b/libs/caller/src/server_session.h
@@ -34,7 +34,7 @@
   void Drain();
   void Close();
   void Sweep(instant now);
-  bool closed() const { return closed_; }
+  bool Closed() const { return closed_; }
 
   // Called by the request in progress.
   void ReadBody(body_source::callback done);
--- a/tests/http/call_test.cc
+++ b/tests/http/call_test.cc
@@ -15,7 +15,7 @@
   mesh.AddDaemon();
   mesh.AddBackend(0);
   mesh.Publish();
-  raw_client client(mesh.caller(0));
+  raw_client client(mesh.Caller(0));
   const auto answer = client.Call("GET", "/look/7");
   CHECK(answer.status == 200);
   CHECK(answer.body == "/look/7\n");
@@ -29,7 +29,7 @@
   mesh.AddDaemon();
   mesh.AddBackend(1);
   mesh.Publish();
-  raw_client client(mesh.caller(0));
+  raw_client client(mesh.Caller(0));
   const auto answer = client.Call("GET", "/look/8");
   CHECK(answer.status == 200);
   CHECK(answer.body == "/look/8\n");
--- a/tests/http/mesh_fixture.cc
+++ b/tests/http/mesh_fixture.cc
@@ -75,8 +75,8 @@
     const auto started = added.service->Start();
     assert(started);
     static_cast<void>(started);
-    added.caller_address = added.service->caller_address();
-    added.forward_address = added.service->forward_address();
+    added.caller_address = added.service->CallerAddress();
+    added.forward_address = added.service->ForwardAddress();
   });
   return index;
 }
@@ -89,7 +89,7 @@
     const auto listening = target.stub->Listen();
     assert(listening);
     static_cast<void>(listening);
-    target.view = {target.stub->address(), "shop", slots,
+    target.view = {target.stub->Address(), "shop", slots,
                    backend_state::kReady};
     target.published = backend_state::kReady;
     target.service->OnBackendChanged();
@@ -147,12 +147,12 @@
   return OnIo([&] { return nodes_[index]->service->Status(); });
 }
 
-std::vector<call_observation> mesh_fixture::observations() {
+std::vector<call_observation> mesh_fixture::Observations() {
   const std::lock_guard lock(mutex_);
   return observations_;
 }
 
-std::vector<suspect_event> mesh_fixture::suspects() {
+std::vector<suspect_event> mesh_fixture::Suspects() {
   const std::lock_guard lock(mutex_);
   return suspects_;
 }
--- a/tests/http/mesh_fixture.h
+++ b/tests/http/mesh_fixture.h
@@ -66,18 +66,18 @@
   /// bounded by the test's own limit only.
   void WaitUntil(const std::function<bool()>& condition);
 
-  node& at(std::size_t index) { return *nodes_[index]; }
-  const std::string& caller(std::size_t index) {
+  node& At(std::size_t index) { return *nodes_[index]; }
+  const std::string& Caller(std::size_t index) {
     return nodes_[index]->caller_address;
   }
   call_service_status Status(std::size_t index);
-  boost::asio::io_context& io() { return io_; }
+  boost::asio::io_context& Io() { return io_; }
   /// Observations of all daemons so far.
-  std::vector<call_observation> observations();
+  std::vector<call_observation> Observations();
   /// Quarantine events of all daemons so far.
-  std::vector<suspect_event> suspects();
+  std::vector<suspect_event> Suspects();
   /// Whether quarantine events reach the other daemons. Default: true.
-  void set_gossip(bool gossip) { gossip_ = gossip; }
+  void SetGossip(bool gossip) { gossip_ = gossip; }
 
  private:
   std::string NameOf(std::size_t index) const;
--- a/tests/http/scripted_server.cc
+++ b/tests/http/scripted_server.cc
@@ -26,7 +26,7 @@
   thread_.join();
 }
 
-std::string scripted_server::address() const {
+std::string scripted_server::Address() const {
   std::ostringstream text;
   text << acceptor_.local_endpoint();
   return text.str();
--- a/tests/http/scripted_server.h
+++ b/tests/http/scripted_server.h
@@ -24,9 +24,9 @@
   scripted_server(const scripted_server&) = delete;
   scripted_server& operator=(const scripted_server&) = delete;
 
-  std::string address() const;
+  std::string Address() const;
   /// Number of requests whose header arrived.
-  int requests() const { return requests_; }
+  int Requests() const { return requests_; }
 
  private:
   void Serve();
--- a/tools/backend_stub/include/backend_stub/stub_server.h
+++ b/tools/backend_stub/include/backend_stub/stub_server.h
@@ -48,17 +48,17 @@
 
   /// Fails with `kInvalidSettings` if the address is in use.
   result<void> Listen();
-  std::string address() const { return server_.address(); }
+  std::string Address() const { return server_.Address(); }
 
   /// Lets the requests in progress end, then calls `done`.
   void Stop(std::function<void()> done);
   /// Closes the listener and all connections, as a crash does.
   void Abort() { server_.Abort(); }
 
-  std::uint32_t running() const { return running_; }
-  std::uint64_t runs() const { return runs_; }
-  std::uint64_t cancelled() const { return cancelled_; }
-  std::uint64_t executions(const std::string& key) const;
+  std::uint32_t Running() const { return running_; }
+  std::uint64_t Runs() const { return runs_; }
+  std::uint64_t Cancelled() const { return cancelled_; }
+  std::uint64_t Executions(const std::string& key) const;
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
--- a/tools/backend_stub/src/main.cc
+++ b/tools/backend_stub/src/main.cc
@@ -74,7 +74,7 @@
 
   result<void> Start() {
     if (auto listening = server_.Listen(); !listening) return listening;
-    std::cout << "listening on " << server_.address() << std::endl;
+    std::cout << "listening on " << server_.Address() << std::endl;
     signals_.async_wait([this](boost::system::error_code failure, int) {
       if (!failure) Stop();
     });
@@ -87,7 +87,7 @@
     announcer_ = std::make_unique<announcer>(
         io_, announcement{.daemon = settings_.daemon,
                           .service = settings_.service,
-                          .address = server_.address(),
+                          .address = server_.Address(),
                           .slots = settings_.server.slots,
                           .incarnation = UnixMillis()});
     announcer_->Start();
--- a/tools/backend_stub/src/stub_server.cc
+++ b/tools/backend_stub/src/stub_server.cc
@@ -31,7 +31,7 @@
 }
 
 void EchoCallId(const incoming_request& request, incoming_answer& answer) {
-  if (const auto* id = FindField(request.head().fields, kCallIdField)) {
+  if (const auto* id = FindField(request.Head().fields, kCallIdField)) {
     SetField(answer.head.fields, kCallIdField, *id);
   }
 }
@@ -91,13 +91,13 @@
   });
 }
 
-std::uint64_t stub_server::executions(const std::string& key) const {
+std::uint64_t stub_server::Executions(const std::string& key) const {
   const auto found = executions_.find(key);
   return found == executions_.end() ? 0 : found->second;
 }
 
 void stub_server::OnRequest(std::shared_ptr<incoming_request> request) {
-  const auto& head = request->head();
+  const auto& head = request->Head();
   const auto action = LastSegment(head.target);
   if (AnswerControl(*request, action)) return;
   if (options_.on_crash && FindField(head.fields, "X-Test-Crash") != nullptr) {
@@ -131,8 +131,8 @@
     body = "{\"running\": " + std::to_string(load) +
            ", \"slots\": " + std::to_string(options_.slots) + "}\n";
   } else if (action == "executions") {
-    const auto key = QueryValue(request.head().target, "key");
-    body = std::to_string(executions(key)) + "\n";
+    const auto key = QueryValue(request.Head().target, "key");
+    body = std::to_string(Executions(key)) + "\n";
   } else {
     return false;
   }
@@ -162,7 +162,7 @@
     self->cancelled_ = true;
     self->timer_.cancel();
   });
-  if (request_->body()) {
+  if (request_->Body()) {
     ReadBody();
   } else {
     Work();
@@ -170,7 +170,7 @@
 }
 
 void stub_run::ReadBody() {
-  request_->body()->Read([self = shared_from_this()](result<body_part> part) {
+  request_->Body()->Read([self = shared_from_this()](result<body_part> part) {
     if (!part) return;  // The caller has gone.
     self->body_.append(part->bytes);
     if (part->last) {
@@ -185,7 +185,7 @@
   const auto service_time = std::chrono::duration_cast<duration>(
       server_.options_.service_time / server_.options_.speed);
   if (action_ != "sleep") return service_time;
-  return service_time + QueryMillis(request_->head().target, "ms");
+  return service_time + QueryMillis(request_->Head().target, "ms");
 }
 
 void stub_run::Work() {
@@ -202,9 +202,9 @@
 }
 
 incoming_answer stub_run::BuildAnswer() {
-  const auto& target = request_->head().target;
+  const auto& target = request_->Head().target;
   if (action_ != "bytes") {
-    auto text = request_->head().framing == body_framing::kNone
+    auto text = request_->Head().framing == body_framing::kNone
                     ? target + "\n"
                     : std::move(body_);
     return TextAnswer(kOk, "application/octet-stream", std::move(text));
