--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -33,7 +33,7 @@
   void Drain();
   void Close();
   void Sweep(instant now);
-  bool closed() const { return closed_; }
+  bool Closed() const { return closed_; }
 
   // Called by the request in progress.
   void ReadBody(body_source::callback done);
