--- a/libs/daemon/include/daemon/platform_gateway.h
+++ b/libs/daemon/include/daemon/platform_gateway.h
@@ -40,6 +40,11 @@
   /// Reads sections by digest. Fails as a whole if one cannot be read.
   void ReadSections(std::vector<std::string> digests, sections_callback done);
 
+  /// Creates an object. Fails with `kConflict` if the name is taken, also by
+  /// an earlier try whose answer was lost.
+  void Create(const std::string& plural, const std::string& name,
+              std::string spec, write_callback done);
+
   /// Creates or replaces an object whose writer does not depend on what it
   /// replaces, for example a status. The update is conditional; on a conflict
   /// the object is read again, at most three times.
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -15,12 +15,14 @@
 #include "daemon/backend_lease.h"
 #include "daemon/control_actor.h"
 #include "daemon/platform_gateway.h"
+#include "daemon_metrics.h"
 #include "local_api.h"
 #include "logging/log_event.h"
 #include "messages/message.h"
 #include "operators/data_centre_status.h"
 #include "peer/transport.h"
 #include "platform/http_object_store.h"
+#include "slo_reporter.h"
 
 namespace pomelohall {
 namespace {
@@ -28,6 +30,7 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kLeaseCheckInterval(200);
+constexpr std::chrono::seconds kSloInterval(1);
 constexpr std::uint32_t kHeadWaitMs = 30'000;
 // Time for the last frames (member left) to reach the neighbours.
 constexpr std::uint32_t kTransportGraceMs = 500;
@@ -39,6 +42,11 @@
           .count());
 }
 
+std::int64_t UnixSeconds() {
+  constexpr std::uint64_t kMillisPerSecond = 1000;
+  return static_cast<std::int64_t>(UnixMillis() / kMillisPerSecond);
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -56,8 +64,16 @@
                     .name_space = settings_.platform_namespace}),
         gateway_(store_),
         local_api_(io, *this),
+        slo_(settings_.name, settings_.data_centre, incarnation_, UnixSeconds(),
+             gateway_,
+             [this](const std::string& window) {
+               control_->Post([window](control_core& core, instant) {
+                 core.ReportSloWindow(window);
+               });
+             }),
         calls_(io, CallOptions()),
-        lease_timer_(io) {}
+        lease_timer_(io),
+        slo_timer_(io) {}
 
   ~impl() override {
     transport_ready_ = false;
@@ -78,12 +94,13 @@
       return started;
     }
     ScheduleLeaseCheck();
+    ScheduleSloTick();
     log_event(log_level::kInfo, "daemon_started")
         .With("member", settings_.name)
         .With("data_centre", settings_.data_centre)
         .With("incarnation", incarnation_)
-        .With("caller", calls_.caller_address())
-        .With("forward", calls_.forward_address())
+        .With("caller", calls_.CallerAddress())
+        .With("forward", calls_.ForwardAddress())
         .With("peer", transport_->LocalAddress())
         .With("local", local_api_.Address());
     return {};
@@ -95,7 +112,8 @@
     log_event(log_level::kInfo, "daemon_stopping").With("member", Name());
     if (lease_.Drain()) OnLeaseChanged();
     calls_.Stop([this, done = std::move(done)]() mutable {
-      LeaveCluster(std::move(done));
+      slo_.SendOpenWindow();
+      FlushFigures(std::move(done));
     });
   }
 
@@ -124,6 +142,10 @@
         core.ReportSuspect(event, now);
       });
     };
+    options.on_observation = [this](const call_observation& observation) {
+      slo_.Record(observation);
+      metrics_.Record(observation);
+    };
     options.claims = &store_;
     return options;
   }
@@ -136,7 +158,7 @@
     self.name = settings_.name;
     self.region = settings_.region;
     self.data_centre = settings_.data_centre;
-    self.forward_address = calls_.forward_address();
+    self.forward_address = calls_.ForwardAddress();
     self.peer_address = transport_->LocalAddress();
     self.incarnation = incarnation_;
     return options;
@@ -189,6 +211,16 @@
                           .incarnation = found->second.incarnation};
   }
 
+  // The actor has taken the open window when it answers, and has handed it back
+  // to this thread if this daemon is the aggregator.
+  void FlushFigures(std::function<void()> done) {
+    control_->Post([this, done = std::move(done)](control_core&, instant) {
+      boost::asio::post(io_, [this, done] {
+        slo_.Flush([this, done] { LeaveCluster(done); });
+      });
+    });
+  }
+
   void LeaveCluster(std::function<void()> done) {
     control_->Post(
         [this, done = std::move(done)](control_core& core, instant now) {
@@ -199,6 +231,7 @@
 
   void CloseDown(const std::function<void()>& done) {
     lease_timer_.cancel();
+    slo_timer_.cancel();
     transport_ready_ = false;
     transport_->Stop(kTransportGraceMs);
     local_api_.Stop([this, done] {
@@ -220,6 +253,21 @@
     });
   }
 
+  void ScheduleSloTick() {
+    slo_timer_.expires_after(kSloInterval);
+    slo_timer_.async_wait([this](boost::system::error_code failure) {
+      if (failure) return;
+      slo_.Tick(UnixSeconds());
+      control_->Post([this](control_core& core, instant) {
+        boost::asio::post(io_, [this, members = core.Records(),
+                                first = core.IsFirstAggregator()] {
+          slo_.OnMembers(members, first, UnixSeconds());
+        });
+      });
+      ScheduleSloTick();
+    });
+  }
+
   void OnLeaseChanged() {
     const backend_record record = lease_.Record();
     if (record == announced_) return;
@@ -304,7 +352,15 @@
     return "none";
   }
 
-  void GetMetrics(text_callback done) override { done(""); }
+  void GetMetrics(text_callback done) override {
+    control_->Post(
+        [this, done = std::move(done)](control_core& core, instant now) {
+          boost::asio::post(io_, [this, status = core.Status(now), done] {
+            done(metrics_.Render(calls_.Status(), status,
+                                 transport_->Counters(), frames_refused_));
+          });
+        });
+  }
 
   // Effects of the control actor; run on its thread ---------------------------
 
@@ -413,7 +469,9 @@
     boost::asio::post(io_, [this, event] { calls_.ApplySuspect(event); });
   }
 
-  void OnSloWindow(const std::string& /*payload*/) override {}
+  void OnSloWindow(const std::string& payload) override {
+    boost::asio::post(io_, [this, payload] { slo_.OnWindow(payload); });
+  }
 
   boost::asio::io_context& io_;
   const daemon_settings settings_;
@@ -424,8 +482,11 @@
   local_api local_api_;
   backend_lease lease_;
   backend_record announced_;
+  daemon_metrics metrics_;
+  slo_reporter slo_;
   call_service calls_;
   boost::asio::steady_timer lease_timer_;
+  boost::asio::steady_timer slo_timer_;
 
   std::shared_ptr<const member_directory> members_;
   std::map<std::string, std::size_t> routed_servers_;  ///< By service.
--- a/libs/daemon/src/platform_gateway.cc
+++ b/libs/daemon/src/platform_gateway.cc
@@ -34,6 +34,20 @@
     ReadNext(batch);
   }
 
+  void Create(const std::string& plural, const std::string& name,
+              std::string spec, write_callback done) {
+    store_.Create({.plural = plural,
+                   .name = name,
+                   .resource_version = "",
+                   .spec = std::move(spec)},
+                  [self = weak_from_this(), done = std::move(done)](
+                      const result<stored_object>& answer) {
+                    if (self.expired()) return;
+                    if (answer) return done({});
+                    done(tl::unexpected(answer.error()));
+                  });
+  }
+
   void Replace(const std::string& plural, const std::string& name,
                std::string spec, int attempts, write_callback done) {
     stored_object object{.plural = plural,
@@ -151,6 +165,12 @@
   impl_->ReadSections(std::move(digests), std::move(done));
 }
 
+void platform_gateway::Create(const std::string& plural,
+                              const std::string& name, std::string spec,
+                              write_callback done) {
+  impl_->Create(plural, name, std::move(spec), std::move(done));
+}
+
 void platform_gateway::Replace(const std::string& plural,
                                const std::string& name, std::string spec,
                                write_callback done) {
--- a/tools/pomelohall/src/main.cc
+++ b/tools/pomelohall/src/main.cc
@@ -15,6 +15,7 @@
 #include "operators/diff_command.h"
 #include "operators/drain_command.h"
 #include "operators/io_environment.h"
+#include "operators/report_command.h"
 #include "operators/status_command.h"
 #include "operators/validate_command.h"
 
@@ -51,6 +52,7 @@
     AddApply();
     AddDiff();
     AddStatus();
+    AddReport();
     AddDrain();
   }
 
@@ -137,6 +139,33 @@
                   "Also shows the backend servers of each service");
   }
 
+  void AddReport() {
+    auto* const sub =
+        Add("report",
+            "Shows per class the figure, the error budget and the burn rates",
+            [this] { return Report(); });
+    sub->add_option("--window", report_window_,
+                    "Time that the report covers, such as 30m, 24h or 28d")
+        ->capture_default_str();
+    sub->add_flag("--html", report_.html,
+                  "One self-contained HTML page with a picture");
+    sub->add_flag("--include-recent", report_.include_recent,
+                  "Includes minutes of which objects may still arrive");
+  }
+
+  command_output Report() {
+    const auto minutes = ParseReportWindow(report_window_);
+    if (!minutes) return Failed(minutes.error());
+    report_.window_minutes = *minutes;
+    report_.format = global_.format;
+    report_.unix_seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    return WithPlatform(
+        [this](environment& where) { return RunReport(where, report_); });
+  }
+
   void AddDrain() {
     auto* const sub =
         Add("drain", "Stops new work for the backend server of one VM", [this] {
@@ -197,6 +226,8 @@
   double timeout_s_ = 30;
   bool status_services_ = false;
   apply_options apply_;
+  std::string report_window_ = "1h";
+  report_options report_;
   command selected_;
 };
 
