Matrix: spread the steps of a version over time, more restart variants

The planted defects no_floor and no_quorum passed all cells: every member staged a version within a few ms, so that no restarted daemon met one that lagged. Cells now delay version messages and platform answers to some members by up to 3 s, and cells with a restart run in 3 to 16 variants.

--- a/tests/matrix/control/control_network.cc
+++ b/tests/matrix/control/control_network.cc
@@ -17,6 +17,7 @@
 constexpr duration kOperatorRetry = std::chrono::milliseconds(500);
 constexpr duration kLongestDelay = std::chrono::seconds(2);
 constexpr duration kLongestCrossing = std::chrono::milliseconds(300);
+constexpr duration kSlowestMember = std::chrono::seconds(3);
 constexpr double kLossShare = 0.4;
 constexpr double kDuplicateShare = 0.5;
 // Start times of the processes, as in production.
@@ -24,6 +25,11 @@
 constexpr std::string_view kAddressPrefix = "addr-";
 constexpr std::array<const char*, 2> kDataCentres{"a", "b"};
 
+bool CarriesVersion(const peer_message& message) {
+  return std::holds_alternative<offer_message>(message) ||
+         std::holds_alternative<delta_message>(message);
+}
+
 configuration Document(std::size_t change) {
   configuration document;
   for (int i = 0; i < 6; ++i) {
@@ -258,14 +264,28 @@
       });
 }
 
+void control_network::SlowMembers(duration span) {
+  slow_until_ = now_ + span;
+  slow_members_.clear();
+  for (const auto& member : Members()) {
+    if (random_.Below(2) == 0) slow_members_[member] = Random(kSlowestMember);
+  }
+  ExtendFaults(span);
+}
+
 void control_network::Transmit(const std::string& from, const std::string& to,
                                const peer_message& message) {
   if (HasLinkFault(link_fault::kLost) && random_.Unit() < kLossShare) return;
   instant when = now_ + kHop + Random(kHopJitter);
+  const auto slow = slow_members_.find(to);
+  if (slow != slow_members_.end() && now_ < slow_until_ &&
+      CarriesVersion(message)) {
+    when += slow->second;
+  }
   if (HasLinkFault(link_fault::kDelayed)) when += Random(kLongestDelay);
   if (HasLinkFault(link_fault::kCrossed)) {
     when += Random(kLongestCrossing);
-  } else {
+  } else if (now_ >= slow_until_) {
     // One link carries its frames in order.
     instant& last = last_delivery_[{from, to}];
     when = last = std::max(when, last);
@@ -279,14 +299,16 @@
 
 void control_network::Deliver(const std::string& from, const std::string& to,
                               const peer_message& message, instant when) {
-  At(when, [this, from, to, message] {
+  // Shared, because the queue copies its events.
+  const auto shared = std::make_shared<const peer_message>(message);
+  At(when, [this, from, to, shared] {
     const daemon& sender = daemons_.at(from);
     daemon& target = daemons_.at(to);
     const bool crosses = sender.data_centre != target.data_centre;
     if (crosses && (Cut(sender.data_centre) || Cut(target.data_centre))) return;
-    ToProcess(to, target.process, [this, from, message](daemon& receiver) {
-      Carry(receiver, receiver.table->OnMessage(from, message, now_));
-      Carry(receiver, receiver.versions->OnMessage(from, message, now_));
+    ToProcess(to, target.process, [this, from, shared](daemon& receiver) {
+      Carry(receiver, receiver.table->OnMessage(from, *shared, now_));
+      Carry(receiver, receiver.versions->OnMessage(from, *shared, now_));
       checker_.CheckRouting(receiver.name, receiver.routing, *receiver.table,
                             now_);
     });
@@ -307,6 +329,12 @@
          Cut(data_centre);
 }
 
+duration control_network::PlatformDelayFor(const std::string& member) const {
+  const auto slow = slow_members_.find(member);
+  const bool is_slow = slow != slow_members_.end() && now_ < slow_until_;
+  return PlatformDelay() + (is_slow ? slow->second : duration{});
+}
+
 duration control_network::PlatformDelay() const {
   return platform_.Has(fake_platform::mode::kSlow, now_)
              ? kPlatformAnswer + kSlowPlatform
@@ -315,7 +343,7 @@
 
 void control_network::Do(daemon& from, const read_head& /*action*/) {
   const instant started = now_;
-  At(now_ + PlatformDelay(),
+  At(now_ + PlatformDelayFor(from.name),
      [this, member = from.name, process = from.process, started] {
        AnswerHead(member, process, head_source::kRead, started);
      });
@@ -328,7 +356,9 @@
   const result<config_head> head =
       fails ? Fail(error_kind::kPlatformUnavailable, "no answer")
             : platform_.Head();
-  const instant when = fails ? now_ + kPlatformTimeout : now_;
+  // A platform that is down refuses at once; lost answers run into a timeout.
+  const bool refused = platform_.Has(fake_platform::mode::kDown, now_);
+  const instant when = fails && !refused ? now_ + kPlatformTimeout : now_;
   At(when, [this, member, process, source, started, head] {
     ToProcess(member, process, [this, source, started, head](daemon& target) {
       Carry(target,
@@ -347,7 +377,7 @@
   const bool done = platform_.Version() > known || now_ >= deadline ||
                     PlatformFails(daemons_.at(member).data_centre);
   if (done) {
-    At(now_ + PlatformDelay(), [this, member, process, started] {
+    At(now_ + PlatformDelayFor(member), [this, member, process, started] {
       AnswerHead(member, process, head_source::kWatch, started);
     });
     return;
@@ -358,7 +388,7 @@
 }
 
 void control_network::Do(daemon& from, const read_sections& action) {
-  At(now_ + PlatformDelay(),
+  At(now_ + PlatformDelayFor(from.name),
      [this, member = from.name, process = from.process, action] {
        using sections = result<std::vector<config_delta::item>>;
        const bool fails = PlatformFails(daemons_.at(member).data_centre);
@@ -376,6 +406,7 @@
 // --- Operators --------------------------------------------------------------
 
 void control_network::Accept() {
+  ++open_changes_;
   WriteChange("c" + std::to_string(++changes_));
 }
 
@@ -404,6 +435,8 @@
     const auto written = platform_.UpdateHead(base, image);
     if (platform_.Has(fake_platform::mode::kLoseAnswers, now_)) {
       At(now_ + kPlatformTimeout, [this, id] { ResolveChange(id); });
+    } else {
+      --open_changes_;
     }
   });
 }
@@ -417,8 +450,13 @@
     return;
   }
   const auto head = platform_.Head();
-  const auto& ids = head->recent_change_ids;
-  if (std::find(ids.begin(), ids.end(), id) == ids.end()) WriteChange(id);
+  const std::vector<std::string> ids =
+      head ? head->recent_change_ids : std::vector<std::string>{};
+  if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+    WriteChange(id);
+  } else {
+    --open_changes_;
+  }
 }
 
 // --- Backend servers and queries --------------------------------------------
@@ -460,6 +498,7 @@
 }
 
 bool control_network::AllInForce() const {
+  if (open_changes_ > 0) return false;
   return std::all_of(daemons_.begin(), daemons_.end(), [&](const auto& item) {
     const daemon& target = item.second;
     return !target.table ||
--- a/tests/matrix/control/control_network.h
+++ b/tests/matrix/control/control_network.h
@@ -55,6 +55,10 @@
   void AddLinkFault(link_fault which, duration span,
                     std::string data_centre = {});
   void AddPlatformFault(fake_platform::mode which, duration span);
+  /// Delays offers, deltas and platform answers to some members, so that the
+  /// members of a data centre pass through the steps of a version at different
+  /// times.
+  void SlowMembers(duration span);
 
   void SetBackend(const std::string& member, backend_state state);
   void Leave(const std::string& member);
@@ -66,6 +70,8 @@
   /// Members whose process runs, frozen ones included.
   std::vector<std::string> Running() const;
   bool IsFrozen(const std::string& member) const;
+  /// True if no operator waits and the platform's version is in force on every
+  /// daemon that runs.
   bool AllInForce() const;
   bool AnyHolds(config_version version) const;
   std::optional<std::string> FirstInForce(config_version version) const;
@@ -135,6 +141,7 @@
                    config_version known, instant started, instant deadline);
   bool PlatformFails(const std::string& data_centre) const;
   duration PlatformDelay() const;
+  duration PlatformDelayFor(const std::string& member) const;
   bool Cut(const std::string& data_centre) const;
   bool HasLinkFault(link_fault which) const;
   void WriteChange(const std::string& id);
@@ -152,9 +159,12 @@
   std::map<std::string, daemon> daemons_;
   std::map<std::pair<std::string, std::string>, instant> last_delivery_;
   std::vector<link_window> link_faults_;
+  std::map<std::string, duration> slow_members_;
+  instant slow_until_{};
   fake_platform platform_;
   promise_checker checker_;
   std::size_t changes_ = 0;
+  std::size_t open_changes_ = 0;  ///< Operators that have no answer yet.
 };
 
 }  // namespace pomelohall::matrix
--- a/tests/matrix/control/control_suite.cc
+++ b/tests/matrix/control/control_suite.cc
@@ -28,6 +28,34 @@
   return pairs;
 }
 
+// Variants of a cell differ in timing and in the members that are hit. Cells
+// with restarts get more, above all while the platform does not answer: only a
+// restart can bring an older version back, and a fresh head prevents it.
+constexpr std::uint64_t kVariants = 1;
+constexpr std::uint64_t kRestartVariants = 3;
+constexpr std::uint64_t kUnansweredRestartVariants = 16;
+
+std::uint64_t Variants(const std::string& step, fault_pair faults) {
+  const auto has = [&](fault which) {
+    return faults.first == which || faults.second == which;
+  };
+  if (step != "restart" && !has(fault::kRestart)) return kVariants;
+  const bool unanswered = has(fault::kPlatformDown) || has(fault::kPartition) ||
+                          has(fault::kAnswerLost);
+  const bool moving = step == "stage" || step == "put_into_force";
+  return unanswered && moving ? kUnansweredRestartVariants : kRestartVariants;
+}
+
+std::vector<violation> RunVariants(const std::string& step, fault_pair faults,
+                                   std::uint64_t seed,
+                                   std::string_view defect) {
+  for (std::uint64_t i = 0; i < Variants(step, faults); ++i) {
+    auto violations = RunScenario(step, faults, seed * 1000 + i, defect);
+    if (!violations.empty()) return violations;
+  }
+  return {};
+}
+
 }  // namespace
 
 suite ControlSuite() {
@@ -51,7 +79,7 @@
            .faults = faults,
            .checked = Checked(step),
            .run = [step, faults](std::uint64_t seed, std::string_view defect) {
-             return RunScenario(step, faults, seed, defect);
+             return RunVariants(step, faults, seed, defect);
            }});
     }
   }
--- a/tests/matrix/control/scenario.cc
+++ b/tests/matrix/control/scenario.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <utility>
 
 #include "base/digest.h"
 #include "matrix/control/fault_plan.h"
@@ -16,31 +17,32 @@
 // A second fault starts within this time after the first.
 constexpr std::uint64_t kSecondFaultWithinMs = 600;
 
+// Time for which a version must stay in force once it is everywhere.
+constexpr duration kStaysInForce = seconds(3);
+
 // One run of a step under its faults.
 class scenario {
  public:
   scenario(const std::string& step, fault_pair faults, std::uint64_t seed,
            std::string_view defect)
-      : step_(step),
-        faults_(faults),
-        network_(seed, defect),
-        random_(seed ^ FastHash(step)) {}
+      : step_(step), faults_(faults), network_(seed, defect), random_(~seed) {}
 
   std::vector<violation> Run() {
     WarmUp(network_);
     network_.RunFor(milliseconds(random_.Below(1000)));
+    if (random_.Below(3) != 0) network_.SlowMembers(seconds(4));
+    if (random_.Below(2) == 0) std::swap(faults_.first, faults_.second);
     RunStep();
-    CheckLeave();
     CheckInForce(network_);
     return network_.Checker().Violations();
   }
 
  private:
   void InjectFaults() {
-    if (faults_.first == fault::kNone) return;
     Inject(faults_.first, network_, focus_, random_);
-    if (faults_.second == fault::kNone) return;
-    network_.RunFor(milliseconds(random_.Below(kSecondFaultWithinMs)));
+    if (random_.Below(2) == 0) {
+      network_.RunFor(milliseconds(random_.Below(kSecondFaultWithinMs)));
+    }
     Inject(faults_.second, network_, focus_, random_);
   }
 
@@ -98,7 +100,11 @@
 
   // The daemon says goodbye when the work in flight has ended.
   void FinishLeave() {
-    network_.RunFor(seconds(1));
+    if (random_.Below(2) == 0) {
+      network_.RunFor(seconds(1));
+    } else {
+      CheckLeave();
+    }
     // A frozen process says it when it wakes.
     network_.RunUntil([&] { return !network_.IsFrozen(focus_); }, seconds(30));
     network_.Leave(focus_);
@@ -108,12 +114,12 @@
     if (table != nullptr && table->Self().state == member_state::kLeft) {
       network_.Kill(focus_);
     }
+    CheckLeave();
   }
 
   void CheckLeave() {
-    if (!left_at_) return;
     // A process that is killed, frozen or restarted does not leave as planned.
-    if (network_.Table(focus_) != nullptr || HitsProcess()) return;
+    if (HitsProcess()) return;
     const instant check =
         std::max(*left_at_, network_.FaultsEnd()) + kDrainBound;
     if (check > network_.Now()) network_.RunFor(check - network_.Now());
@@ -175,10 +181,13 @@
 }
 
 void CheckInForce(control_network& network) {
-  const instant bound =
-      std::max(network.FaultsEnd(), network.Now()) + kInForceBound;
-  network.RunFor(bound - network.Now());
-  if (!network.AllInForce()) {
+  if (network.FaultsEnd() > network.Now()) {
+    network.RunFor(network.FaultsEnd() - network.Now());
+  }
+  const bool reached =
+      network.RunUntil([&] { return network.AllInForce(); }, kInForceBound);
+  network.RunFor(kStaysInForce);
+  if (!reached || !network.AllInForce()) {
     network.Checker().Report(promise::kInForce, network.Describe(),
                              network.Now());
   }
@@ -187,7 +196,10 @@
 std::vector<violation> RunScenario(const std::string& step, fault_pair faults,
                                    std::uint64_t seed,
                                    std::string_view defect) {
-  auto violations = scenario(step, faults, seed, defect).Run();
+  const std::uint64_t cell_seed =
+      FastHash(step, seed) + 32 * static_cast<std::uint64_t>(faults.first) +
+      static_cast<std::uint64_t>(faults.second);
+  auto violations = scenario(step, faults, cell_seed, defect).Run();
   for (auto& item : violations) {
     item.detail = step + " " + std::string(FaultName(faults.first)) + "+" +
                   std::string(FaultName(faults.second)) + " seed " +
