--- a/tests/matrix/control/control_network.cc
+++ b/tests/matrix/control/control_network.cc
@@ -207,13 +207,13 @@
 
 // --- Actions ----------------------------------------------------------------
 
-void control_network::Carry(daemon& from, membership_actions actions) {
+void control_network::Carry(daemon& from, const membership_actions& actions) {
   for (const auto& action : actions) {
     std::visit([&](const auto& item) { Do(from, item); }, action);
   }
 }
 
-void control_network::Carry(daemon& from, distribution_actions actions) {
+void control_network::Carry(daemon& from, const distribution_actions& actions) {
   for (const auto& action : actions) {
     std::visit([&](const auto& item) { Do(from, item); }, action);
   }
--- a/tests/matrix/control/control_network.h
+++ b/tests/matrix/control/control_network.h
@@ -120,8 +120,8 @@
   void Wake(daemon& target);
   void ToProcess(const std::string& member, std::uint64_t process,
                  std::function<void(daemon&)> input);
-  void Carry(daemon& from, membership_actions actions);
-  void Carry(daemon& from, distribution_actions actions);
+  void Carry(daemon& from, const membership_actions& actions);
+  void Carry(daemon& from, const distribution_actions& actions);
   void Do(daemon& from, const send_to_member& action);
   void Do(daemon& from, const send_to_address& action);
   void Do(daemon& from, const membership_changed& action);
