--- a/libs/slo/include/slo/latency_histogram.h
+++ b/libs/slo/include/slo/slo_histogram.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_SLO_LATENCY_HISTOGRAM_H_
-#define POMELOHALL_SLO_LATENCY_HISTOGRAM_H_
+#ifndef POMELOHALL_SLO_SLO_HISTOGRAM_H_
+#define POMELOHALL_SLO_SLO_HISTOGRAM_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -14,19 +14,19 @@
 /// Distribution of latencies: 8 buckets per decade from 0.1 ms to 100 s, and
 /// one bucket on either side. All histograms have the same buckets, so those of
 /// different daemons can be added. Not thread-safe.
-class latency_histogram {
+class slo_histogram {
  public:
   /// Number of buckets with the two outer ones.
   static constexpr std::size_t kBuckets = 50;
 
-  latency_histogram();
-  ~latency_histogram();
-  latency_histogram(const latency_histogram& other);
-  latency_histogram(latency_histogram&& other) noexcept;
-  latency_histogram& operator=(latency_histogram other) noexcept;
+  slo_histogram();
+  ~slo_histogram();
+  slo_histogram(const slo_histogram& other);
+  slo_histogram(slo_histogram&& other) noexcept;
+  slo_histogram& operator=(slo_histogram other) noexcept;
 
   void Record(duration latency);
-  void Add(const latency_histogram& other);
+  void Add(const slo_histogram& other);
 
   /// Adds `count` latencies to a bucket. Returns false if there is no bucket
   /// with this index.
@@ -49,4 +49,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_SLO_LATENCY_HISTOGRAM_H_
+#endif  // POMELOHALL_SLO_SLO_HISTOGRAM_H_
--- a/libs/slo/include/slo/slo_window.h
+++ b/libs/slo/include/slo/slo_window.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "base/error.h"
-#include "slo/latency_histogram.h"
+#include "slo/slo_histogram.h"
 
 namespace pomelohall {
 
@@ -19,7 +19,7 @@
 struct slo_counts {
   std::uint64_t requests = 0;
   std::uint64_t met = 0;  ///< Requests that met their target; <= requests.
-  latency_histogram latency;
+  slo_histogram latency;
 
   /// Adds the counts of another daemon or window.
   void Add(const slo_counts& other) {
--- a/libs/slo/src/slo_aggregator.cc
+++ b/libs/slo/src/slo_aggregator.cc
@@ -65,14 +65,14 @@
     if (added) {
       names_.push_back(name);
       // A class takes its name and up to 50 buckets of at most 16 bytes.
-      row_bytes_ += name.size() + latency_histogram::kBuckets * 16;
+      row_bytes_ += name.size() + slo_histogram::kBuckets * 16;
     }
     return found->second;
   }
 
   std::vector<std::string> names_;
   std::map<std::string, std::size_t> indexes_;
-  std::map<std::string, latency_histogram> latencies_;
+  std::map<std::string, slo_histogram> latencies_;
   json rows_ = json::array();
   std::size_t row_bytes_ = 0;
 };
--- a/libs/slo/src/latency_histogram.cc
+++ b/libs/slo/src/slo_histogram.cc
@@ -1,4 +1,4 @@
-#include "slo/latency_histogram.h"
+#include "slo/slo_histogram.h"
 
 #include <algorithm>
 #include <boost/histogram/axis/regular.hpp>
@@ -16,11 +16,11 @@
 
 constexpr double kLowestMs = 0.1;
 constexpr double kHighestMs = 100'000;
-constexpr int kInnerBuckets = static_cast<int>(latency_histogram::kBuckets) - 2;
+constexpr int kInnerBuckets = static_cast<int>(slo_histogram::kBuckets) - 2;
 
 }  // namespace
 
-struct latency_histogram::state {
+struct slo_histogram::state {
   // Bucket 0 is the axis' underflow bin, whose index is -1.
   static int AxisIndex(std::size_t bucket) {
     return static_cast<int>(bucket) - 1;
@@ -31,20 +31,18 @@
                               log_axis(kInnerBuckets, kLowestMs, kHighestMs));
 };
 
-latency_histogram::latency_histogram() : state_(std::make_unique<state>()) {}
-latency_histogram::~latency_histogram() = default;
-latency_histogram::latency_histogram(const latency_histogram& other)
+slo_histogram::slo_histogram() : state_(std::make_unique<state>()) {}
+slo_histogram::~slo_histogram() = default;
+slo_histogram::slo_histogram(const slo_histogram& other)
     : state_(std::make_unique<state>(*other.state_)) {}
-latency_histogram::latency_histogram(latency_histogram&& other) noexcept =
-    default;
+slo_histogram::slo_histogram(slo_histogram&& other) noexcept = default;
 
-latency_histogram& latency_histogram::operator=(
-    latency_histogram other) noexcept {
+slo_histogram& slo_histogram::operator=(slo_histogram other) noexcept {
   state_ = std::move(other.state_);
   return *this;
 }
 
-void latency_histogram::Record(duration latency) {
+void slo_histogram::Record(duration latency) {
   // The logarithm of 0 and below is no number, which would count as overflow.
   const double millis = ToMillis(latency);
   if (millis > 0) {
@@ -54,17 +52,17 @@
   }
 }
 
-void latency_histogram::Add(const latency_histogram& other) {
+void slo_histogram::Add(const slo_histogram& other) {
   state_->values += other.state_->values;
 }
 
-bool latency_histogram::AddToBucket(std::size_t bucket, std::uint64_t count) {
+bool slo_histogram::AddToBucket(std::size_t bucket, std::uint64_t count) {
   if (bucket >= kBuckets) return false;
   state_->values.at(state::AxisIndex(bucket)) += count;
   return true;
 }
 
-std::vector<std::pair<std::size_t, std::uint64_t>> latency_histogram::Buckets()
+std::vector<std::pair<std::size_t, std::uint64_t>> slo_histogram::Buckets()
     const {
   std::vector<std::pair<std::size_t, std::uint64_t>> filled;
   for (std::size_t i = 0; i < kBuckets; ++i) {
@@ -74,13 +72,13 @@
   return filled;
 }
 
-std::uint64_t latency_histogram::Count() const {
+std::uint64_t slo_histogram::Count() const {
   std::uint64_t total = 0;
   for (const auto& [bucket, count] : Buckets()) total += count;
   return total;
 }
 
-double latency_histogram::QuantileMillis(double quantile) const {
+double slo_histogram::QuantileMillis(double quantile) const {
   const std::uint64_t total = Count();
   if (total == 0) return 0;
   const auto rank = static_cast<std::uint64_t>(
--- a/libs/slo/src/slo_json.cc
+++ b/libs/slo/src/slo_json.cc
@@ -7,7 +7,7 @@
 
 using nlohmann::json;
 
-json LatencyToJson(const latency_histogram& latency) {
+json LatencyToJson(const slo_histogram& latency) {
   json buckets = json::array();
   for (const auto& [bucket, count] : latency.Buckets()) {
     buckets.push_back({bucket, count});
@@ -15,9 +15,9 @@
   return buckets;
 }
 
-std::optional<latency_histogram> LatencyFromJson(const json& value) {
+std::optional<slo_histogram> LatencyFromJson(const json& value) {
   if (!value.is_array()) return std::nullopt;
-  latency_histogram latency;
+  slo_histogram latency;
   for (const auto& item : value) {
     if (!item.is_array() || item.size() != 2 || !item[0].is_number_unsigned() ||
         !item[1].is_number_unsigned() ||
--- a/libs/slo/src/slo_json.h
+++ b/libs/slo/src/slo_json.h
@@ -4,15 +4,15 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "slo/latency_histogram.h"
+#include "slo/slo_histogram.h"
 
 namespace pomelohall {
 
 /// Returns the filled buckets as [[bucket, count], ...].
-nlohmann::json LatencyToJson(const latency_histogram& latency);
+nlohmann::json LatencyToJson(const slo_histogram& latency);
 
 /// Returns the histogram, or nothing if the value has another form.
-std::optional<latency_histogram> LatencyFromJson(const nlohmann::json& value);
+std::optional<slo_histogram> LatencyFromJson(const nlohmann::json& value);
 
 }  // namespace pomelohall
 
--- a/libs/slo/src/slo_object_reader.h
+++ b/libs/slo/src/slo_object_reader.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "slo/latency_histogram.h"
+#include "slo/slo_histogram.h"
 
 namespace pomelohall {
 
@@ -33,7 +33,7 @@
   std::int64_t minute = 0;
   std::vector<slo_object_row> rows;
   std::map<std::int64_t, std::uint64_t> expected;  ///< Members per window.
-  std::map<std::string, latency_histogram> latencies;
+  std::map<std::string, slo_histogram> latencies;
 };
 
 /// Parses a spec written by slo_aggregator. Returns nothing if it is malformed.
--- a/libs/slo/src/slo_report.cc
+++ b/libs/slo/src/slo_report.cc
@@ -288,7 +288,7 @@
   std::map<std::string, double> assumed_;
   std::map<std::string, double> all_requests_;
   double all_minutes_ = 0;
-  std::map<std::string, latency_histogram> latencies_;
+  std::map<std::string, slo_histogram> latencies_;
   slo_report report_;
 };
 
