Test the data path over real sockets

Cause: the promises of the data path are only shown by faults on real connections. The backend server stub counts an upload that stopped as cancelled.

--- /dev/null
+++ b/tests/http/session_test.cc
@@ -0,0 +1,188 @@
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+#include "backend_stub/pattern.h"
+#include "mesh_fixture.h"
+#include "raw_client.h"
+
+namespace pomelohall {
+namespace {
+
+/// Two daemons; the backend server is beside the second one, so that calls to
+/// the first one take all hops.
+class two_daemons : public mesh_fixture {
+ public:
+  two_daemons() {
+    AddDaemon();
+    AddDaemon();
+    AddBackend(1);
+    Publish();
+  }
+};
+
+std::string Pattern(std::uint64_t seed, std::size_t size) {
+  std::string bytes(size, '\0');
+  FillPattern(seed, 0, bytes);
+  return bytes;
+}
+
+std::string Chunked(const std::string& body, std::size_t chunk) {
+  std::string text;
+  for (std::size_t from = 0; from < body.size(); from += chunk) {
+    const auto part = body.substr(from, chunk);
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    text.append(size.data()).append(part).append("\r\n");
+  }
+  return text + "0\r\n\r\n";
+}
+
+// Guards against a malformed request that takes other connections or the
+// process down, or that is passed on.
+TEST_CASE_METHOD(two_daemons, "Session_MalformedRequest_EndsOnlyItsConnection",
+                 "[session]") {
+  raw_client other(Caller(0));
+  CHECK(other.Call("GET", "/look/1").status == 200);
+  for (const char* request :
+       {"GARBAGE\r\n\r\n", "GET /look HTTP/1.1\r\n\r\n",
+        "GET look HTTP/1.1\r\nHost: a\r\n\r\n",
+        "GET /look HTTP/1.1\r\nHost: a\r\nBad Name: 1\r\n\r\n",
+        "POST /look HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /look HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "GET /look HTTP/1.1\r\nHost: a\r\nPomelohall-Deadline-Ms: -1\r\n"
+        "Connection: close\r\n\r\n"}) {
+    INFO(request);
+    raw_client client(Caller(0));
+    client.Send(request);
+    const auto answer = client.Read();
+    CHECK(answer.status == 400);
+    CHECK(answer.Field("Pomelohall-Error") == "invalid_request");
+    CHECK(answer.Field("Pomelohall-Outcome") == "not_run");
+    CHECK(client.WaitForClose());
+  }
+  CHECK(other.Call("GET", "/look/2").body == "/look/2\n");
+  CHECK(At(1).stub->Runs() == 2);
+}
+
+// Guards against malformed chunks that reach the backend server as a body.
+TEST_CASE_METHOD(two_daemons, "Session_MalformedChunk_IsRefused", "[session]") {
+  raw_client client(Caller(0));
+  client.SendRequest("POST", "/look/1", "Transfer-Encoding: chunked\r\n");
+  client.Send("zz\r\n");
+  CHECK(client.Read().status == 400);
+  CHECK(client.WaitForClose());
+  CHECK(At(1).stub->Runs() == 0);
+}
+
+// Guards against unbounded memory for a header.
+TEST_CASE_METHOD(two_daemons, "Session_OversizedHeader_IsRefused",
+                 "[session]") {
+  raw_client client(Caller(0));
+  const std::string field = "X-Large: " + std::string(17'000, 'a') + "\r\n";
+  const auto answer = client.Call("GET", "/look/1", field);
+  CHECK(answer.status == 431);
+  CHECK(answer.Field("Pomelohall-Error") == "headers_too_large");
+  CHECK(client.WaitForClose());
+}
+
+// Guards against a body after the answer of HEAD, which the caller would take
+// for the next answer.
+TEST_CASE_METHOD(two_daemons, "Session_Head_HasNoBodyAndKeepsTheConnection",
+                 "[session]") {
+  raw_client client(Caller(0));
+  const auto head = client.Call("HEAD", "/look/7");
+  CHECK(head.status == 200);
+  CHECK(head.Field("Content-Length") == "8");
+  CHECK(head.body.empty());
+  CHECK(client.Call("HEAD", "/unknown").status == 404);
+  CHECK(client.Call("GET", "/look/8").body == "/look/8\n");
+}
+
+// Guards against a caller that waits for 100 Continue until its deadline.
+TEST_CASE_METHOD(two_daemons, "Session_ExpectContinue_IsToldToGoOn",
+                 "[session]") {
+  raw_client client(Caller(0));
+  client.SendRequest("POST", "/look/1",
+                     "Expect: 100-continue\r\nContent-Length: 5\r\n");
+  CHECK(client.ReadBytes(25) == "HTTP/1.1 100 Continue\r\n\r\n");
+  client.Send("hello");
+  const auto answer = client.Read();
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "hello");
+}
+
+// Guards against a caller that is asked for a body that is refused anyway.
+TEST_CASE_METHOD(two_daemons, "Session_ExpectContinueWithoutRoute_GetsTheError",
+                 "[session]") {
+  raw_client client(Caller(0));
+  client.SendRequest("POST", "/unknown",
+                     "Expect: 100-continue\r\nContent-Length: 5\r\n");
+  CHECK(client.Read().status == 404);
+}
+
+// Guards against lost, repeated or reordered parts of large bodies.
+TEST_CASE_METHOD(two_daemons, "Session_ChunkedUpload_ArrivesWhole",
+                 "[session]") {
+  for (const std::size_t size : {10UL, 65'536UL, 65'537UL, 3'000'000UL}) {
+    INFO(size);
+    const auto body = Pattern(size, size);
+    raw_client client(Caller(0));
+    client.SendRequest("POST", "/look/1", "Transfer-Encoding: chunked\r\n");
+    client.Send(Chunked(body, 10'007));
+    const auto answer = client.Read();
+    CHECK(answer.status == 200);
+    CHECK((answer.whole && answer.body == body));
+    CHECK(client.Call("GET", "/look/2").body == "/look/2\n");
+  }
+}
+
+// Guards against answers in another order than their requests, and against a
+// request that is lost in the buffer of the one before.
+TEST_CASE_METHOD(two_daemons, "Session_PipelinedRequests_AreAnsweredInOrder",
+                 "[session]") {
+  raw_client client(Caller(0));
+  std::string requests;
+  for (int i = 0; i < 20; ++i) {
+    requests += "POST /look/" + std::to_string(i) +
+                " HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n" +
+                std::to_string(i + 10);
+  }
+  client.Send(requests);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(client.Read().body == std::to_string(i + 10));
+  }
+}
+
+// Guards against a download that is held in memory when its reader is slow, and
+// against a slow reader that gets a damaged body. 64 MB exceed the buffers of
+// all sockets on the way.
+TEST_CASE_METHOD(two_daemons, "Session_SlowReader_GetsTheWholeDownload",
+                 "[session]") {
+  constexpr std::size_t kSize = 64'000'000;
+  raw_client client(Caller(0));
+  client.SetReceiveBuffer(65'536);
+  client.SendRequest("GET", "/file/bytes?seed=5&n=" + std::to_string(kSize),
+                     "Connection: close\r\n");
+  const auto start = client.ReadBytes(1'000'000);
+  CHECK(start.size() == 1'000'000);
+  // Long enough for a daemon without back-pressure to read all of it.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(OnIo([this] { return At(1).stub->Running(); }) == 1);
+  const auto rest = client.ReadBytes(2 * kSize);
+  const auto text = start + rest;
+  CHECK(text.find("\r\n0\r\n\r\n") == text.size() - 7);
+  raw_client second(Caller(0));
+  const auto answer =
+      second.Call("GET", "/file/bytes?seed=5&n=" + std::to_string(kSize));
+  CHECK(answer.whole);
+  CHECK(answer.body.size() == kSize);
+  CHECK(MatchesPattern(5, 0, answer.body));
+}
+
+}  // namespace
+}  // namespace pomelohall
--- a/tools/backend_stub/include/backend_stub/stub_server.h
+++ b/tools/backend_stub/include/backend_stub/stub_server.h
@@ -28,7 +28,7 @@
   double speed = 1.0;                   ///< Divides `service_time`; above 0.
   bool lie_about_load = false;          ///< `/load` always reports 0.
   /// Crash on a request with the field `X-Test-Crash`; empty: ignore it.
-  std::function<void()> on_crash;
+  std::function<void()> on_crash = {};
 };
 
 /// A backend server for tests. The last segment of the path selects what it
--- a/tools/backend_stub/src/stub_server.cc
+++ b/tools/backend_stub/src/stub_server.cc
@@ -171,7 +171,10 @@
 
 void stub_run::ReadBody() {
   request_->Body()->Read([self = shared_from_this()](result<body_part> part) {
-    if (!part) return;  // The caller has gone.
+    if (!part) {
+      ++self->server_.cancelled_;
+      return;
+    }
     self->body_.append(part->bytes);
     if (part->last) {
       self->Work();
