Fix pipelined requests that were never read

Cause: the read that notices a caller's disconnect was started again while a pipelined request was already in the buffer; the next request then waited for bytes that never came. Found by Session_PipelinedRequests_AreAnsweredInOrder, which hung. Change: that read is started only with an empty buffer.

--- a/libs/caller/src/server_session.cc
+++ b/libs/caller/src/server_session.cc
@@ -27,8 +27,6 @@
 namespace {
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-// Bytes of later requests that are read while a request is in progress.
-constexpr std::size_t kMaxPipelinedBytes = kMaxHeaderBytes;
 constexpr std::size_t kWatchBytes = 4096;
 // After an answer that ends the connection, what the caller still sends is read
 // for this time: closing at once resets the connection, and the caller may lose
@@ -54,14 +52,16 @@
 void server_session::NextRequest() {
   last_progress_ = MonotonicNow();
   if (buffer_.size() > 0) {
-    if (!watching_) ReadHeader();
+    ReadHeader();
   } else {
     Watch();
   }
 }
 
 void server_session::Watch() {
-  if (watching_ || closed_ || buffer_.size() >= kMaxPipelinedBytes) return;
+  // A pending read would hold up a request that is in the buffer already, so a
+  // caller that pipelines is only noticed to have gone when it is written to.
+  if (watching_ || closed_ || buffer_.size() > 0) return;
   watching_ = true;
   socket_.async_read_some(
       buffer_.prepare(kWatchBytes),
@@ -81,11 +81,7 @@
     return;
   }
   buffer_.commit(bytes);
-  if (!current_) {
-    ReadHeader();
-  } else {
-    Watch();
-  }
+  if (!current_) ReadHeader();
 }
 
 void server_session::Disconnected() {
