--- a/tools/demo/demo.py
+++ b/tools/demo/demo.py
@@ -96,10 +96,11 @@
     for daemon in fleet.daemons:
         entries.setdefault(daemon.data_centre, daemon.address("caller"))
     first = next(iter(deployment["services"].values()))[0]
-    arguments = ["pomelohall-load", "--path", first[2] + "/echo",
-                 "--concurrency", "8", "--seconds", str(seconds)]
+    arguments = ["pomelohall-load", "--path", first[2],
+                 "--concurrency", "8", "--seconds", str(seconds),
+                 "--calls", "20000"]
     for address in entries.values():
-        arguments += ["--target", address]
+        arguments += ["--address", address]
     program = fleet.start_program("load", *arguments)
     code = program.process.wait(timeout=seconds + 60)
     with open(program.log_path, encoding="utf-8") as log:
@@ -145,13 +146,14 @@
         say("7. status")
         code, output = fleet.command("status")
         say(output)
-        say("8. report (written each minute; the current minute counts)")
+        say("8. report (the figures of a minute are written 25 s after it)")
 
         def reported():
-            code, output = fleet.command("report", "--window", "1h")
-            return output if code == 0 and "lookup" in output else None
+            code, output = fleet.command("report", "--window", "1h",
+                                         "--include-recent")
+            return output if code == 0 and "100.0" in output else None
 
-        say(wait_until(reported, "a report with observed minutes", 120))
+        say(wait_until(reported, "a report with observed minutes", 150))
         codes = fleet.stop_all()
         say(f"9. stopped gracefully: {len(codes)} programs, exit codes "
             f"{sorted(set(codes.values()))}")
