Put the texts of the report into a namespace of their own

Cause: functions with general names such as Fixed and TimeText had external linkage in the project's namespace, where another library may define the same name; the linker would silently select one.

--- a/libs/slo/src/slo_html.cc
+++ b/libs/slo/src/slo_html.cc
@@ -10,6 +10,14 @@
 namespace pomelohall {
 namespace {
 
+using slo_text::BudgetText;
+using slo_text::BurnText;
+using slo_text::FigureText;
+using slo_text::Fixed;
+using slo_text::ObservationText;
+using slo_text::TargetText;
+using slo_text::TimeText;
+
 // Sizes of the picture in SVG units.
 constexpr int kLabelWidth = 200;
 constexpr int kChartWidth = 720;
--- a/libs/slo/src/slo_render.cc
+++ b/libs/slo/src/slo_render.cc
@@ -1,11 +1,7 @@
 #include "slo/slo_render.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 #include <cstddef>
-#include <cstdio>
-#include <ctime>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -15,10 +11,15 @@
 namespace {
 
 using nlohmann::json;
+using slo_text::BudgetText;
+using slo_text::BurnText;
+using slo_text::FigureText;
+using slo_text::Fixed;
+using slo_text::ObservationText;
+using slo_text::TargetText;
+using slo_text::TimeText;
 using table_row = std::vector<std::string>;
 
-constexpr double kPercent = 100;
-
 template <typename T>
 json OrNull(const std::optional<T>& value) {
   return value ? json(*value) : json(nullptr);
@@ -90,63 +91,6 @@
 
 }  // namespace
 
-std::string Fixed(double value, int digits) {
-  std::array<char, 64> text{};
-  std::snprintf(text.data(), text.size(), "%.*f", digits, value);
-  return text.data();
-}
-
-std::string TimeText(std::int64_t unix_seconds) {
-  const std::time_t time = unix_seconds;
-  std::tm utc{};
-  gmtime_r(&time, &utc);
-  std::array<char, 32> text{};
-  std::strftime(text.data(), text.size(), "%Y-%m-%d %H:%M:%SZ", &utc);
-  return text.data();
-}
-
-std::string FigureText(const slo_report& report, const slo_class_report& item) {
-  if (!item.figure) {
-    return report.observed_minutes == 0 ? "unobserved" : "no requests";
-  }
-  // Rounded down: 99.9999% must not be shown as 100%.
-  constexpr double kDigits = 1000;
-  return Fixed(std::floor(*item.figure * kPercent * kDigits) / kDigits, 3) +
-         "%";
-}
-
-std::string TargetText(const slo_class_report& item) {
-  if (!item.definition) return "none";
-  const auto& target = item.definition->target;
-  std::string text = Fixed(target.share * kPercent, 2) + "% in " +
-                     std::to_string(target.within_ms) + " ms";
-  if (target.min_bytes_per_s > 0) {
-    text += " + body at " + std::to_string(target.min_bytes_per_s) + " B/s";
-  }
-  return text;
-}
-
-std::string BudgetText(const slo_class_report& item) {
-  if (!item.budget_left) return "-";
-  return Fixed(*item.budget_left * kPercent, 1) + "%";
-}
-
-std::string BurnText(const std::optional<double>& burn) {
-  return burn ? Fixed(*burn, 2) : "-";
-}
-
-std::string ObservationText(const slo_report& report) {
-  return std::to_string(report.observed_minutes) +
-         " minutes of data centres observed, " +
-         std::to_string(report.unobserved_minutes) +
-         " not observed and counted as missed; " +
-         std::to_string(report.missing_windows) +
-         " windows of single daemons missing and counted as missed; " +
-         std::to_string(report.duplicate_windows) +
-         " duplicate windows dropped; " +
-         std::to_string(report.unreadable_objects) + " objects unreadable.";
-}
-
 std::string RenderSloTable(const slo_report& report) {
   std::vector<table_row> rows{{"class", "target", "figure", "requests",
                                "missed", "assumed", "budget left", "burn 5min",
--- a/libs/slo/src/slo_text.h
+++ b/libs/slo/src/slo_text.h
@@ -7,9 +7,9 @@
 
 #include "slo/slo_report.h"
 
-namespace pomelohall {
-
 /// Texts that the table and the HTML page share.
+namespace pomelohall::slo_text {
+
 std::string FigureText(const slo_report& report, const slo_class_report& item);
 std::string TargetText(const slo_class_report& item);
 std::string BudgetText(const slo_class_report& item);
@@ -24,6 +24,6 @@
 /// Returns `value` with `digits` digits after the point.
 std::string Fixed(double value, int digits);
 
-}  // namespace pomelohall
+}  // namespace pomelohall::slo_text
 
 #endif  // POMELOHALL_SLO_SLO_TEXT_H_
--- a/libs/slo/tests/slo_recorder_test.cc
+++ b/libs/slo/tests/slo_recorder_test.cc
@@ -83,7 +83,8 @@
 TEST_CASE("SloWindow_EncodeDecode_KeepsEverything") {
   slo_recorder recorder("m", 7, kStart);
   for (int i = 0; i < 100; ++i) {
-    recorder.Record(Answered(i * 3), kTarget, class_kind::kLookup, instant());
+    recorder.Record(Answered(std::int64_t{3} * i), kTarget, class_kind::kLookup,
+                    instant());
   }
   const slo_window window = recorder.CloseLast();
   const auto copy = DecodeSloWindow(EncodeSloWindow(window));
