Add the fleet and overhead benchmarks

Real daemons on loopback: convergence time, control bytes, processor time, memory and herd restart for 10, 50 and 150 daemons, and the time that one and two daemons add to a call.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,176 @@
+#!/usr/bin/env python3
+"""Measures real daemons on loopback: convergence time and control cost.
+
+Usage: fleet.py BIN_DIR [COUNT...]; default counts are 10, 50 and 150.
+
+For each count it starts the daemons in two data centres, lets them settle,
+measures a rest period, then applies changes one after the other, then kills
+and restarts a third of the daemons. Times are wall clock on one machine that
+runs all daemons at once, so they are an upper bound; bytes, platform calls and
+memory do not depend on the load of the machine.
+"""
+
+import json
+import os
+import statistics
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__),
+                                "../tests/process"))
+from fleet_control import Fleet, document  # noqa: E402
+
+REST_SECONDS = 20
+CHANGES = 10
+SERVICES = 40
+# Digests are exchanged each 10 s; the last ones after the start are over then.
+SETTLE_SECONDS = 12
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def config(within_ms):
+    services = {}
+    for index in range(SERVICES):
+        name = f"service-{index}"
+        services[name] = [(f"{name}-read", "lookup", f"/{name}", "",
+                           within_ms if index == 0 else 800, 0.99)]
+    return document(services)
+
+
+def cpu_seconds(daemon):
+    with open(f"/proc/{daemon.program.process.pid}/stat",
+              encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def memory_mb(daemon):
+    with open(f"/proc/{daemon.program.process.pid}/statm",
+              encoding="ascii") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES / 1e6
+
+
+def control_bytes(fleet):
+    """Bytes sent by each daemon; every byte is also received by one."""
+    return [fleet.status(d)["control_bytes_sent"] for d in fleet.daemons]
+
+
+def platform_calls(fleet):
+    return fleet.platform_calls()["total"]
+
+
+def rest(fleet):
+    bytes_before = control_bytes(fleet)
+    cpu_before = [cpu_seconds(d) for d in fleet.daemons]
+    calls_before = platform_calls(fleet)
+    started = time.monotonic()
+    time.sleep(REST_SECONDS)
+    cpu = [cpu_seconds(d) - a for d, a in zip(fleet.daemons, cpu_before)]
+    seconds = time.monotonic() - started
+    sent = [(b - a) / seconds
+            for a, b in zip(bytes_before, control_bytes(fleet))]
+    return {
+        "rest_bytes_per_s_mean": statistics.mean(sent),
+        "rest_bytes_per_s_worst": max(sent),
+        "rest_cpu_percent_mean": 100 * statistics.mean(cpu) / seconds,
+        "rest_cpu_percent_worst": 100 * max(cpu) / seconds,
+        "rest_platform_calls_per_s":
+            (platform_calls(fleet) - calls_before) / seconds,
+    }
+
+
+def changes(fleet, rest_bytes_per_s):
+    """Applies changes; each time runs from the start of the command."""
+    times = []
+    bytes_before = sum(control_bytes(fleet))
+    started_all = time.monotonic()
+    for index in range(CHANGES):
+        path = fleet.write_config(config(700 + index))
+        started_ms = time.time() * 1000
+        code, output = fleet.command("--output", "json", "apply", path)
+        assert code == 0, output
+        version = json.loads(output)["version"]
+        fleet.wait_version(version, timeout=60)
+        times.extend(fleet.status(d)["in_force_since_unix_ms"] - started_ms
+                     for d in fleet.daemons)
+    elapsed = time.monotonic() - started_all
+    sent = (sum(control_bytes(fleet)) - bytes_before) / len(fleet.daemons)
+    times.sort()
+    return {
+        "in_force_ms_median": statistics.median(times),
+        "in_force_ms_p99": times[int(len(times) * 0.99)],
+        "in_force_ms_worst": times[-1],
+        "bytes_per_daemon_and_change":
+            (sent - rest_bytes_per_s * elapsed) / CHANGES,
+    }
+
+
+def herd(fleet):
+    """Kills a third of the daemons and restarts them at once."""
+    victims = fleet.daemons[::3]
+    for daemon in victims:
+        daemon.program.kill()
+    calls_before = platform_calls(fleet)
+    started = time.monotonic()
+    for daemon in victims:
+        fleet.start_daemon(daemon)
+    fleet.wait_version(1 + CHANGES, timeout=120)
+    seconds = time.monotonic() - started
+    joined = [fleet.status(d)["control_bytes_received"] for d in victims]
+    return {
+        "herd_seconds": seconds,
+        "herd_join_bytes_mean": statistics.mean(joined),
+        "herd_platform_calls": platform_calls(fleet) - calls_before,
+    }
+
+
+def measure(bin_dir, count):
+    with Fleet(bin_dir, log_level="error") as fleet:
+        for index in range(count):
+            fleet.add(f"vm-{index:03}", f"dc{index % 2 + 1}")
+        started = time.monotonic()
+        fleet.start_all()
+        fleet.wait_members(count, timeout=120)
+        found = {"daemons": count,
+                 "cluster_formed_s": time.monotonic() - started}
+        code, output = fleet.command("apply", fleet.write_config(config(800)))
+        assert code == 0, output
+        fleet.wait_version(1, timeout=60)
+        time.sleep(SETTLE_SECONDS)
+        found.update(rest(fleet))
+        found.update(changes(fleet, found["rest_bytes_per_s_mean"]))
+        memory = [memory_mb(d) for d in fleet.daemons]
+        found["memory_mb_mean"] = statistics.mean(memory)
+        found["memory_mb_worst"] = max(memory)
+        found.update(herd(fleet))
+        return found
+
+
+def slope(rows, key):
+    """Least squares over the counts; returns the slope per daemon."""
+    x = [row["daemons"] for row in rows]
+    y = [row[key] for row in rows]
+    mean_x, mean_y = statistics.mean(x), statistics.mean(y)
+    spread = sum((a - mean_x) ** 2 for a in x)
+    if not spread:
+        return 0.0
+    return sum((a - mean_x) * (b - mean_y) for a, b in zip(x, y)) / spread
+
+
+def main():
+    bin_dir = sys.argv[1]
+    counts = [int(text) for text in sys.argv[2:]] or [10, 50, 150]
+    rows = [measure(bin_dir, count) for count in counts]
+    print(f"{'real daemons':28}"
+          + "".join(f"{row['daemons']:>12}" for row in rows)
+          + f"{'slope/daemon':>14}")
+    for key in rows[0]:
+        if key == "daemons":
+            continue
+        print(f"{key:28}" + "".join(f"{row[key]:12.2f}" for row in rows)
+              + f"{slope(rows, key):14.4f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,61 @@
+#!/usr/bin/env python3
+"""Measures the time that the daemons add to a call.
+
+Usage: overhead.py BIN_DIR
+
+Two daemons with one backend server: calls through the daemon beside it (one
+daemon), through the other daemon (two daemons), each against direct calls in
+the same run. The target is 0.58 ms added at p99 over all hops.
+"""
+
+import json
+import os
+import subprocess
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__),
+                                "../tests/process"))
+from fleet_control import Fleet, document  # noqa: E402
+
+CALLS = 20000
+# Of one daemon at the design size: 273 calls a second as entry.
+RATE = 273
+SERVICES = {"catalogue": [("stock-lookup", "lookup", "/catalogue", "", 800,
+                           0.95)]}
+
+
+def measure(fleet, entry, backend, *load):
+    done = subprocess.run(
+        [os.path.join(fleet.bin_dir, "pomelohall-load"), "--json",
+         "--path", "/catalogue", "--address", entry,
+         "--compare-direct", backend, *load],
+        stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, check=True)
+    return json.loads(done.stdout)
+
+
+def main():
+    with Fleet(sys.argv[1], log_level="error") as fleet:
+        owner = fleet.add("vm-1", "dc1", service="catalogue",
+                          backend=["--service-time-ms", "0", "--slots", "20"])
+        other = fleet.add("vm-2", "dc1")
+        fleet.start_all()
+        fleet.wait_members(2)
+        code, output = fleet.command(
+            "apply", fleet.write_config(document(SERVICES)))
+        assert code == 0, output
+        fleet.wait_version(1)
+        fleet.wait_servers("catalogue", 1)
+        backend = f"127.0.0.1:{owner.backend_port}"
+        for name, load in (
+                ("at 273 calls/s", ("--rate", str(RATE), "--calls", "5000")),
+                ("closed loop, 8 at once", ("--concurrency", "8", "--calls",
+                                            str(CALLS)))):
+            for hops, daemon in (("one daemon", owner),
+                                 ("two daemons", other)):
+                found = measure(fleet, daemon.address("caller"), backend,
+                                *load)
+                print(f"{name}, {hops}: {json.dumps(found)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -13,7 +13,7 @@
 import urllib.request
 
 sys.path.insert(0, os.path.dirname(__file__))
-from fleet import Fleet, document, http, wait_until  # noqa: E402
+from fleet_control import Fleet, document, http, wait_until  # noqa: E402
 
 SERVICES = {
     "catalogue": [("stock-lookup", "lookup", "/catalogue", "", 800, 0.95)],
--- a/tools/demo/demo.py
+++ b/tools/demo/demo.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__),
                                 "../../tests/process"))
-from fleet import Fleet, document, http, wait_until  # noqa: E402
+from fleet_control import Fleet, document, http, wait_until  # noqa: E402
 
 # Both deployments have three services; backend servers differ in speed.
 # Per service: (name, classes, [(data centre, speed factor)]).
