--- a/libs/acceptance/include/acceptance/acceptance_writer.h
+++ b/libs/acceptance/include/acceptance/acceptance_writer.h
@@ -51,7 +51,7 @@
   acceptance_actions BuildFrom(const config_head& base);
   void ListMissingSections();
   acceptance_actions CreateSections();
-  acceptance_actions RetrySections(const error& failure, instant now);
+  acceptance_actions RetrySections(instant now);
   acceptance_actions WriteHead();
   acceptance_actions Resolve(const config_head& head);
   acceptance_actions ResolveNotYet(const config_head& head);
--- a/libs/acceptance/src/acceptance_writer.cc
+++ b/libs/acceptance/src/acceptance_writer.cc
@@ -123,17 +123,15 @@
     sections_to_create_.insert(std::move(section));
   }
   if (step_ != step::kSections) return {};
-  if (section_failure_) return RetrySections(*section_failure_, now);
+  if (section_failure_) return RetrySections(now);
   return CreateSections();
 }
 
 // Waits for the other sections in flight, so that none answers during a pause.
-acceptance_actions acceptance_writer::RetrySections(const error& failure,
-                                                    instant now) {
+acceptance_actions acceptance_writer::RetrySections(instant now) {
   if (!sections_in_flight_.empty()) return {};
-  const error reason = failure;
-  section_failure_.reset();
-  return Retry(reason, now);
+  const auto failure = std::exchange(section_failure_, std::nullopt);
+  return Retry(*failure, now);
 }
 
 acceptance_actions acceptance_writer::WriteHead() {
