Bound the wait of a suspect and count cancelled requests at a crash

A transaction whose server never answered kept a suspect waiting to run alone, and the suspect held up all other work of that server. A poison request whose entry daemon died before the crash was cancelled at the owner and never became a suspect. Ruled out: running a suspect beside long downloads; its crash would cut them.

--- a/libs/policy/include/policy/admission.h
+++ b/libs/policy/include/policy/admission.h
@@ -35,6 +35,12 @@
   /// is then refused. Below the 3 s in which a leaving server gets its last
   /// work.
   duration drain_grace{2'000'000};
+  /// A request that runs alone waits at most this long for those in flight, for
+  /// example long downloads, while it holds up all others.
+  duration alone_patience{1'000'000};
+  /// After a wait in vain, such requests are refused for this long while others
+  /// run, so that they hold up the server for a tenth of the time at most.
+  duration alone_pause{10'000'000};
 };
 
 /// What the owner decided about a request.
@@ -126,6 +132,7 @@
   void AnswerDeadlinesOf(admission_queue& queue, duration needed, instant now,
                          decisions& out);
   void AnswerDraining(instant now, decisions& out);
+  void AnswerAlone(instant now, decisions& out);
   void StartReady(decisions& out);
   bool StartAlone(decisions& out);
   bool StartNext(decisions& out);
@@ -147,6 +154,9 @@
   bool alone_running_ = false;
   /// Other requests to start before the next one that runs alone.
   std::size_t starts_before_alone_ = 0;
+  /// Since when the others wait for the requests in flight to end.
+  std::optional<instant> blocked_since_;
+  instant alone_refused_until_{};
   double virtual_time_ = 0;
   bool draining_ = false;
   std::optional<instant> draining_since_;
--- a/libs/policy/src/admission.cc
+++ b/libs/policy/src/admission.cc
@@ -38,6 +38,11 @@
           run_state::kNotRun};
 }
 
+error NoTurnAlone() {
+  return Overloaded(
+      "the requests in flight did not end in time to run it alone");
+}
+
 error NoServer() {
   return {error_kind::kNoBackendServer,
           "no backend server is announced beside this daemon",
@@ -105,6 +110,7 @@
   AnswerDraining(now, out);
   AnswerDeadlines(now, out);
   StartReady(out);
+  AnswerAlone(now, out);
   return out;
 }
 
@@ -134,6 +140,9 @@
   if (draining_) return Draining();
   if (limit_.Slots() == 0) return NoServer();
   if (now >= request.deadline) return DeadlinePassed();
+  if (request.alone && now < alone_refused_until_ && !running_.empty()) {
+    return NoTurnAlone();
+  }
   return std::nullopt;
 }
 
@@ -209,6 +218,23 @@
   }
 }
 
+void admission::AnswerAlone(instant now, decisions& out) {
+  const bool blocked = !alone_.Empty() && !alone_running_ &&
+                       starts_before_alone_ == 0 && !running_.empty();
+  if (!blocked) {
+    blocked_since_.reset();
+    return;
+  }
+  if (!blocked_since_) blocked_since_ = now;
+  if (now - *blocked_since_ < options_.alone_patience) return;
+  blocked_since_.reset();
+  alone_refused_until_ = now + options_.alone_pause;
+  while (!alone_.Empty()) {
+    RefuseQueued(alone_, alone_.First().id, NoTurnAlone(), out);
+  }
+  StartReady(out);
+}
+
 void admission::AnswerDeadlines(instant now, decisions& out) {
   AnswerDeadlinesOf(alone_, duration{0}, now, out);
   for (auto& [name, state] : classes_) {
--- a/libs/policy/tests/admission_test.cc
+++ b/libs/policy/tests/admission_test.cc
@@ -245,6 +245,25 @@
   CHECK(rounds <= 3);
 }
 
+// Guards against one long download, or a request that never ends, that holds up
+// all other work while a suspect waits to run alone.
+TEST_CASE_METHOD(admission_fixture, "Tick_AloneWaitsLong_OthersGoOn") {
+  Submit("scan", class_kind::kDownload);
+  const auto suspect = SubmitAlone();
+  const auto order = Submit("order", class_kind::kTransaction);
+  now_ += milliseconds(999);
+  Note(admission_.Tick(now_));
+  CHECK_FALSE(decided_.contains(suspect));
+  CHECK_FALSE(decided_.contains(order));
+  now_ += milliseconds(1);
+  Note(admission_.Tick(now_));
+  CHECK(Refused(suspect, error_kind::kOverloaded));
+  CHECK(running_.contains(order));
+  CHECK(Refused(SubmitAlone(), error_kind::kOverloaded));
+  now_ += seconds(10);
+  CHECK_FALSE(decided_.contains(SubmitAlone()));
+}
+
 // Guards against a slot or a place in the queue that is never freed.
 TEST_CASE_METHOD(admission_fixture, "Cancel_QueuedOrRunning_FreesPlace") {
   Fill(kSlots);
--- a/libs/quarantine/tests/quarantine_test.cc
+++ b/libs/quarantine/tests/quarantine_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <numeric>
 
+#include "quarantine/flight_list.h"
+
 namespace pomelohall {
 namespace {
 
@@ -81,6 +83,26 @@
   CHECK(Check(2) == quarantine_verdict::kAllow);
 }
 
+// Guards against a poison request that escapes because its caller went away
+// before the crash.
+TEST_CASE("FlightList_Cancelled_CountsForTwoSeconds") {
+  instant now{std::chrono::seconds(100)};
+  flight_list flights;
+  flights.Start(1, 11);
+  flights.Start(2, 12);
+  flights.Start(3, 13);
+  flights.Start(4, 13);
+  flights.End(2);
+  flights.Cancel(1, now);
+  flights.Cancel(2, now);
+  now += kCancelledInFlight - duration{1};
+  CHECK(flights.TakeAll(now) == std::vector<std::uint64_t>{11, 13});
+  CHECK(flights.TakeAll(now).empty());
+  flights.Start(5, 15);
+  flights.Cancel(5, now);
+  CHECK(flights.TakeAll(now + kCancelledInFlight).empty());
+}
+
 // Guards against two requests with one fingerprint.
 TEST_CASE("RequestFingerprint_EveryPart_Counts") {
   const auto base = RequestFingerprint("POST", "/a", 2, "xy");
