Judge a crash by what ran, what was cancelled and what ran alone

Ruled out: counting any single request at a crash as run alone; a request that became a suspect while it ran beside others was then convicted. Change: a suspect becomes a culprit only if it was started alone and no cancelled suspect may have crashed the server. The matrix also covers platform_slow and answer_lost.

--- a/bench/call_simulation.cc
+++ b/bench/call_simulation.cc
@@ -402,6 +402,7 @@
   item.running = 0;
   if (Real()) item.owner->SetSlots(0, now_);
   std::vector<std::uint64_t> fingerprints;
+  fingerprints.reserve(lost.size());
   for (const auto id : lost) fingerprints.push_back(jobs_.at(id).call);
   if (Real()) Tell(index, item.suspects->OnCrash(kService, fingerprints, now_));
   for (const auto id : lost) {
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "quarantine/flight_list.h"
 
 namespace pomelohall {
 
@@ -66,7 +67,15 @@
   quarantine_verdict Check(std::string_view service, std::uint64_t fingerprint,
                            instant now);
 
-  /// Records the crash of a backend server.
+  /// Records the crash of a backend server. Everything it may have been running
+  /// becomes a suspect. A suspect that ran alone becomes a culprit, unless a
+  /// cancelled request that is also a suspect may have crashed the server.
+  /// @return The changes, for the other daemons.
+  std::vector<suspect_event> OnCrash(std::string_view service,
+                                     const crash_scene& scene, instant now);
+
+  /// The same for callers without a flight_list: a single request counts as run
+  /// alone.
   /// @param in_flight Fingerprints of the requests of which a byte was sent to
   ///     the server and whose answer had not ended.
   /// @return The changes, for the other daemons.
@@ -117,6 +126,11 @@
   void Set(std::string_view service, std::uint64_t fingerprint,
            suspect_state state, instant now);
   void MakeRoom(instant now);
+  bool IsKnown(std::string_view service, std::uint64_t fingerprint,
+               instant now);
+  void Accuse(std::string_view service, std::uint64_t fingerprint,
+              suspect_state state, instant now,
+              std::vector<suspect_event>& events);
 
   quarantine_options options_;
   entry_map entries_;
--- a/libs/quarantine/src/flight_list.cc
+++ b/libs/quarantine/src/flight_list.cc
@@ -3,9 +3,18 @@
 #include <algorithm>
 
 namespace pomelohall {
+namespace {
 
-void flight_list::Start(std::uint64_t id, std::uint64_t fingerprint) {
-  running_.emplace(id, fingerprint);
+void SortUnique(std::vector<std::uint64_t>& prints) {
+  std::sort(prints.begin(), prints.end());
+  prints.erase(std::unique(prints.begin(), prints.end()), prints.end());
+}
+
+}  // namespace
+
+void flight_list::Start(std::uint64_t id, std::uint64_t fingerprint,
+                        bool alone) {
+  running_.emplace(id, running_request{fingerprint, alone});
 }
 
 void flight_list::End(std::uint64_t id) { running_.erase(id); }
@@ -14,21 +23,27 @@
   const auto found = running_.find(id);
   if (found == running_.end()) return;
   Expire(now);
-  cancelled_.push_back({found->second, now});
+  cancelled_.push_back({found->second.fingerprint, now});
   running_.erase(found);
 }
 
-std::vector<std::uint64_t> flight_list::TakeAll(instant now) {
+crash_scene flight_list::TakeAll(instant now) {
   Expire(now);
-  std::vector<std::uint64_t> prints;
-  prints.reserve(running_.size() + cancelled_.size());
-  for (const auto& [id, fingerprint] : running_) prints.push_back(fingerprint);
-  for (const auto& item : cancelled_) prints.push_back(item.fingerprint);
-  std::sort(prints.begin(), prints.end());
-  prints.erase(std::unique(prints.begin(), prints.end()), prints.end());
+  crash_scene scene;
+  scene.ran_alone = running_.size() == 1 && running_.begin()->second.alone;
+  scene.running.reserve(running_.size());
+  for (const auto& [id, item] : running_) {
+    scene.running.push_back(item.fingerprint);
+  }
+  scene.cancelled.reserve(cancelled_.size());
+  for (const auto& item : cancelled_) {
+    scene.cancelled.push_back(item.fingerprint);
+  }
+  SortUnique(scene.running);
+  SortUnique(scene.cancelled);
   running_.clear();
   cancelled_.clear();
-  return prints;
+  return scene;
 }
 
 void flight_list::Expire(instant now) {
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -40,21 +40,50 @@
 std::vector<suspect_event> quarantine::OnCrash(
     std::string_view service, std::span<const std::uint64_t> in_flight,
     instant now) {
+  crash_scene scene;
+  scene.running.assign(in_flight.begin(), in_flight.end());
+  scene.ran_alone = in_flight.size() == 1;
+  return OnCrash(service, scene, now);
+}
+
+std::vector<suspect_event> quarantine::OnCrash(std::string_view service,
+                                               const crash_scene& scene,
+                                               instant now) {
+  const bool other_suspect = std::any_of(
+      scene.cancelled.begin(), scene.cancelled.end(),
+      [&](std::uint64_t print) { return IsKnown(service, print, now); });
   std::vector<suspect_event> events;
-  for (const auto fingerprint : in_flight) {
-    const auto found = FindLive(service, fingerprint, now);
-    const bool known = found != entries_.end();
-    if (known && found->second.state == suspect_state::kCulprit) continue;
-    const bool alone = in_flight.size() == 1;
-    const bool guilty = alone && (known || options_.culprit_at_first_crash);
-    const auto state =
-        guilty ? suspect_state::kCulprit : suspect_state::kSuspect;
-    Set(service, fingerprint, state, now);
-    events.push_back({std::string(service), fingerprint, state});
+  for (const auto print : scene.running) {
+    const bool suspected =
+        options_.culprit_at_first_crash || IsKnown(service, print, now);
+    const bool guilty = scene.ran_alone && suspected && !other_suspect;
+    Accuse(service, print,
+           guilty ? suspect_state::kCulprit : suspect_state::kSuspect, now,
+           events);
+  }
+  for (const auto print : scene.cancelled) {
+    Accuse(service, print, suspect_state::kSuspect, now, events);
   }
   return events;
 }
 
+bool quarantine::IsKnown(std::string_view service, std::uint64_t fingerprint,
+                         instant now) {
+  return FindLive(service, fingerprint, now) != entries_.end();
+}
+
+void quarantine::Accuse(std::string_view service, std::uint64_t fingerprint,
+                        suspect_state state, instant now,
+                        std::vector<suspect_event>& events) {
+  const auto found = FindLive(service, fingerprint, now);
+  if (found != entries_.end() &&
+      found->second.state == suspect_state::kCulprit) {
+    return;
+  }
+  Set(service, fingerprint, state, now);
+  events.push_back({std::string(service), fingerprint, state});
+}
+
 std::vector<suspect_event> quarantine::OnSuccess(std::string_view service,
                                                  std::uint64_t fingerprint,
                                                  instant now) {
--- a/tests/matrix/calls/caller_process.cc
+++ b/tests/matrix/calls/caller_process.cc
@@ -68,6 +68,7 @@
   if (state == nullptr) return;
   if (reason.kind == error_kind::kPoisonSuspected) {
     state->waiting = false;
+    net_.records.Request(origin.request).convicted = true;
     return;
   }
   SendAgain(origin.request, reason.ran);
--- a/tests/matrix/calls/network.h
+++ b/tests/matrix/calls/network.h
@@ -69,6 +69,8 @@
   std::vector<process_id> backends;  ///< Parallel to `owners`.
 
   instant platform_down_until{};
+  instant platform_slow_until{};
+  bool lose_platform_answer = false;  ///< The next one, after its effect.
   std::set<fault> answer_faults;  ///< For the next answer of the observed one.
 
   /// Reports that the observed request reached a step.
--- a/tests/matrix/calls/owner_process.h
+++ b/tests/matrix/calls/owner_process.h
@@ -10,6 +10,7 @@
 #include "network.h"
 #include "policy/admission.h"
 #include "policy/owner_call.h"
+#include "quarantine/flight_list.h"
 #include "quarantine/quarantine.h"
 
 namespace pomelohall::matrix::calls {
@@ -49,6 +50,7 @@
   void OnHead(ticket id, const std::string& echoed);
   void OnEnd(ticket id);
   void OnCut(ticket id);
+  void GiveUp(ticket id);
   void OnBackendDied();
   void OnEntryDied(process_id entry);
   void Tell(const std::vector<suspect_event>& events);
@@ -62,6 +64,7 @@
   backend_process& backend_;
   std::unique_ptr<admission> admission_;
   std::unique_ptr<quarantine> quarantine_;
+  flight_list flights_;
   std::map<ticket, owned_call> calls_;
   ticket last_ticket_ = 0;
   bool ticking_ = false;
--- a/tests/matrix/calls/scenario_run.cc
+++ b/tests/matrix/calls/scenario_run.cc
@@ -305,6 +305,12 @@
     case fault::kPlatformDown:
       net_.platform_down_until = clock.Now() + kPlatformDownTime;
       return;
+    case fault::kPlatformSlow:
+      net_.platform_slow_until = clock.Now() + kPlatformDownTime;
+      return;
+    case fault::kAnswerLost:
+      net_.lose_platform_answer = true;
+      return;
     case fault::kPartition:
       clock.Partition(kPartitionTime);
       Publish(duration{1'000'000});
@@ -323,6 +329,9 @@
   if (which == fault::kNone) return;
   const auto target = Target();
   failed_.push_back(target);
+  if (which != fault::kFreeze && Contains(net_.backends, target)) {
+    net_.records.OnServerKilled(target, net_.clock.Now());
+  }
   if (which == fault::kKill) net_.clock.Kill(target);
   if (which == fault::kRestart) net_.clock.Restart(target, kRestartTime);
   if (which == fault::kFreeze) net_.clock.Freeze(target, kFreezeTime);
