Let a cancelled suspect run to its end for 1 s

A suspect was cancelled, the next one was started alone while the first could still be running, and the crash convicted neither. An earlier cancelled attempt of the same request also counted as another suspect. Ruled out: keeping a cancelled suspect without a bound; one that hangs would hold up its server. Change: the owner cancels a request that runs alone only after 1 s more; an attempt of the same request is no doubt about it.

--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -49,14 +49,17 @@
 std::vector<suspect_event> quarantine::OnCrash(std::string_view service,
                                                const crash_scene& scene,
                                                instant now) {
-  const bool other_suspect = std::any_of(
-      scene.cancelled.begin(), scene.cancelled.end(),
-      [&](std::uint64_t print) { return IsKnown(service, print, now); });
+  const auto other_suspect = [&](std::uint64_t than) {
+    return std::any_of(scene.cancelled.begin(), scene.cancelled.end(),
+                       [&](std::uint64_t print) {
+                         return print != than && IsKnown(service, print, now);
+                       });
+  };
   std::vector<suspect_event> events;
   for (const auto print : scene.running) {
     const bool suspected =
         options_.culprit_at_first_crash || IsKnown(service, print, now);
-    const bool guilty = scene.ran_alone && suspected && !other_suspect;
+    const bool guilty = scene.ran_alone && suspected && !other_suspect(print);
     Accuse(service, print,
            guilty ? suspect_state::kCulprit : suspect_state::kSuspect, now,
            events);
--- a/libs/quarantine/tests/quarantine_test.cc
+++ b/libs/quarantine/tests/quarantine_test.cc
@@ -115,7 +115,8 @@
   };
   CHECK(scene({}, false) == quarantine_verdict::kAlone);
   CHECK(scene({2}, true) == quarantine_verdict::kAlone);
-  CHECK(scene({3}, true) == quarantine_verdict::kRefuse);
+  // An earlier attempt of its own is no doubt, nor is one that is no suspect.
+  CHECK(scene({1, 3}, true) == quarantine_verdict::kRefuse);
   CHECK(Check(3) == quarantine_verdict::kAlone);
 }
 
--- a/tests/matrix/calls/owner_process.cc
+++ b/tests/matrix/calls/owner_process.cc
@@ -10,6 +10,7 @@
 constexpr std::uint32_t kSlots = 2;
 constexpr duration kTickTime{50'000};
 constexpr duration kPatience{5'000'000};
+constexpr duration kSuspectPatience{1'000'000};
 
 /// A stopping owner answers `draining` this long before it exits, so that no
 /// request on its way meets a closed connection.
@@ -190,6 +191,20 @@
   const auto found = std::find_if(calls_.begin(), calls_.end(), same);
   if (found == calls_.end()) return;
   const auto id = found->first;
+  const auto& owned = found->second;
+  // A suspect runs on for a while: its end clears it, and a next suspect would
+  // otherwise not be alone with it.
+  if (owned.state.Sent() && owned.alone) {
+    net_.clock.After(kSuspectPatience, self_, [this, id] { EndCancelled(id); });
+  } else {
+    EndCancelled(id);
+  }
+}
+
+void owner_process::EndCancelled(ticket id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const auto call = found->second.call;
   const bool sent = found->second.state.Sent();
   calls_.erase(found);
   if (sent) {
--- a/tests/matrix/calls/owner_process.h
+++ b/tests/matrix/calls/owner_process.h
@@ -51,6 +51,7 @@
   void OnEnd(ticket id);
   void OnCut(ticket id);
   void GiveUp(ticket id);
+  void EndCancelled(ticket id);
   void OnBackendDied();
   void OnEntryDied(process_id entry);
   void Tell(const std::vector<suspect_event>& events);
