Name the HTTP server of the data path call_server

libs/http defines http_server and server_session in the same namespace; a program that links both would have broken the one definition rule.

--- a/libs/backend/include/backend/beast_fields.h
+++ b/libs/backend/include/backend/beast_fields.h
@@ -38,7 +38,7 @@
 void AddFields(const http_fields& fields, boost::beast::http::fields& message);
 
 /// Parses "ip:port"; nothing if it is malformed.
-std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
     std::string_view address);
 
 /// Returns whether the other side closed an idle connection or sent bytes that
--- a/libs/backend/src/beast_fields.cc
+++ b/libs/backend/src/beast_fields.cc
@@ -31,7 +31,7 @@
   }
 }
 
-std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
     std::string_view address) {
   const auto colon = address.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -179,7 +179,7 @@
                                     const exchange_ptr& call) {
   auto connection = std::make_shared<client_connection>(io_, address);
   ++targets_[address].open;
-  const auto endpoint = ParseEndpoint(address);
+  const auto endpoint = ParseTcpEndpoint(address);
   if (!endpoint) {
     asio::post(io_, [self = shared_from_this(), connection, call] {
       self->OnConnected(connection, call, asio::error::invalid_argument);
@@ -289,7 +289,7 @@
 
 void connection_pool::impl::Probe(const std::string& address,
                                   std::function<void(bool)> done) {
-  const auto endpoint = ParseEndpoint(address);
+  const auto endpoint = ParseTcpEndpoint(address);
   if (!endpoint) {
     asio::post(io_, [done = std::move(done)] { done(false); });
     return;
--- a/libs/caller/include/caller/http_server.h
+++ b/libs/caller/include/caller/call_server.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_CALLER_HTTP_SERVER_H_
-#define POMELOHALL_CALLER_HTTP_SERVER_H_
+#ifndef POMELOHALL_CALLER_CALL_SERVER_H_
+#define POMELOHALL_CALLER_CALL_SERVER_H_
 
 #include <cstddef>
 #include <functional>
@@ -16,15 +16,15 @@
 
 namespace pomelohall {
 
-/// Receives the requests of an http_server.
-class http_handler {
+/// Receives the requests of an call_server.
+class call_handler {
  public:
-  virtual ~http_handler() = default;
+  virtual ~call_handler() = default;
   virtual void OnRequest(std::shared_ptr<incoming_request> request) = 0;
 };
 
-/// Settings of an http_server.
-struct http_server_options {
+/// Settings of an call_server.
+struct call_server_options {
   std::string address = "127.0.0.1:0";  ///< "ip:port"; port 0: any free one.
   /// A connection without a request is closed after this time.
   duration idle_timeout = std::chrono::seconds(60);
@@ -37,14 +37,14 @@
 /// HTTP/1.1 server: keep-alive, pipelining, bodies with back-pressure. Used on
 /// the thread of the I/O context only. Malformed requests and headers above
 /// 16 KB are answered by the server itself and end their connection only.
-class http_server {
+class call_server {
  public:
   /// @param handler Must outlive the server and its last request.
-  http_server(boost::asio::io_context& io, http_server_options options,
-              http_handler& handler);
-  ~http_server();
-  http_server(const http_server&) = delete;
-  http_server& operator=(const http_server&) = delete;
+  call_server(boost::asio::io_context& io, call_server_options options,
+              call_handler& handler);
+  ~call_server();
+  call_server(const call_server&) = delete;
+  call_server& operator=(const call_server&) = delete;
 
   /// Starts to listen. Fails with `kInvalidSettings` if the address is
   /// malformed or in use.
@@ -74,4 +74,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_CALLER_HTTP_SERVER_H_
+#endif  // POMELOHALL_CALLER_CALL_SERVER_H_
--- a/libs/caller/include/caller/incoming_request.h
+++ b/libs/caller/include/caller/incoming_request.h
@@ -19,7 +19,7 @@
   std::uint64_t body_bytes = 0;
 };
 
-/// A request that an http_server received. Exactly one of Answer() and Abort()
+/// A request that an call_server received. Exactly one of Answer() and Abort()
 /// is to be called. Used on the I/O thread only.
 class incoming_request {
  public:
--- a/libs/caller/src/http_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -1,4 +1,4 @@
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "backend/beast_fields.h"
-#include "server_session.h"
+#include "call_session.h"
 
 namespace pomelohall {
 
@@ -27,9 +27,9 @@
 
 }  // namespace
 
-class http_server::impl : public std::enable_shared_from_this<impl> {
+class call_server::impl : public std::enable_shared_from_this<impl> {
  public:
-  impl(asio::io_context& io, http_server_options options, http_handler& handler)
+  impl(asio::io_context& io, call_server_options options, call_handler& handler)
       : io_(io),
         options_(std::move(options)),
         handler_(handler),
@@ -51,16 +51,16 @@
   void Forget();
 
   asio::io_context& io_;
-  const http_server_options options_;
-  http_handler& handler_;
+  const call_server_options options_;
+  call_handler& handler_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer timer_;
-  std::unordered_set<std::shared_ptr<server_session>> sessions_;
+  std::unordered_set<std::shared_ptr<call_session>> sessions_;
   std::function<void()> on_stopped_;
 };
 
-result<void> http_server::impl::Listen() {
-  const auto endpoint = ParseEndpoint(options_.address);
+result<void> call_server::impl::Listen() {
+  const auto endpoint = ParseTcpEndpoint(options_.address);
   if (!endpoint) {
     return Fail(error_kind::kInvalidSettings,
                 "\"" + options_.address + "\" is not an address \"ip:port\"");
@@ -83,20 +83,20 @@
   return {};
 }
 
-std::string http_server::impl::Address() const {
+std::string call_server::impl::Address() const {
   std::ostringstream text;
   text << acceptor_.local_endpoint();
   return text.str();
 }
 
-void http_server::impl::Accept() {
+void call_server::impl::Accept() {
   acceptor_.async_accept([self = shared_from_this()](
                              error_code failure, asio::ip::tcp::socket socket) {
     self->OnAccepted(failure, std::move(socket));
   });
 }
 
-void http_server::impl::OnAccepted(const error_code& failure,
+void call_server::impl::OnAccepted(const error_code& failure,
                                    asio::ip::tcp::socket socket) {
   if (!acceptor_.is_open()) return;
   if (failure) {
@@ -107,28 +107,28 @@
     return;
   }
   const auto session =
-      std::make_shared<server_session>(std::move(socket), options_, handler_);
+      std::make_shared<call_session>(std::move(socket), options_, handler_);
   sessions_.insert(session);
   session->Start();
   Accept();
 }
 
-void http_server::impl::CloseListener() {
+void call_server::impl::CloseListener() {
   error_code ignored;
   acceptor_.close(ignored);
   timer_.cancel();
 }
 
-void http_server::impl::Stop(std::function<void()> done) {
+void call_server::impl::Stop(std::function<void()> done) {
   on_stopped_ = std::move(done);
   CloseListener();
-  const std::vector<std::shared_ptr<server_session>> sessions(sessions_.begin(),
-                                                              sessions_.end());
+  const std::vector<std::shared_ptr<call_session>> sessions(sessions_.begin(),
+                                                            sessions_.end());
   for (const auto& session : sessions) session->Drain();
   asio::post(io_, [self = shared_from_this()] { self->PollDrained(); });
 }
 
-void http_server::impl::PollDrained() {
+void call_server::impl::PollDrained() {
   Forget();
   if (sessions_.empty()) {
     if (const auto done = std::exchange(on_stopped_, nullptr)) done();
@@ -140,43 +140,43 @@
   });
 }
 
-void http_server::impl::Abort() {
+void call_server::impl::Abort() {
   CloseListener();
   const auto sessions = std::exchange(sessions_, {});
   for (const auto& session : sessions) session->Close();
 }
 
-void http_server::impl::Forget() {
+void call_server::impl::Forget() {
   std::erase_if(sessions_,
                 [](const auto& session) { return session->Closed(); });
 }
 
-void http_server::impl::Sweep(instant now) {
-  const std::vector<std::shared_ptr<server_session>> sessions(sessions_.begin(),
-                                                              sessions_.end());
+void call_server::impl::Sweep(instant now) {
+  const std::vector<std::shared_ptr<call_session>> sessions(sessions_.begin(),
+                                                            sessions_.end());
   for (const auto& session : sessions) session->Sweep(now);
   Forget();
 }
 
-http_server::http_server(asio::io_context& io, http_server_options options,
-                         http_handler& handler)
+call_server::call_server(asio::io_context& io, call_server_options options,
+                         call_handler& handler)
     : impl_(std::make_shared<impl>(io, std::move(options), handler)) {}
 
-http_server::~http_server() { impl_->Abort(); }
+call_server::~call_server() { impl_->Abort(); }
 
-result<void> http_server::Listen() { return impl_->Listen(); }
+result<void> call_server::Listen() { return impl_->Listen(); }
 
-std::string http_server::Address() const { return impl_->Address(); }
+std::string call_server::Address() const { return impl_->Address(); }
 
-void http_server::Stop(std::function<void()> done) {
+void call_server::Stop(std::function<void()> done) {
   impl_->Stop(std::move(done));
 }
 
-void http_server::Abort() { impl_->Abort(); }
+void call_server::Abort() { impl_->Abort(); }
 
-void http_server::Sweep(instant now) { impl_->Sweep(now); }
+void call_server::Sweep(instant now) { impl_->Sweep(now); }
 
-std::size_t http_server::OpenConnections() const {
+std::size_t call_server::OpenConnections() const {
   return impl_->OpenConnections();
 }
 
--- a/libs/caller/src/call_service.cc
+++ b/libs/caller/src/call_service.cc
@@ -7,7 +7,7 @@
 #include <cassert>
 #include <utility>
 
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 #include "entry_handler.h"
 #include "forward_handler.h"
 #include "key_home.h"
@@ -26,7 +26,7 @@
 // While stopping, the end of the calls in progress is looked for this often.
 constexpr auto kStopPoll = std::chrono::milliseconds(10);
 
-http_server_options ServerOptions(const call_service_options& options,
+call_server_options ServerOptions(const call_service_options& options,
                                   const std::string& address) {
   return {.address = address,
           .idle_timeout = options.idle_timeout,
@@ -70,8 +70,8 @@
   call_service_status Status() const;
 
   service_context& Context() { return *context_; }
-  const http_server& Callers() const { return callers_; }
-  const http_server& Daemons() const { return daemons_; }
+  const call_server& Callers() const { return callers_; }
+  const call_server& Daemons() const { return daemons_; }
 
  private:
   void ScheduleSweep();
@@ -80,8 +80,8 @@
   const context_ptr context_;
   entry_handler entry_;
   forward_handler forward_;
-  http_server callers_;
-  http_server daemons_;
+  call_server callers_;
+  call_server daemons_;
   asio::steady_timer sweep_timer_;
   asio::steady_timer stop_timer_;
   bool callers_stopped_ = false;
--- a/libs/caller/src/server_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -1,4 +1,4 @@
-#include "server_session.h"
+#include "call_session.h"
 
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -35,21 +35,21 @@
 
 }  // namespace
 
-server_session::server_session(asio::ip::tcp::socket socket,
-                               const http_server_options& options,
-                               http_handler& handler)
+call_session::call_session(asio::ip::tcp::socket socket,
+                           const call_server_options& options,
+                           call_handler& handler)
     : socket_(std::move(socket)),
       options_(options),
       handler_(handler),
       last_progress_(MonotonicNow()) {}
 
-void server_session::Start() {
+void call_session::Start() {
   error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   NextRequest();
 }
 
-void server_session::NextRequest() {
+void call_session::NextRequest() {
   last_progress_ = MonotonicNow();
   if (buffer_.size() > 0) {
     ReadHeader();
@@ -58,7 +58,7 @@
   }
 }
 
-void server_session::Watch() {
+void call_session::Watch() {
   // A pending read would hold up a request that is in the buffer already, so a
   // caller that pipelines is only noticed to have gone when it is written to.
   if (watching_ || closed_ || buffer_.size() > 0) return;
@@ -71,7 +71,7 @@
       });
 }
 
-void server_session::OnWatched(error_code failure, std::size_t bytes) {
+void call_session::OnWatched(error_code failure, std::size_t bytes) {
   if (failure) {
     Disconnected();
     return;
@@ -84,14 +84,14 @@
   if (!current_) ReadHeader();
 }
 
-void server_session::Disconnected() {
+void call_session::Disconnected() {
   const auto keep_alive = shared_from_this();
   const auto handler = std::exchange(on_disconnect_, nullptr);
   Close();
   if (handler) handler();
 }
 
-void server_session::ReadHeader() {
+void call_session::ReadHeader() {
   last_progress_ = MonotonicNow();
   reading_header_ = true;
   parser_.emplace();
@@ -106,7 +106,7 @@
       });
 }
 
-void server_session::OnHeader(error_code failure) {
+void call_session::OnHeader(error_code failure) {
   if (failure) {
     RejectHeader(failure);
     return;
@@ -119,7 +119,7 @@
   StartRequest(TakeHead());
 }
 
-void server_session::RejectHeader(const error_code& failure) {
+void call_session::RejectHeader(const error_code& failure) {
   if (failure == http::error::end_of_stream ||
       failure.category() !=
           make_error_code(http::error::bad_method).category()) {
@@ -136,7 +136,7 @@
       nullptr);
 }
 
-std::optional<error> server_session::CheckHeader() const {
+std::optional<error> call_session::CheckHeader() const {
   const auto& message = parser_->get();
   const auto fault = [](std::string text) {
     return error(error_kind::kInvalidRequest, std::move(text));
@@ -158,7 +158,7 @@
   return std::nullopt;
 }
 
-request_head server_session::TakeHead() const {
+request_head call_session::TakeHead() const {
   const auto& message = parser_->get();
   request_head head;
   head.method = std::string(ToView(message.method_string()));
@@ -173,7 +173,7 @@
   return head;
 }
 
-void server_session::StartRequest(request_head head) {
+void call_session::StartRequest(request_head head) {
   const auto& message = parser_->get();
   keep_alive_ = message.keep_alive();
   continue_expected_ =
@@ -186,9 +186,9 @@
   handler_.OnRequest(current_);
 }
 
-bool server_session::BodyRead() const { return parser_ && parser_->is_done(); }
+bool call_session::BodyRead() const { return parser_ && parser_->is_done(); }
 
-void server_session::ReadBody(body_source::callback done) {
+void call_session::ReadBody(body_source::callback done) {
   assert(!pending_read_ && !BodyRead());
   pending_read_ = std::move(done);
   last_progress_ = MonotonicNow();
@@ -205,7 +205,7 @@
   }
 }
 
-void server_session::WriteContinue() {
+void call_session::WriteContinue() {
   continue_expected_ = false;
   continue_writing_ = true;
   asio::async_write(socket_, asio::buffer(kContinue),
@@ -219,7 +219,7 @@
 }
 
 // Parses what was read together with the header, without a system call.
-boost::system::error_code server_session::ParseBuffered() {
+boost::system::error_code call_session::ParseBuffered() {
   error_code failure;
   while (buffer_.size() > 0 && !parser_->is_done() && !failure) {
     buffer_.consume(parser_->put(buffer_.data(), failure));
@@ -228,7 +228,7 @@
   return failure;
 }
 
-void server_session::ReadPart() {
+void call_session::ReadPart() {
   buffer_.reserve(kMaxHeaderBytes);
   http::async_read_some(
       socket_, buffer_, *parser_,
@@ -237,7 +237,7 @@
       });
 }
 
-void server_session::OnPart(error_code failure) {
+void call_session::OnPart(error_code failure) {
   last_progress_ = MonotonicNow();
   if (failure && failure != http::error::need_buffer) {
     keep_alive_ = false;
@@ -261,13 +261,13 @@
   DeliverPart(part);
 }
 
-void server_session::DeliverPart(result<body_part> part) {
+void call_session::DeliverPart(result<body_part> part) {
   if (!pending_read_) return;
   std::exchange(pending_read_, nullptr)(std::move(part));
 }
 
-void server_session::WriteAnswer(incoming_answer answer,
-                                 std::function<void(answer_written)> done) {
+void call_session::WriteAnswer(incoming_answer answer,
+                               std::function<void(answer_written)> done) {
   assert(!answering_);
   if (closed_) {
     if (answer.body) answer.body->Cancel();
@@ -285,13 +285,13 @@
   if (!continue_writing_) ReadAnswerPart();
 }
 
-void server_session::DropAnswerBody() {
+void call_session::DropAnswerBody() {
   if (answer_.body) answer_.body->Cancel();
   answer_.body = nullptr;
   answer_.head.framing = body_framing::kNone;
 }
 
-void server_session::BuildMessage(const answer_head& head) {
+void call_session::BuildMessage(const answer_head& head) {
   const auto version = parser_->get().version() == 10 ? 10U : 11U;
   message_ = {};
   message_.version(version);
@@ -311,7 +311,7 @@
   serializer_.emplace(message_);
 }
 
-void server_session::ReadAnswerPart() {
+void call_session::ReadAnswerPart() {
   if (!answer_.body) {
     Write({}, false);
     return;
@@ -329,7 +329,7 @@
   }
 }
 
-void server_session::OnAnswerPart(result<body_part> part) {
+void call_session::OnAnswerPart(result<body_part> part) {
   if (!part) {
     answer_.body = nullptr;
     Close();
@@ -338,7 +338,7 @@
   Write(*part, !part->last);
 }
 
-void server_session::Write(body_part part, bool more) {
+void call_session::Write(body_part part, bool more) {
   auto& body = message_.body();
   // Beast's buffer_body takes a mutable pointer for reading and writing alike.
   body.data =
@@ -349,7 +349,7 @@
   WriteSome();
 }
 
-void server_session::WriteSome() {
+void call_session::WriteSome() {
   writing_ = true;
   http::async_write_some(
       socket_, *serializer_,
@@ -359,7 +359,7 @@
       });
 }
 
-void server_session::OnWritten(error_code failure) {
+void call_session::OnWritten(error_code failure) {
   last_progress_ = MonotonicNow();
   if (failure == http::error::need_buffer) {
     ReadAnswerPart();
@@ -372,7 +372,7 @@
   }
 }
 
-void server_session::FinishAnswer() {
+void call_session::FinishAnswer() {
   answer_ = {};
   on_disconnect_ = nullptr;
   if (current_) current_->Detach();
@@ -383,13 +383,13 @@
   if (!linger_until_ && !closed_) NextRequest();
 }
 
-void server_session::ReportAnswer(bool whole) {
+void call_session::ReportAnswer(bool whole) {
   if (const auto done = std::exchange(on_answered_, nullptr)) {
     done({whole, answer_bytes_});
   }
 }
 
-void server_session::Linger() {
+void call_session::Linger() {
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   linger_until_ = MonotonicNow() + kLingerTime;
@@ -397,7 +397,7 @@
   if (!watching_) ReadLinger();
 }
 
-void server_session::ReadLinger() {
+void call_session::ReadLinger() {
   buffer_.clear();
   socket_.async_read_some(
       buffer_.prepare(kWatchBytes),
@@ -411,7 +411,7 @@
       });
 }
 
-void server_session::Drain() {
+void call_session::Drain() {
   draining_ = true;
   const bool idle = !current_ && !answering_ && !reading_header_ &&
                     !linger_until_ && buffer_.size() == 0;
@@ -419,7 +419,7 @@
   if (idle && !IsStale(socket_)) Close();
 }
 
-void server_session::Close() {
+void call_session::Close() {
   if (closed_) return;
   const auto keep_alive = shared_from_this();
   closed_ = true;
@@ -435,13 +435,13 @@
 
 // A slow reader empties the socket's send buffer long before the pending write
 // ends, so the fill of that buffer is compared as well.
-bool server_session::WriteMoved() {
+bool call_session::WriteMoved() {
   int unsent = 0;
   if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent) != 0) return false;
   return std::exchange(unsent_bytes_, unsent) != unsent;
 }
 
-void server_session::Sweep(instant now) {
+void call_session::Sweep(instant now) {
   if (closed_) return;
   if (linger_until_) {
     if (now >= *linger_until_) Close();
--- a/libs/caller/src/server_session.h
+++ b/libs/caller/src/call_session.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_CALLER_SRC_SERVER_SESSION_H_
-#define POMELOHALL_CALLER_SRC_SERVER_SESSION_H_
+#ifndef POMELOHALL_CALLER_SRC_CALL_SESSION_H_
+#define POMELOHALL_CALLER_SRC_CALL_SESSION_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -14,20 +14,19 @@
 #include <memory>
 #include <optional>
 
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 #include "caller/incoming_request.h"
 
 namespace pomelohall {
 
 class server_request;
 
-// One connection of an http_server. Reads a request, gives it to the handler,
+// One connection of an call_server. Reads a request, gives it to the handler,
 // writes its answer, then goes on to the next one.
-class server_session final
-    : public std::enable_shared_from_this<server_session> {
+class call_session final : public std::enable_shared_from_this<call_session> {
  public:
-  server_session(boost::asio::ip::tcp::socket socket,
-                 const http_server_options& options, http_handler& handler);
+  call_session(boost::asio::ip::tcp::socket socket,
+               const call_server_options& options, call_handler& handler);
 
   void Start();
   // Answers from now on end the connection; an idle connection is closed.
@@ -88,8 +87,8 @@
   bool WriteMoved();
 
   boost::asio::ip::tcp::socket socket_;
-  const http_server_options& options_;
-  http_handler& handler_;
+  const call_server_options& options_;
+  call_handler& handler_;
   boost::beast::flat_buffer buffer_;
   std::optional<parser_type> parser_;
   std::shared_ptr<server_request> current_;
@@ -120,4 +119,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_CALLER_SRC_SERVER_SESSION_H_
+#endif  // POMELOHALL_CALLER_SRC_CALL_SESSION_H_
--- a/libs/caller/src/entry_handler.h
+++ b/libs/caller/src/entry_handler.h
@@ -4,13 +4,13 @@
 #include <memory>
 #include <utility>
 
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 #include "service_context.h"
 
 namespace pomelohall {
 
 // Requests of callers: calls, and `POST /v1/keys`.
-class entry_handler final : public http_handler {
+class entry_handler final : public call_handler {
  public:
   explicit entry_handler(context_ptr context) : context_(std::move(context)) {}
 
--- a/libs/caller/src/forward_handler.h
+++ b/libs/caller/src/forward_handler.h
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "base/error.h"
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 #include "owner.h"
 #include "service_context.h"
 
@@ -13,7 +13,7 @@
 
 // Requests of other daemons: calls for the backend server of this VM, and
 // `POST /v1/claims`.
-class forward_handler final : public http_handler {
+class forward_handler final : public call_handler {
  public:
   explicit forward_handler(context_ptr context)
       : context_(std::move(context)) {}
--- a/libs/caller/src/server_request.h
+++ b/libs/caller/src/server_request.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "call_session.h"
 #include "caller/incoming_request.h"
-#include "server_session.h"
 
 namespace pomelohall {
 
@@ -16,7 +16,7 @@
       public body_source,
       public std::enable_shared_from_this<server_request> {
  public:
-  server_request(request_head head, std::weak_ptr<server_session> session)
+  server_request(request_head head, std::weak_ptr<call_session> session)
       : head_(std::move(head)),
         received_at_(MonotonicNow()),
         session_(std::move(session)) {}
@@ -40,7 +40,7 @@
  private:
   const request_head head_;
   const instant received_at_;
-  std::weak_ptr<server_session> session_;
+  std::weak_ptr<call_session> session_;
 };
 
 }  // namespace pomelohall
--- a/tests/http/raw_client.cc
+++ b/tests/http/raw_client.cc
@@ -24,7 +24,7 @@
 }
 
 raw_client::raw_client(const std::string& address) : socket_(io_) {
-  socket_.connect(*ParseEndpoint(address));
+  socket_.connect(*ParseTcpEndpoint(address));
 }
 
 void raw_client::Send(std::string_view bytes) {
--- a/tools/backend_stub/include/backend_stub/stub_server.h
+++ b/tools/backend_stub/include/backend_stub/stub_server.h
@@ -11,7 +11,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 #include "caller/incoming_request.h"
 
 namespace boost::asio {
@@ -41,7 +41,7 @@
 ///
 /// A request above the slots is refused with 503 and `Pomelohall-Outcome:
 /// not_run`. Pomelohall-Call-Id is echoed.
-class stub_server final : public http_handler {
+class stub_server final : public call_handler {
  public:
   stub_server(boost::asio::io_context& io, stub_options options);
   ~stub_server() override;
@@ -72,7 +72,7 @@
   struct timers;
   boost::asio::io_context& io_;
   const stub_options options_;
-  http_server server_;
+  call_server server_;
   std::unique_ptr<timers> timers_;
   std::map<std::string, std::uint64_t> executions_;
   std::uint32_t running_ = 0;
