Refuse links when few file descriptors are left

Cause: when accept fails for lack of descriptors, websocketpp tries again at once in a loop, and the listeners for callers cannot accept either.

A connection whose descriptor is within 64 of the process limit is closed after accepting. An own accept loop instead of websocketpp's was ruled out as larger without further effect.

With a reserve of 0 the new test fails.

Conclusion: the daemon should still raise its soft limit of descriptors, or links of a large data centre are refused.

--- a/libs/peer/src/websocket/websocket_engine_impl.cc
+++ b/libs/peer/src/websocket/websocket_engine_impl.cc
@@ -1,5 +1,7 @@
 #include "websocket/websocket_engine_impl.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -25,6 +27,19 @@
 // 16 KB each (bench_transport) they take 33 MB.
 constexpr std::size_t kMaxAcceptedLinks = 2048;
 
+// File descriptors left for the other listeners. Without them accepting fails,
+// and websocketpp then retries at once in a loop.
+constexpr rlim_t kReservedDescriptors = 64;
+
+// The kernel assigns the lowest free descriptor, so a high one means that few
+// are left.
+bool IsNearDescriptorLimit(int descriptor) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return false;
+  return static_cast<rlim_t>(descriptor) + kReservedDescriptors >=
+         limit.rlim_cur;
+}
+
 constexpr std::chrono::milliseconds kTick{50};
 constexpr std::chrono::milliseconds kStoppingTick{2};
 
@@ -252,9 +267,11 @@
                      [](const auto& known) { return known.expired(); }),
       accepted_.end());
   const auto connection = server_.get_con_from_hdl(handle);
-  if (stopping_ || accepted_.size() >= kMaxAcceptedLinks) {
+  auto& socket = connection->get_raw_socket();
+  if (stopping_ || accepted_.size() >= kMaxAcceptedLinks ||
+      IsNearDescriptorLimit(socket.native_handle())) {
     boost::system::error_code ignored;
-    connection->get_raw_socket().close(ignored);
+    socket.close(ignored);
     return;
   }
   accepted_.push_back(connection);
--- a/libs/peer/tests/malformed_input_test.cc
+++ b/libs/peer/tests/malformed_input_test.cc
@@ -1,10 +1,13 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "peer/transport.h"
 #include "transport_fixture.h"
@@ -148,6 +151,27 @@
   CHECK(faulty->Counters().links_opened == 2);
 }
 
+// Guards against strangers that take all file descriptors of the daemon.
+TEST_CASE_METHOD(malformed_input_fixture,
+                 "Transport_FewDescriptorsLeft_FurtherConnectionsAreRefused") {
+  rlimit original{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &original) == 0);
+  rlimit low = original;
+  low.rlim_cur = 128;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+  std::vector<std::unique_ptr<raw_client>> strangers;
+  strangers.reserve(50);
+  for (int i = 0; i < 50; ++i) {
+    strangers.push_back(std::make_unique<raw_client>(receiver_.Address()));
+  }
+  // By now descriptors from 64 on are in use, so the last one is refused at
+  // once; an accepted one gets an answer to its request.
+  strangers.back()->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(strangers.back()->Read().empty());
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &original) == 0);
+  CheckLinkSurvived();
+}
+
 // Guards against a frame above the limit that is buffered whole.
 TEST_CASE("Transport_OversizedFrame_ClosesItsLink") {
   transport_options limited;
