--- a/libs/daemon/include/daemon/control_effects.h
+++ b/libs/daemon/include/daemon/control_effects.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "distribution/in_force_summary.h"
 #include "distribution/distribution_action.h"
+#include "distribution/in_force_summary.h"
 #include "membership/member_record.h"
 #include "model/image.h"
 #include "quarantine/quarantine.h"
--- a/tools/pomelohalld/main.cc
+++ b/tools/pomelohalld/main.cc
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <iostream>
@@ -24,8 +26,19 @@
   return log_level::kInfo;
 }
 
+// An aggregator holds a link to every daemon of its data centre (917 at the
+// design size), and the data path a connection for each call; the usual soft
+// limit of 1,024 descriptors is below that.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int RunDaemon(const daemon_settings& settings) {
   StartLogging("pomelohalld", MinimumLevel(settings.log_level));
+  RaiseDescriptorLimit();
   // One thread runs the I/O context, which lets Asio leave out its locks.
   boost::asio::io_context io(1);
   daemon process(io, settings);
