--- a/bench/control_slopes.cc
+++ b/bench/control_slopes.cc
@@ -74,6 +74,7 @@
 template <typename Field>
 std::vector<double> Column(const std::vector<daemon_cost>& costs, Field field) {
   std::vector<double> values;
+  values.reserve(costs.size());
   for (const auto& cost : costs) values.push_back(cost.*field);
   return values;
 }
@@ -81,6 +82,7 @@
 void DaemonSlopes() {
   const std::vector<double> sizes(kFleetSizes.begin(), kFleetSizes.end());
   std::vector<daemon_cost> costs;
+  costs.reserve(kFleetSizes.size());
   for (const std::size_t members : kFleetSizes) {
     costs.push_back(MeasureDaemon(members));
   }
@@ -184,6 +186,7 @@
 std::vector<double> Column(const std::vector<network_cost>& costs,
                            Field field) {
   std::vector<double> values;
+  values.reserve(costs.size());
   for (const auto& cost : costs) values.push_back(cost.*field);
   return values;
 }
--- a/libs/distribution/include/distribution/commit_counter.h
+++ b/libs/distribution/include/distribution/commit_counter.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "distribution/in_force_summary.h"
 #include "distribution/distribution_options.h"
+#include "distribution/in_force_summary.h"
 #include "membership/membership_view.h"
 #include "messages/message.h"
 
--- a/libs/messages/tests/codec_test.cc
+++ b/libs/messages/tests/codec_test.cc
@@ -57,7 +57,8 @@
           recover_query_message{.id = 7},
           recover_answer_message{
               .id = 7, .version = 9, .recovered = true, .member_count = 3},
-          suspect_event_message{.service = "s", .fingerprint = 1, .state = 2, .id = 3},
+          suspect_event_message{
+              .service = "s", .fingerprint = 1, .state = 2, .id = 3},
           slo_window_message{.payload = std::string("\0\xff", 2)},
           reachability_message{
               .reader = "r", .incarnation = 1, .seq = 2, .unreachable = {"d"}}};
