--- a/libs/ledger/tests/key_ledger_test.cc
+++ b/libs/ledger/tests/key_ledger_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "base/random.h"
+
 namespace pomelohall {
 namespace {
 
@@ -148,4 +150,40 @@
   CHECK(Grant("one") == grant_verdict::kOutcomeUnknown);
 }
 
+// Guards against two calls that may both send the request of one key, in any
+// order of grants, releases, completions, their repetitions and the time.
+TEST_CASE("KeyLedger_RandomEvents_OneHolderAtATime") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    random_source random(seed);
+    instant now{std::chrono::seconds(100)};
+    key_ledger ledger("plant-1", 1, seed);
+    const auto key = ledger.Issue(now);
+    std::string sender;  // Was granted and has not said that it did not run.
+    bool done = false;
+    for (int i = 0; i < 500; ++i) {
+      now += std::chrono::milliseconds(random.Below(500));
+      const auto holder = "call-" + std::to_string(random.Below(i / 10 + 1));
+      switch (random.Below(4)) {
+        case 0:
+          ledger.Complete(key, holder, {.status = 200}, now);
+          done = done || holder == sender;
+          break;
+        case 1:
+          ledger.Release(key, holder, now);
+          if (holder == sender && !done) sender.clear();
+          break;
+        default:
+          if (ledger.Grant(key, holder, now).verdict !=
+              grant_verdict::kGranted) {
+            break;
+          }
+          REQUIRE_FALSE(done);
+          REQUIRE((sender.empty() || sender == holder));
+          sender = holder;
+      }
+    }
+  }
+}
+
 }  // namespace pomelohall
