--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -172,7 +172,7 @@
       transport_->SetBlocked(address, true);
     }
     return transport_->Start(
-        [this](const std::string& from, std::string frame) {
+        [this](const std::string& from, const std::string& frame) {
           return OnFrame(from, frame);
         });
   }
@@ -389,6 +389,7 @@
                     const std::vector<std::size_t>& indexes) override {
     boost::asio::post(io_, [this, head, indexes] {
       std::vector<std::string> digests;
+      digests.reserve(indexes.size());
       for (const auto index : indexes) {
         digests.push_back(head.sections[index].digest);
       }
--- a/libs/daemon/src/local_api.cc
+++ b/libs/daemon/src/local_api.cc
@@ -24,7 +24,8 @@
 result<void> local_api::Listen(const std::string& address) {
   auto server = http_server::Listen(
       io_, {.address = address},
-      [this](http_request request, std::shared_ptr<http_responder> responder) {
+      [this](const http_request& request,
+             const std::shared_ptr<http_responder>& responder) {
         OnRequest(request, responder);
       });
   if (!server) return tl::unexpected(server.error());
--- a/libs/logging/src/log_event.cc
+++ b/libs/logging/src/log_event.cc
@@ -60,11 +60,13 @@
 }
 
 log_event& log_event::With(std::string_view key, std::int64_t value) {
-  return With(key, std::string_view(std::to_string(value)));
+  const std::string text = std::to_string(value);
+  return With(key, std::string_view{text});
 }
 
 log_event& log_event::With(std::string_view key, std::uint64_t value) {
-  return With(key, std::string_view(std::to_string(value)));
+  const std::string text = std::to_string(value);
+  return With(key, std::string_view{text});
 }
 
 void StartLogging(const char* program, log_level minimum) {
