--- a/bench/control_daemon.cc
+++ b/bench/control_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
 constexpr std::size_t kDataCentres = 6;
 constexpr std::size_t kSmallFleet = 60;
 constexpr int kRestSeconds = 60;
+constexpr int kBatches = 20;
 constexpr int kRepetitions = 2000;
 
 member_record Record(std::size_t index, std::size_t members) {
@@ -53,12 +55,19 @@
   return sync;
 }
 
+// Returns the mean of the fastest batch: other load on the machine only slows
+// batches down.
 template <typename Function>
 double NanosecondsPerCall(Function call) {
-  const auto start = std::chrono::steady_clock::now();
-  for (int i = 0; i < kRepetitions; ++i) call(i);
-  const auto spent = std::chrono::steady_clock::now() - start;
-  return std::chrono::duration<double, std::nano>(spent).count() / kRepetitions;
+  double fastest = std::numeric_limits<double>::max();
+  for (int batch = 0; batch < kBatches; ++batch) {
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRepetitions; ++i) call(i);
+    const auto spent = std::chrono::steady_clock::now() - start;
+    fastest = std::min(fastest,
+                       std::chrono::duration<double, std::nano>(spent).count());
+  }
+  return fastest / kRepetitions;
 }
 
 // Runs the daemon at rest: every ping is answered, every digest is equal.
