Guard the timers of the call service against its destruction

Cause: a timer that had expired before the service was destroyed still called it. A request that waited at its owner was sent with the deadline it had at the entry. Change: the handlers hold weak references; the owner sends the time left.

--- a/libs/caller/include/caller/call_service.h
+++ b/libs/caller/include/caller/call_service.h
@@ -76,7 +76,7 @@
 
  private:
   class impl;
-  std::unique_ptr<impl> impl_;
+  std::shared_ptr<impl> impl_;
 };
 
 }  // namespace pomelohall
--- a/libs/caller/src/call_service.cc
+++ b/libs/caller/src/call_service.cc
@@ -36,13 +36,14 @@
 context_ptr MakeContext(asio::io_context& io, call_service_options options) {
   auto context = std::make_shared<service_context>(io, std::move(options));
   context->owner_side = std::make_shared<owner>(*context);
+  context->owner_side->OnBackendChanged();
   context->keys = std::make_shared<key_home>(*context);
   return context;
 }
 
 }  // namespace
 
-class call_service::impl {
+class call_service::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(asio::io_context& io, call_service_options options)
       : context_(MakeContext(io, std::move(options))),
@@ -75,6 +76,7 @@
 
  private:
   void ScheduleSweep();
+  void Sweep();
   void PollStopped();
 
   const context_ptr context_;
@@ -97,15 +99,20 @@
 
 void call_service::impl::ScheduleSweep() {
   sweep_timer_.expires_after(kSweepInterval);
-  sweep_timer_.async_wait([this](boost::system::error_code cancelled) {
-    if (cancelled) return;  // The service is being destroyed.
-    const auto now = MonotonicNow();
-    callers_.Sweep(now);
-    daemons_.Sweep(now);
-    context_->peers.Sweep(now);
-    context_->backend.Sweep(now);
-    ScheduleSweep();
-  });
+  sweep_timer_.async_wait(
+      [service = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = service.lock();
+        if (!cancelled && self) self->Sweep();
+      });
+}
+
+void call_service::impl::Sweep() {
+  const auto now = MonotonicNow();
+  callers_.Sweep(now);
+  daemons_.Sweep(now);
+  context_->peers.Sweep(now);
+  context_->backend.Sweep(now);
+  ScheduleSweep();
 }
 
 void call_service::impl::Stop(std::function<void()> done) {
@@ -125,9 +132,11 @@
     return;
   }
   stop_timer_.expires_after(kStopPoll);
-  stop_timer_.async_wait([this](boost::system::error_code cancelled) {
-    if (!cancelled) PollStopped();
-  });
+  stop_timer_.async_wait(
+      [service = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = service.lock();
+        if (!cancelled && self) self->PollStopped();
+      });
 }
 
 call_service_status call_service::impl::Status() const {
@@ -148,7 +157,7 @@
 
 call_service::call_service(asio::io_context& io, call_service_options options) {
   assert(options.backend);
-  impl_ = std::make_unique<impl>(io, std::move(options));
+  impl_ = std::make_shared<impl>(io, std::move(options));
 }
 
 call_service::~call_service() = default;
--- a/libs/caller/src/http_server.cc
+++ b/libs/caller/src/http_server.cc
@@ -141,6 +141,7 @@
 }
 
 void http_server::impl::Abort() {
+  on_stopped_ = nullptr;
   CloseListener();
   const auto sessions = std::exchange(sessions_, {});
   for (const auto& session : sessions) session->Close();
--- a/libs/caller/src/owner.cc
+++ b/libs/caller/src/owner.cc
@@ -17,9 +17,7 @@
 owner::owner(service_context& context)
     : context_(context),
       admission_(context.options.admission),
-      tick_(context.io) {
-  OnBackendChanged();
-}
+      tick_(context.io) {}
 
 std::shared_ptr<exchange> owner::Start(const context_ptr& context,
                                        owner_request request,
@@ -88,11 +86,16 @@
   if (tick_scheduled_ || admission_.Queued() == 0) return;
   tick_scheduled_ = true;
   tick_.expires_after(kTickInterval);
-  tick_.async_wait([this](boost::system::error_code cancelled) {
-    if (cancelled) return;  // The service is being destroyed.
-    tick_scheduled_ = false;
-    Apply(admission_.Tick(MonotonicNow()));
-  });
+  tick_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self) self->Tick();
+      });
+}
+
+void owner::Tick() {
+  tick_scheduled_ = false;
+  Apply(admission_.Tick(MonotonicNow()));
 }
 
 void owner::CheckCrash(const context_ptr& context,
--- a/libs/caller/src/owner.h
+++ b/libs/caller/src/owner.h
@@ -31,7 +31,7 @@
 
 // The owner side of a daemon: decides when a call goes to the backend server,
 // and finds out whether a lost call was part of a crash. Part of the context.
-class owner {
+class owner : public std::enable_shared_from_this<owner> {
  public:
   explicit owner(service_context& context);
 
@@ -69,6 +69,7 @@
 
   void Apply(const std::vector<admission_decision>& decisions);
   void ScheduleTick();
+  void Tick();
   void OnProbed(bool alive);
   void ReportCrash(const crash_check& check);
 
--- a/libs/caller/src/owner_task.cc
+++ b/libs/caller/src/owner_task.cc
@@ -1,5 +1,6 @@
 #include "owner_task.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/system/error_code.hpp>
 #include <utility>
@@ -57,6 +58,7 @@
   admitted_ = true;
   started_at_ = MonotonicNow();
   const auto view = context_->options.backend();
+  UpdateDeadline();
   call_ = context_->backend.Start(
       view.address, std::move(request_.request),
       {.on_sent = [self = shared_from_this()] { self->OnSent(); },
@@ -66,6 +68,14 @@
            }});
 }
 
+// The request may have waited for a while.
+void owner_task::UpdateDeadline() {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      request_.deadline - started_at_);
+  SetField(request_.request.head.fields, kDeadlineField,
+           std::to_string(std::max<std::int64_t>(left.count(), 0)));
+}
+
 void owner_task::OnSent() {
   state_.OnFirstByte();
   if (events_.on_sent) events_.on_sent();
--- a/libs/caller/src/owner_task.h
+++ b/libs/caller/src/owner_task.h
@@ -38,6 +38,7 @@
   void SetInCrashGroup(bool in_group) { in_crash_group_ = in_group; }
 
  private:
+  void UpdateDeadline();
   void OnSent();
   void OnAnswer(result<incoming_answer> answer);
   void OnServerRefused(incoming_answer answer);
