Let requests of the backend server stub outlive the stub

Cause: a request whose timer was cancelled when the stub was destroyed still counted itself out of the destroyed stub. Change: the stub and its requests share their counters.

--- a/tools/backend_stub/include/backend_stub/stub_server.h
+++ b/tools/backend_stub/include/backend_stub/stub_server.h
@@ -31,6 +31,18 @@
   std::function<void()> on_crash = {};
 };
 
+/// What a stub_server and its requests share. A request that is cancelled late
+/// outlives the server.
+struct stub_state {
+  boost::asio::io_context& io;
+  const stub_options options;
+  std::map<std::string, std::uint64_t> executions =
+      {};  ///< By idempotency key.
+  std::uint32_t running = 0;
+  std::uint64_t runs = 0;
+  std::uint64_t cancelled = 0;
+};
+
 /// A backend server for tests. The last segment of the path selects what it
 /// does:
 /// - `bytes?n=N&seed=S&chunk_delay_ms=D`: N bytes of FillPattern(), chunked;
@@ -55,29 +67,22 @@
   /// Closes the listener and all connections, as a crash does.
   void Abort() { server_.Abort(); }
 
-  std::uint32_t Running() const { return running_; }
-  std::uint64_t Runs() const { return runs_; }
-  std::uint64_t Cancelled() const { return cancelled_; }
+  std::uint32_t Running() const { return state_->running; }
+  std::uint64_t Runs() const { return state_->runs; }
+  std::uint64_t Cancelled() const { return state_->cancelled; }
   std::uint64_t Executions(const std::string& key) const;
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
  private:
-  friend class stub_run;
-
   void Refuse(incoming_request& request);
   bool AnswerControl(incoming_request& request, std::string_view action);
   void ScheduleSweep();
 
   struct timers;
-  boost::asio::io_context& io_;
-  const stub_options options_;
+  const std::shared_ptr<stub_state> state_;
   http_server server_;
   std::unique_ptr<timers> timers_;
-  std::map<std::string, std::uint64_t> executions_;
-  std::uint32_t running_ = 0;
-  std::uint64_t runs_ = 0;
-  std::uint64_t cancelled_ = 0;
 };
 
 /// Returns the value of `name` in the query of a target, or `fallback`.
--- a/tools/backend_stub/src/stub_run.h
+++ b/tools/backend_stub/src/stub_run.h
@@ -14,8 +14,8 @@
 // written.
 class stub_run final : public std::enable_shared_from_this<stub_run> {
  public:
-  stub_run(stub_server& server, std::shared_ptr<incoming_request> request,
-           std::string_view action);
+  stub_run(std::shared_ptr<stub_state> state,
+           std::shared_ptr<incoming_request> request, std::string_view action);
   ~stub_run();
 
   void Start();
@@ -27,7 +27,7 @@
   incoming_answer BuildAnswer();
   duration WorkTime() const;
 
-  stub_server& server_;
+  const std::shared_ptr<stub_state> state_;
   const std::shared_ptr<incoming_request> request_;
   const std::string action_;
   std::string body_;
--- a/tools/backend_stub/src/stub_server.cc
+++ b/tools/backend_stub/src/stub_server.cc
@@ -62,9 +62,9 @@
 };
 
 stub_server::stub_server(boost::asio::io_context& io, stub_options options)
-    : io_(io),
-      options_(std::move(options)),
-      server_(io, {.address = options_.address}, *this),
+    : state_(std::make_shared<stub_state>(
+          stub_state{.io = io, .options = std::move(options)})),
+      server_(io, {.address = state_->options.address}, *this),
       timers_(std::make_unique<timers>(io)) {}
 
 stub_server::~stub_server() = default;
@@ -77,11 +77,12 @@
 
 void stub_server::ScheduleSweep() {
   timers_->sweep.expires_after(kSweepInterval);
-  timers_->sweep.async_wait([this](boost::system::error_code cancelled) {
-    if (cancelled) return;
-    server_.Sweep(MonotonicNow());
-    ScheduleSweep();
-  });
+  timers_->sweep.async_wait(
+      [this, alive = std::weak_ptr(state_)](boost::system::error_code failure) {
+        if (failure || alive.expired()) return;
+        server_.Sweep(MonotonicNow());
+        ScheduleSweep();
+      });
 }
 
 void stub_server::Stop(std::function<void()> done) {
@@ -92,27 +93,28 @@
 }
 
 std::uint64_t stub_server::Executions(const std::string& key) const {
-  const auto found = executions_.find(key);
-  return found == executions_.end() ? 0 : found->second;
+  const auto found = state_->executions.find(key);
+  return found == state_->executions.end() ? 0 : found->second;
 }
 
 void stub_server::OnRequest(std::shared_ptr<incoming_request> request) {
   const auto& head = request->Head();
   const auto action = LastSegment(head.target);
   if (AnswerControl(*request, action)) return;
-  if (options_.on_crash && FindField(head.fields, "X-Test-Crash") != nullptr) {
-    options_.on_crash();
+  if (state_->options.on_crash &&
+      FindField(head.fields, "X-Test-Crash") != nullptr) {
+    state_->options.on_crash();
     return;
   }
-  if (running_ >= options_.slots) {
+  if (state_->running >= state_->options.slots) {
     Refuse(*request);
     return;
   }
   if (const auto* key = FindField(head.fields, kIdempotencyKeyField)) {
-    ++executions_[*key];
+    ++state_->executions[*key];
   }
-  ++runs_;
-  std::make_shared<stub_run>(*this, std::move(request), action)->Start();
+  ++state_->runs;
+  std::make_shared<stub_run>(state_, std::move(request), action)->Start();
 }
 
 void stub_server::Refuse(incoming_request& request) {
@@ -127,9 +129,9 @@
                                 std::string_view action) {
   std::string body;
   if (action == "load") {
-    const auto load = options_.lie_about_load ? 0 : running_;
+    const auto load = state_->options.lie_about_load ? 0 : state_->running;
     body = "{\"running\": " + std::to_string(load) +
-           ", \"slots\": " + std::to_string(options_.slots) + "}\n";
+           ", \"slots\": " + std::to_string(state_->options.slots) + "}\n";
   } else if (action == "executions") {
     const auto key = QueryValue(request.Head().target, "key");
     body = std::to_string(Executions(key)) + "\n";
@@ -142,23 +144,23 @@
   return true;
 }
 
-stub_run::stub_run(stub_server& server,
+stub_run::stub_run(std::shared_ptr<stub_state> state,
                    std::shared_ptr<incoming_request> request,
                    std::string_view action)
-    : server_(server),
+    : state_(std::move(state)),
       request_(std::move(request)),
       action_(action),
-      timer_(server.io_) {
-  ++server_.running_;
+      timer_(state_->io) {
+  ++state_->running;
 }
 
-stub_run::~stub_run() { --server_.running_; }
+stub_run::~stub_run() { --state_->running; }
 
 void stub_run::Start() {
   request_->SetDisconnectHandler([run = weak_from_this()] {
     const auto self = run.lock();
     if (!self) return;
-    ++self->server_.cancelled_;
+    ++self->state_->cancelled;
     self->cancelled_ = true;
     self->timer_.cancel();
   });
@@ -172,7 +174,7 @@
 void stub_run::ReadBody() {
   request_->Body()->Read([self = shared_from_this()](result<body_part> part) {
     if (!part) {
-      ++self->server_.cancelled_;
+      ++self->state_->cancelled;
       return;
     }
     self->body_.append(part->bytes);
@@ -186,7 +188,7 @@
 
 duration stub_run::WorkTime() const {
   const auto service_time = std::chrono::duration_cast<duration>(
-      server_.options_.service_time / server_.options_.speed);
+      state_->options.service_time / state_->options.speed);
   if (action_ != "sleep") return service_time;
   return service_time + QueryMillis(request_->Head().target, "ms");
 }
@@ -216,7 +218,7 @@
   answer.head.fields = {{"Content-Type", "application/octet-stream"}};
   answer.head.framing = body_framing::kChunked;
   answer.body = std::make_shared<generated_body>(
-      server_.io_, QueryNumber(target, "seed"), QueryNumber(target, "n"),
+      state_->io, QueryNumber(target, "seed"), QueryNumber(target, "n"),
       QueryMillis(target, "chunk_delay_ms"), [] {});
   return answer;
 }
