--- a/tools/backend_stub/include/backend_stub/stub_server.h
+++ b/tools/backend_stub/include/backend_stub/stub_server.h
@@ -11,7 +11,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
-#include "caller/http_server.h"
+#include "caller/call_server.h"
 #include "caller/incoming_request.h"
 
 namespace boost::asio {
@@ -53,7 +53,7 @@
 ///
 /// A request above the slots is refused with 503 and `Pomelohall-Outcome:
 /// not_run`. Pomelohall-Call-Id is echoed.
-class stub_server final : public http_handler {
+class stub_server final : public call_handler {
  public:
   stub_server(boost::asio::io_context& io, stub_options options);
   ~stub_server() override;
@@ -81,7 +81,7 @@
 
   struct timers;
   const std::shared_ptr<stub_state> state_;
-  http_server server_;
+  call_server server_;
   std::unique_ptr<timers> timers_;
 };
 
