--- a/libs/caller/src/call_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -141,6 +141,7 @@
 }
 
 void call_server::impl::Abort() {
+  on_stopped_ = nullptr;
   CloseListener();
   const auto sessions = std::exchange(sessions_, {});
   for (const auto& session : sessions) session->Close();
--- a/libs/caller/src/owner_task.h
+++ b/libs/caller/src/owner_task.h
@@ -38,9 +38,10 @@
   void SetInCrashGroup(bool in_group) { in_crash_group_ = in_group; }
 
  private:
+  void UpdateDeadline();
   void OnSent();
   void OnAnswer(result<incoming_answer> answer);
-  void OnServerRefused(incoming_answer answer);
+  void OnServerRefused(const incoming_answer& answer);
   void OnFailure(error failure);
   void OnPart(result<body_part> part, body_source::callback pass_on);
   void Deliver(result<incoming_answer> answer);
