Test an upload that stops early with chunked encoding

Cause: with a Content-Length the test passed although the guarded code (the client fails a call whose request body failed) was removed: the missing bytes already showed that the body was not whole. Change: the large upload of Fault_UploadStopsEarly is chunked.

--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -120,8 +120,9 @@
   small.Send("0123456789");
   small.Close();
   raw_client large(mesh.Caller(0));
-  large.SendRequest("POST", "/look/1", "Content-Length: 1000000\r\n");
-  large.Send(std::string(200'000, 'a'));
+  // Chunked: only the missing last chunk shows that the body is not whole.
+  large.SendRequest("POST", "/look/1", "Transfer-Encoding: chunked\r\n");
+  large.Send("30d40\r\n" + std::string(200'000, 'a') + "\r\n");
   mesh.WaitUntil([&] { return mesh.At(1).stub->Runs() == 1; });
   large.Close();
   mesh.WaitUntil([&] { return mesh.At(1).stub->Cancelled() == 1; });
