--- a/libs/base/src/error.cc
+++ b/libs/base/src/error.cc
@@ -49,7 +49,7 @@
     error_answer{error_kind::kPoisonSuspected, "poison_suspected", 503,
                  run_state::kNotRun, retry_advice::kNever, 1},
     error_answer{error_kind::kLedgerUnavailable, "ledger_unavailable", 503,
-                 run_state::kNotRun, retry_advice::kRetryLater, 5},
+                 run_state::kUnknown, retry_advice::kRetryLater, 5},
     error_answer{error_kind::kKeyInProgress, "key_in_progress", 409,
                  run_state::kUnknown, retry_advice::kCheckOutcome, 4},
     error_answer{error_kind::kConflict, "conflict", 409, run_state::kNotRun,
--- a/libs/daemon/src/control_actor.cc
+++ b/libs/daemon/src/control_actor.cc
@@ -47,6 +47,9 @@
   // One worker: the core is the only actor, and the VM belongs to the backend
   // server.
   config.set("scheduler.max-threads", std::size_t{1});
+  // Work stealing polls its queue: 4% of a core at rest. Sharing waits on a
+  // condition variable.
+  config.set("scheduler.policy", caf::atom("sharing"));
   return config;
 }
 
