--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -278,8 +278,7 @@
 
 // Guards against "not run" for a caller-chosen key whose first request may have
 // run: without the platform nobody knows. This request itself must not run.
-TEST_CASE("Fault_ChosenKeyWithoutPlatform_IsUnknownAndRunsNothing",
-          "[fault]") {
+TEST_CASE("Fault_ChosenKeyWithoutPlatform_IsUnknownAndRunsNothing", "[fault]") {
   mesh_fixture mesh;
   mesh.AddDaemon();
   mesh.AddBackend(0);
