Send the windows of the figure to both aggregators

Cause: a daemon sent its windows only to the first aggregator of its data centre, which writes a minute 25 s after its end. When that aggregator died, every window that it had not written was lost. A data centre whose calls all entered through it was then charged at a rate of 0. Ruled out: the charge of 20 s for a vanished daemon. Change: windows go to both aggregators, and both write them. The report drops what it meets twice. The death of both was not measured; what neither had written is still lost. The number of slowindows objects doubles.

--- a/libs/daemon/include/daemon/control_core.h
+++ b/libs/daemon/include/daemon/control_core.h
@@ -64,12 +64,14 @@
   void Leave(instant now);
   /// Tells all daemons of a change of the quarantine.
   void ReportSuspect(const suspect_event& event, instant now);
-  /// Sends an encoded window to the aggregator of the data centre.
+  /// Sends an encoded window to every aggregator of the data centre, so that
+  /// the death of one loses none that it had not written.
   void ReportSloWindow(const std::string& payload);
 
   /// Members of the own data centre that count, for the aggregator.
   std::vector<member_record> Records() const { return membership_.Records(); }
   const std::string& Name() const { return name_; }
+  bool IsAggregator() const;
   bool IsFirstAggregator() const;
   control_status Status(instant now) const;
 
--- a/libs/daemon/src/control_core.cc
+++ b/libs/daemon/src/control_core.cc
@@ -90,13 +90,20 @@
 }
 
 void control_core::ReportSloWindow(const std::string& payload) {
-  const auto& aggregators = membership_.Readers();
-  if (aggregators.empty() || aggregators.front() == name_) {
-    return effects_.OnSloWindow(payload);
+  if (IsAggregator()) effects_.OnSloWindow(payload);
+  for (const auto& aggregator : membership_.Readers()) {
+    if (aggregator == name_) continue;
+    Run(send_to_member{.member = aggregator,
+                       .body = slo_window_message{.payload = payload}},
+        instant{});
   }
-  Run(send_to_member{.member = aggregators.front(),
-                     .body = slo_window_message{.payload = payload}},
-      instant{});
+}
+
+bool control_core::IsAggregator() const {
+  const auto& aggregators = membership_.Readers();
+  return aggregators.empty() ||
+         std::find(aggregators.begin(), aggregators.end(), name_) !=
+             aggregators.end();
 }
 
 bool control_core::IsFirstAggregator() const {
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -261,8 +261,9 @@
       slo_.Tick(UnixSeconds());
       control_->Post([this](control_core& core, instant) {
         boost::asio::post(io_, [this, members = core.Records(),
+                                aggregator = core.IsAggregator(),
                                 first = core.IsFirstAggregator()] {
-          slo_.OnMembers(members, first, UnixSeconds());
+          slo_.OnMembers(members, aggregator, UnixSeconds());
           if (!first) last_summary_.reset();
           RefreshStatus();
         });
--- a/libs/daemon/src/slo_reporter.cc
+++ b/libs/daemon/src/slo_reporter.cc
@@ -59,9 +59,8 @@
 }
 
 void slo_reporter::OnMembers(const std::vector<member_record>& members,
-                             bool is_first_aggregator,
-                             std::int64_t unix_seconds) {
-  if (!is_first_aggregator) {
+                             bool is_aggregator, std::int64_t unix_seconds) {
+  if (!is_aggregator) {
     if (aggregator_) Queue(aggregator_->CloseAll());
     aggregator_.reset();
     return;
--- a/libs/daemon/src/slo_reporter.h
+++ b/libs/daemon/src/slo_reporter.h
@@ -16,9 +16,10 @@
 
 namespace pomelohall {
 
-/// Counts the calls of this daemon in windows and, while the daemon is the
-/// first aggregator of its data centre, writes the windows of all its daemons
-/// to the platform. Used on the I/O thread.
+/// Counts the calls of this daemon in windows and, while the daemon is an
+/// aggregator of its data centre, writes the windows of all its daemons to the
+/// platform. Both aggregators write; the report drops what it meets twice. Used
+/// on the I/O thread.
 class slo_reporter {
  public:
   /// Receives an encoded window for the aggregator.
@@ -38,10 +39,10 @@
   /// Takes a window of any daemon of the data centre.
   void OnWindow(const std::string& payload);
 
-  /// Takes the members of the cluster and whether this daemon is the first
-  /// aggregator of its data centre.
-  void OnMembers(const std::vector<member_record>& members,
-                 bool is_first_aggregator, std::int64_t unix_seconds);
+  /// Takes the members of the cluster and whether this daemon is an aggregator
+  /// of its data centre.
+  void OnMembers(const std::vector<member_record>& members, bool is_aggregator,
+                 std::int64_t unix_seconds);
 
   /// Sends the open window, for a planned stop.
   void SendOpenWindow();
