--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -9,11 +9,11 @@
 import signal
 import sys
 import threading
-import traceback
 import urllib.request
 
 sys.path.insert(0, os.path.dirname(__file__))
-from fleet_control import Fleet, document, http, wait_until  # noqa: E402
+from fleet_control import document, http  # noqa: E402
+from test_runner import main  # noqa: E402
 
 SERVICES = {
     "catalogue": [("stock-lookup", "lookup", "/catalogue", "", 800, 0.95)],
@@ -276,38 +276,5 @@
 ]
 
 
-def run(test, bin_dir):
-    fleet = Fleet(bin_dir)
-    try:
-        test(fleet)
-        return True
-    except Exception:  # the report needs every kind of failure
-        traceback.print_exc()
-        print(f"logs: {fleet.folder}")
-        for name in sorted(os.listdir(fleet.folder)):
-            if name.endswith(".log"):
-                with open(fleet.path(name), encoding="utf-8",
-                          errors="replace") as log:
-                    lines = log.readlines()
-                print(f"-- {name}\n{''.join(lines[-8:])}")
-        return False
-    finally:
-        fleet.end()
-
-
-def main():
-    bin_dir = sys.argv[1]
-    chosen = [t for t in TESTS if not sys.argv[2:] or
-              t.__name__ in sys.argv[2:]]
-    failed = []
-    for test in chosen:
-        passed = run(test, bin_dir)
-        print(f"{'ok' if passed else 'FAILED'} {test.__name__}", flush=True)
-        if not passed:
-            failed.append(test.__name__)
-    print(f"{len(chosen) - len(failed)} passed, {len(failed)} failed")
-    sys.exit(1 if failed or not chosen else 0)
-
-
 if __name__ == "__main__":
-    main()
+    main(TESTS)
