Give each test fleet a block of ports of its own

Cause: one test failed in a run of all tests at once: a daemon could not bind a port that the fleet had looked up as free a moment before, because an outgoing connection had taken it ("Address already in use"). Ruled out: the daemon and the membership, which never started. Change: ports come from blocks below the ephemeral range, and a guard socket keeps a block to one fleet.

--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -15,15 +15,52 @@
 import urllib.request
 
 
-def free_ports(count):
-    """Returns `count` TCP ports of 127.0.0.1 that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+class PortBlock:
+    """A block of TCP ports of 127.0.0.1 that belongs to one fleet.
+
+    The blocks lie below the range from which the kernel takes the ports of
+    outgoing connections: a port that was only looked up as free could be taken
+    by a connection before the program binds it. The first port of a block is
+    kept bound, so that two fleets never share a block.
+    """
+
+    FIRST = 10000
+    SIZE = 1000
+    COUNT = 22
+
+    def __init__(self):
+        self.guard, self.next = self.take()
+        self.end = self.next + self.SIZE - 1
+
+    def take(self):
+        for index in range(self.COUNT):
+            first = self.FIRST + index * self.SIZE
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", first))
+                return guard, first + 1
+            except OSError:
+                guard.close()
+        raise RuntimeError("every block of ports is in use")
+
+    def ports(self, count):
+        """Returns `count` ports that no other process listens on."""
+        found = []
+        while len(found) < count:
+            if self.next >= self.end:
+                raise RuntimeError("the block of ports is used up")
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", self.next))
+                    found.append(self.next)
+                except OSError:
+                    pass
+            self.next += 1
+        return found
+
+    def release(self):
+        self.guard.close()
 
 
 def http(method, address, path, body=None, headers=None, timeout=10):
@@ -109,6 +146,7 @@
         self.platform = None
         self.platform_port = 0
         self.daemons = []
+        self.port_block = PortBlock()
 
     def __enter__(self):
         return self
@@ -126,7 +164,7 @@
     # Platform ---------------------------------------------------------------
 
     def start_platform(self):
-        self.platform_port = free_ports(1)[0]
+        self.platform_port = self.port_block.ports(1)[0]
         self.platform = self.start_program(
             "platform", "pomelohall-platform-stub", "--listen",
             self.platform_address())
@@ -154,7 +192,7 @@
         return daemon
 
     def assign_ports(self):
-        ports = free_ports(5 * len(self.daemons))
+        ports = self.port_block.ports(5 * len(self.daemons))
         for index, daemon in enumerate(self.daemons):
             own = ports[5 * index:5 * index + 5]
             daemon.ports = dict(zip(("caller", "forward", "peer", "local"),
@@ -303,6 +341,7 @@
             if program.running():
                 program.send(signal.SIGCONT)
                 program.kill()
+        self.port_block.release()
 
 
 def document(services):
