--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,14 +18,13 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__),
                                 "../tests/process"))
-from fleet_control import Fleet, document  # noqa: E402
+from fleet_control import Fleet, cpu_seconds, document  # noqa: E402
 
 REST_SECONDS = 20
 CHANGES = 10
 SERVICES = 40
 # Digests are exchanged each 10 s; the last ones after the start are over then.
 SETTLE_SECONDS = 12
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -38,13 +37,6 @@
     return document(services)
 
 
-def cpu_seconds(daemon):
-    with open(f"/proc/{daemon.program.process.pid}/stat",
-              encoding="ascii") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-
-
 def memory_mb(daemon):
     with open(f"/proc/{daemon.program.process.pid}/statm",
               encoding="ascii") as file:
@@ -62,11 +54,11 @@
 
 def rest(fleet):
     bytes_before = control_bytes(fleet)
-    cpu_before = [cpu_seconds(d) for d in fleet.daemons]
+    cpu_before = [cpu_seconds(d.program) for d in fleet.daemons]
     calls_before = platform_calls(fleet)
     started = time.monotonic()
     time.sleep(REST_SECONDS)
-    cpu = [cpu_seconds(d) - a for d, a in zip(fleet.daemons, cpu_before)]
+    cpu = [cpu_seconds(d.program) - a for d, a in zip(fleet.daemons, cpu_before)]
     seconds = time.monotonic() - started
     sent = [(b - a) / seconds
             for a, b in zip(bytes_before, control_bytes(fleet))]
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -15,7 +15,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__),
                                 "../tests/process"))
-from fleet_control import Fleet, document  # noqa: E402
+from fleet_control import Fleet, cpu_seconds, document  # noqa: E402
 
 CALLS = 20000
 # Of one daemon at the design size: 273 calls a second as entry.
@@ -52,9 +52,18 @@
                                             str(CALLS)))):
             for hops, daemon in (("one daemon", owner),
                                  ("two daemons", other)):
+                before = [cpu_seconds(d.program) for d in fleet.daemons]
                 found = measure(fleet, daemon.address("caller"), backend,
                                 *load)
-                print(f"{name}, {hops}: {json.dumps(found)}")
+                used = [cpu_seconds(d.program) - a
+                        for d, a in zip(fleet.daemons, before)]
+                calls = found["mesh"]["calls"]
+                print(f"{name}, {hops}: added p50 {found['added_p50_ms']} ms, "
+                      f"p99 {found['added_p99_ms']} ms; direct p50 "
+                      f"{found['direct']['p50_ms']} ms, p99 "
+                      f"{found['direct']['p99_ms']} ms; CPU per call: owner "
+                      f"{1e6 * used[0] / calls:.0f} us, other "
+                      f"{1e6 * used[1] / calls:.0f} us")
 
 
 if __name__ == "__main__":
--- a/libs/acceptance/src/retry_backoff.cc
+++ b/libs/acceptance/src/retry_backoff.cc
@@ -1,15 +1,11 @@
 #include "retry_backoff.h"
 
-#include <algorithm>
+#include "base/backoff.h"
 
 namespace pomelohall {
 
 duration retry_backoff::Next() {
-  const duration full = next_;
-  next_ = std::min(next_ * 2, cap_);
-  const auto half = static_cast<std::uint64_t>(full.count()) / 2;
-  const auto reduction = half > 0 ? random_.Below(half) : 0;
-  return full - duration(static_cast<duration::rep>(reduction));
+  return JitteredBackoff(base_, cap_, tries_++, random_);
 }
 
 }  // namespace pomelohall
--- a/libs/acceptance/src/retry_backoff.h
+++ b/libs/acceptance/src/retry_backoff.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_ACCEPTANCE_RETRY_BACKOFF_H_
 #define POMELOHALL_ACCEPTANCE_RETRY_BACKOFF_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "base/random.h"
@@ -13,13 +14,14 @@
 class retry_backoff {
  public:
   retry_backoff(duration base, duration cap, std::uint64_t seed)
-      : next_(base), cap_(cap), random_(seed) {}
+      : base_(base), cap_(cap), random_(seed) {}
 
   duration Next();
 
  private:
-  duration next_;
+  duration base_;
   duration cap_;
+  std::size_t tries_ = 0;
   random_source random_;
 };
 
--- a/libs/daemon/include/daemon/control_core.h
+++ b/libs/daemon/include/daemon/control_core.h
@@ -21,6 +21,8 @@
 struct control_options {
   membership_options membership;
   distribution_options distribution;
+  /// Time between two calls of Tick() by the actor.
+  duration tick_interval = std::chrono::milliseconds(100);
   /// Shortest time between two snapshots after membership changes, so that a
   /// herd of joins does not rebuild the snapshot for each record.
   duration publish_interval = std::chrono::milliseconds(100);
@@ -50,7 +52,7 @@
   /// @param from_address Peer address of the link that carried the message.
   void OnMessage(const std::string& from_address, const envelope& message,
                  instant now);
-  /// To be called each 100 ms.
+  /// To be called each control_options::tick_interval.
   void Tick(instant now);
   void OnHead(head_source source, const result<config_head>& head,
               instant read_started_at, instant now);
--- a/libs/daemon/src/control_actor.cc
+++ b/libs/daemon/src/control_actor.cc
@@ -18,13 +18,13 @@
 namespace pomelohall {
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval(100);
-
 class core_actor : public caf::event_based_actor {
  public:
   core_actor(caf::actor_config& config, const control_options* options,
              control_effects* effects, std::uint64_t seed)
-      : caf::event_based_actor(config), core_(*options, *effects, seed) {}
+      : caf::event_based_actor(config),
+        tick_interval_(options->tick_interval),
+        core_(*options, *effects, seed) {}
 
   caf::behavior make_behavior() override {
     OnTick();
@@ -37,9 +37,10 @@
  private:
   void OnTick() {
     core_.Tick(MonotonicNow());
-    delayed_send(this, kTickInterval, caf::tick_atom::value);
+    delayed_send(this, tick_interval_, caf::tick_atom::value);
   }
 
+  const duration tick_interval_;
   control_core core_;
 };
 
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -48,6 +48,11 @@
   return static_cast<std::int64_t>(UnixMillis() / kMillisPerSecond);
 }
 
+// Returns what other processes are told: the setting, or the bound address.
+std::string Advertised(const std::string& setting, const std::string& bound) {
+  return setting.empty() ? bound : setting;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -153,14 +158,17 @@
 
   control_options ControlOptions() const {
     control_options options;
+    options.tick_interval = std::chrono::milliseconds(settings_.test.tick_ms);
     options.membership.cluster = settings_.cluster;
     options.membership.seeds = settings_.seeds;
     auto& self = options.membership.self;
     self.name = settings_.name;
     self.region = settings_.region;
     self.data_centre = settings_.data_centre;
-    self.forward_address = calls_.ForwardAddress();
-    self.peer_address = transport_->LocalAddress();
+    self.forward_address =
+        Advertised(settings_.advertised.forward, calls_.ForwardAddress());
+    self.peer_address =
+        Advertised(settings_.advertised.peer, transport_->LocalAddress());
     self.incarnation = incarnation_;
     return options;
   }
--- a/libs/distribution/src/head_reader.cc
+++ b/libs/distribution/src/head_reader.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/backoff.h"
+
 namespace pomelohall {
 namespace {
 
-constexpr std::size_t kMaxDoublings = 16;
-
 // Guards the platform against a watch that ends at once without a change.
 constexpr duration kShortWatch = std::chrono::milliseconds(50);
 constexpr duration kPauseAfterShortWatch = std::chrono::milliseconds(200);
@@ -81,11 +81,8 @@
 }
 
 void head_reader::NoteFailure(instant now) {
-  const auto factor = std::int64_t{1} << std::min(failures_, kMaxDoublings);
-  const duration full =
-      std::min(options_.backoff_base * factor, options_.backoff_cap);
-  const double share = 0.5 + random_.Unit() / 2;
-  not_before_ = now + std::chrono::duration_cast<duration>(full * share);
+  not_before_ = now + JitteredBackoff(options_.backoff_base,
+                                      options_.backoff_cap, failures_, random_);
   ++failures_;
 }
 
--- a/libs/distribution/src/puller.cc
+++ b/libs/distribution/src/puller.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/backoff.h"
+
 namespace pomelohall {
 namespace {
 
@@ -9,9 +11,6 @@
 // data centres: when a whole data centre starts, nobody else has the state.
 constexpr std::size_t kOrdinaryAttempts = 2;
 
-// Exponents above reach any cap.
-constexpr std::size_t kMaxDoublings = 16;
-
 bool IsOrdinary(const std::string& name, const membership_view& view) {
   return name != view.self && view.members.contains(name) &&
          std::find(view.readers.begin(), view.readers.end(), name) ==
@@ -44,12 +43,8 @@
 }
 
 void puller::BackOff(instant now) {
-  const auto factor = std::int64_t{1} << std::min(failures_, kMaxDoublings);
-  const duration full =
-      std::min(options_.backoff_base * factor, options_.backoff_cap);
-  // 50% to 100%, so that refused joiners come back at different times.
-  const double share = 0.5 + random_.Unit() / 2;
-  not_before_ = now + std::chrono::duration_cast<duration>(full * share);
+  not_before_ = now + JitteredBackoff(options_.backoff_base,
+                                      options_.backoff_cap, failures_, random_);
   ++failures_;
 }
 
--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -118,6 +118,13 @@
         return self.process.poll() is None
 
 
+def cpu_seconds(program):
+    """Returns the processor time that a running program has used."""
+    with open(f"/proc/{program.process.pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class Daemon:
     """Addresses and processes of one VM: a daemon and its backend server."""
 
