--- a/build.sh
+++ b/build.sh
@@ -13,7 +13,7 @@
 
 readonly BUILD_DIR="${BUILD_DIR:-build}"
 readonly PACKAGES=(
-  g++ cmake ninja-build ccache clang-format clang-tidy python3
+  git g++ cmake ninja-build ccache clang-format clang-tidy python3
   libcaf-dev libwebsocketpp-dev nlohmann-json3-dev libvalijson-dev
   libboost-dev libboost-system-dev libcli11-dev libgoogle-glog-dev
   libexpected-dev catch2 librapidcheck-dev libxxhash-dev libssl-dev
