--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <utility>
@@ -16,6 +15,7 @@
 #include "daemon/control_actor.h"
 #include "daemon/platform_gateway.h"
 #include "daemon_metrics.h"
+#include "daemon_status.h"
 #include "local_api.h"
 #include "logging/log_event.h"
 #include "messages/message.h"
@@ -27,8 +27,6 @@
 namespace pomelohall {
 namespace {
 
-using nlohmann::json;
-
 constexpr std::chrono::milliseconds kLeaseCheckInterval(200);
 constexpr std::chrono::seconds kSloInterval(1);
 constexpr std::chrono::seconds kStatusInterval(2);
@@ -316,52 +314,23 @@
     control_->Post(
         [this, done = std::move(done)](control_core& core, instant now) {
           const control_status status = core.Status(now);
-          boost::asio::post(
-              io_, [this, status, done] { done(StatusJson(status).dump()); });
+          boost::asio::post(io_, [this, status, done] {
+            done(FormatDaemonStatus(Status(status)));
+          });
         });
   }
 
-  json StatusJson(const control_status& status) const {
-    const call_service_status calls = calls_.Status();
-    const transport_counters control = transport_->Counters();
-    return {{"member", settings_.name},
-            {"data_centre", settings_.data_centre},
-            {"incarnation", incarnation_},
-            {"version_in_force", version_in_force_},
-            {"in_force_since_unix_ms", in_force_since_ms_},
-            {"staged_version", status.staged_version},
-            {"recovered", status.recovered},
-            {"reader", status.reader},
-            {"members_alive", status.members_alive},
-            {"members_by_data_centre", status.members_by_data_centre},
-            {"unreachable_data_centres", status.unreachable_data_centres},
-            {"backend_servers", routed_servers_},
-            {"backend_state", BackendStateName()},
-            {"draining", calls.draining},
-            {"entry_calls", calls.entry_calls},
-            {"owner_running", calls.owner_running},
-            {"owner_queued", calls.owner_queued},
-            {"caller_connections", calls.caller_connections},
-            {"control_bytes_sent", control.bytes_sent},
-            {"control_bytes_received", control.bytes_received},
-            {"control_frames_sent", control.frames_sent},
-            {"control_frames_dropped", control.frames_dropped}};
-  }
-
-  std::string BackendStateName() const {
-    switch (lease_.Record().state) {
-      case backend_state::kNone:
-        return "none";
-      case backend_state::kStarting:
-        return "starting";
-      case backend_state::kReady:
-        return "ready";
-      case backend_state::kDraining:
-        return "draining";
-      case backend_state::kGone:
-        return "gone";
-    }
-    return "none";
+  daemon_status Status(const control_status& control) const {
+    return {.member = settings_.name,
+            .data_centre = settings_.data_centre,
+            .incarnation = incarnation_,
+            .version_in_force = version_in_force_,
+            .in_force_since_unix_ms = in_force_since_ms_,
+            .backend = lease_.Record().state,
+            .backend_servers = routed_servers_,
+            .control = control,
+            .calls = calls_.Status(),
+            .transport = transport_->Counters()};
   }
 
   void GetMetrics(text_callback done) override {
