--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -405,16 +405,14 @@
   }
 
   std::string StatusSpec(const in_force_summary& summary) const {
-    data_centre_status status{
-        .data_centre = summary.data_centre,
-        .members = static_cast<std::uint32_t>(summary.members),
-        .lowest = summary.lowest_version,
-        .highest = summary.highest_version,
-        .at_highest = static_cast<std::uint32_t>(summary.members_at_highest),
-        .backend_servers = {},
-        .updated_unix_ms = static_cast<std::int64_t>(UnixMillis())};
-    status.backend_servers = own_servers_;
-    return FormatDataCentreStatus(status);
+    return FormatDataCentreStatus(
+        {.data_centre = summary.data_centre,
+         .members = static_cast<std::uint32_t>(summary.members),
+         .lowest = summary.lowest_version,
+         .highest = summary.highest_version,
+         .at_highest = static_cast<std::uint32_t>(summary.members_at_highest),
+         .backend_servers = own_servers_,
+         .updated_unix_ms = static_cast<std::int64_t>(UnixMillis())});
   }
 
   void Publish(const published_state& state) override {
--- a/libs/daemon/src/slo_reporter.cc
+++ b/libs/daemon/src/slo_reporter.cc
@@ -13,8 +13,6 @@
 // unobserved, and so as missed.
 constexpr std::size_t kMaxPendingObjects = 240;
 
-constexpr const char* kSloPlural = "slowindows";
-
 }  // namespace
 
 slo_reporter::slo_reporter(std::string member, std::string data_centre,
--- a/libs/slo/include/slo/slo_aggregator.h
+++ b/libs/slo/include/slo/slo_aggregator.h
@@ -12,6 +12,9 @@
 
 namespace pomelohall {
 
+/// Plural of the objects with the figures on the platform.
+inline constexpr const char* kSloPlural = "slowindows";
+
 /// Length of the time that one object covers, in seconds.
 inline constexpr std::int64_t kSloMinuteSeconds = 60;
 
