--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -26,6 +26,15 @@
   duration idle_timeout = std::chrono::seconds(30);
   /// A connection that moves no byte during an answer is closed after this.
   duration progress_timeout = std::chrono::seconds(60);
+  /// Sent bytes that are not acknowledged for this time, and a connection whose
+  /// other side answers no keep-alive probes, end the connection. 0: the
+  /// system's defaults.
+  duration silence_timeout{0};
+  /// Field that an answer repeats from its request. An answer with another
+  /// value belongs to an earlier request and is skipped.
+  std::string echo_field{kCallIdField};
+  /// An answer without the echo field is refused as well.
+  bool require_echo = false;
   /// Error of a call that found no connection (always not run).
   error_kind connect_error = error_kind::kNoBackendServer;
   /// Error of a call whose connection broke before its answer started.
@@ -41,10 +50,11 @@
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
 
-  /// Sends a request to `address` ("ip:port"). If the answer carries a
-  /// Pomelohall-Call-Id other than the request's, the connection is closed and
-  /// the call fails with `kAnswerMismatch`. A body that stops early fails with
-  /// `kAnswerCutShort`.
+  /// Sends a request to `address` ("ip:port"). An answer to another request, by
+  /// its echo field, is skipped; if it does not end by itself, the call fails
+  /// with `kAnswerMismatch`. A body that stops early fails with
+  /// `kAnswerCutShort`. An answer without a length ends with its connection and
+  /// is passed on as chunked.
   std::shared_ptr<exchange> Start(const std::string& address,
                                   outgoing_request request,
                                   exchange_events events);
--- a/libs/backend/src/client_connection.h
+++ b/libs/backend/src/client_connection.h
@@ -21,6 +21,8 @@
   boost::beast::flat_buffer buffer;
   std::string address;
   instant idle_since;
+  // Idle time that the other side announced; 0 if it did not.
+  duration idle_limit{0};
 };
 
 using client_connection_ptr = std::shared_ptr<client_connection>;
--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -19,6 +19,27 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+namespace {
+
+// A faulty server sends an answer twice now and then; more strays than this on
+// one connection show that it has lost count.
+constexpr std::size_t kMaxSkippedAnswers = 4;
+// Part of an announced idle time that a connection is kept: the other side
+// counts from its own last byte, and whole seconds are rounded.
+constexpr double kIdleShare = 0.7;
+
+// Returns the idle time that the other side announced, or 0.
+duration AnnouncedIdleTime(std::string_view keep_alive) {
+  constexpr std::string_view kName = "timeout=";
+  const auto start = keep_alive.find(kName);
+  if (start == std::string_view::npos) return duration(0);
+  auto text = keep_alive.substr(start + kName.size());
+  text = text.substr(0, text.find_first_of(", ;"));
+  return std::chrono::seconds(ParseNumber(text).value_or(0));
+}
+
+}  // namespace
+
 client_exchange::client_exchange(outgoing_request request,
                                  exchange_events events,
                                  const pool_options& options,
@@ -30,7 +51,7 @@
       last_progress_(MonotonicNow()) {
   assert((request_.body != nullptr) ==
          (request_.head.framing != body_framing::kNone));
-  if (const auto* id = FindField(request_.head.fields, kCallIdField)) {
+  if (const auto* id = FindField(request_.head.fields, options_.echo_field)) {
     call_id_ = *id;
   }
 }
@@ -135,9 +156,7 @@
     return;
   }
   if (!IsOwnAnswer()) {
-    Fail({error_kind::kAnswerMismatch,
-          "the answer carries the call id of another call",
-          run_state::kUnknown});
+    SkipAnswer();
     return;
   }
   auto head = TakeHead();
@@ -151,8 +170,54 @@
 bool client_exchange::IsOwnAnswer() const {
   if (call_id_.empty()) return true;
   const auto& message = parser_->get();
-  const auto found = message.find(ToBeast(kCallIdField));
-  return found == message.end() || ToView(found->value()) == call_id_;
+  const auto found = message.find(ToBeast(options_.echo_field));
+  if (found == message.end()) return !options_.require_echo;
+  return ToView(found->value()) == call_id_;
+}
+
+// Reads an answer to an earlier request to its end; the own one follows it.
+void client_exchange::SkipAnswer() {
+  const bool ends_alone = parser_->is_done() || !parser_->need_eof();
+  if (!ends_alone || ++skipped_answers_ > kMaxSkippedAnswers) {
+    Fail({error_kind::kAnswerMismatch,
+          "the answer carries the call id of another call",
+          run_state::kUnknown});
+    return;
+  }
+  parser_->eager(true);
+  if (!parser_->is_done()) {
+    PreparePart();
+    OnSkipped(ParseBuffered());
+  } else {
+    ReadHeader();
+  }
+}
+
+void client_exchange::OnSkipped(error_code failure) {
+  if (failure && failure != http::error::need_buffer) {
+    Lost(failure);
+    return;
+  }
+  if (parser_->is_done()) {
+    part_.reset();
+    ReadHeader();
+    return;
+  }
+  PreparePart();
+  http::async_read_some(connection_->socket, connection_->buffer, *parser_,
+                        [self = shared_from_this(), connection = connection_](
+                            error_code error, std::size_t) {
+                          if (!self->done_) self->OnSkipped(error);
+                        });
+}
+
+// A server may answer before it has read the whole request; it would take the
+// next request on the connection for the rest.
+bool client_exchange::IsReusable() const {
+  const auto& message = parser_->get();
+  connection_->idle_limit = std::chrono::duration_cast<duration>(
+      kIdleShare * AnnouncedIdleTime(ToView(message[http::field::keep_alive])));
+  return request_written_ && message.keep_alive() && !parser_->need_eof();
 }
 
 result<answer_head> client_exchange::TakeHead() const {
@@ -163,15 +228,11 @@
   head.fields = CopyFields(message);
   if (const auto length = parser_->content_length()) head.length = *length;
   if (request_.head.method == "HEAD" || parser_->is_done()) return head;
-  if (parser_->need_eof()) {
-    // Without a length, a body that was cut short looks like a whole one.
-    return tl::unexpected(
-        error(error_kind::kAnswerCutShort,
-              "the answer has neither Content-Length nor chunked encoding",
-              run_state::kUnknown));
-  }
-  head.framing =
-      parser_->chunked() ? body_framing::kChunked : body_framing::kLength;
+  // An answer without a length ends with its connection; a reset is no end.
+  // Chunks tell the reader whether it has got the whole body.
+  head.framing = parser_->chunked() || parser_->need_eof()
+                     ? body_framing::kChunked
+                     : body_framing::kLength;
   return head;
 }
 
@@ -180,7 +241,7 @@
   const auto keep_alive = shared_from_this();
   const auto on_answer = std::move(events_.on_answer);
   if (head.framing == body_framing::kNone) {
-    Finish(request_written_ && parser_->get().keep_alive());
+    Finish(IsReusable());
     on_answer(incoming_answer{std::move(head), nullptr});
     return;
   }
@@ -248,7 +309,7 @@
     return;
   }
   last_progress_ = MonotonicNow();
-  if (part.last) Finish(request_written_ && parser_->get().keep_alive());
+  if (part.last) Finish(IsReusable());
   DeliverPart(part);
 }
 
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -63,6 +63,9 @@
   void OnHeader(boost::system::error_code failure);
   result<answer_head> TakeHead() const;
   bool IsOwnAnswer() const;
+  void SkipAnswer();
+  void OnSkipped(boost::system::error_code failure);
+  bool IsReusable() const;
   void DeliverAnswer(answer_head head);
   void ReadPart();
   boost::system::error_code ParseBuffered();
@@ -92,6 +95,7 @@
   bool sending_started_ = false;
   bool request_written_ = false;
   bool answer_started_ = false;
+  std::size_t skipped_answers_ = 0;
   bool done_ = false;
 };
 
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -1,5 +1,8 @@
 #include "backend/connection_pool.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,6 +30,26 @@
 // that survives this long was accepted by a living one.
 constexpr auto kProbeSettleTime = std::chrono::milliseconds(5);
 
+void SetOption(asio::ip::tcp::socket& socket, int level, int name, int value) {
+  // A system without the option only detects silence later.
+  static_cast<void>(::setsockopt(socket.native_handle(), level, name, &value,
+                                 sizeof value));
+}
+
+// Without these, a connection to a VM without power stays open for minutes.
+void DetectSilence(asio::ip::tcp::socket& socket, duration timeout) {
+  if (timeout.count() <= 0) return;
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(millis.count()));
+  // One second is the smallest value of both.
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
+}
+
 void CloseSocket(asio::ip::tcp::socket& socket) {
   error_code ignored;
   socket.close(ignored);
@@ -100,12 +123,8 @@
     std::deque<exchange_ptr> waiting;
     std::size_t open = 0;
   };
-  struct connecting {
-    client_connection_ptr connection;
-    instant deadline;
-  };
-
   bool RunOnIdle(target& target, const exchange_ptr& call);
+  bool IsExpired(client_connection& connection, instant now) const;
   void Connect(const std::string& address, const exchange_ptr& call);
   void OnConnected(const client_connection_ptr& connection,
                    const exchange_ptr& call, const error_code& failure);
@@ -119,7 +138,6 @@
   const pool_options options_;
   std::map<std::string, target> targets_;
   std::unordered_map<client_exchange*, std::weak_ptr<client_exchange>> running_;
-  std::vector<connecting> connecting_;
 };
 
 std::shared_ptr<exchange> connection_pool::impl::Start(
@@ -151,7 +169,7 @@
   while (!target.idle.empty()) {
     auto connection = std::move(target.idle.back());
     target.idle.pop_back();
-    if (IsStale(connection->socket)) {
+    if (IsExpired(*connection, MonotonicNow())) {
       CloseSocket(connection->socket);
       --target.open;
       continue;
@@ -165,6 +183,15 @@
   return false;
 }
 
+bool connection_pool::impl::IsExpired(client_connection& connection,
+                                      instant now) const {
+  auto limit = options_.idle_timeout;
+  if (connection.idle_limit.count() > 0) {
+    limit = std::min(limit, connection.idle_limit);
+  }
+  return now - connection.idle_since >= limit || IsStale(connection.socket);
+}
+
 void connection_pool::impl::Run(const exchange_ptr& call,
                                 client_connection_ptr connection) {
   if (call->Done()) {
@@ -186,11 +213,19 @@
     });
     return;
   }
-  connecting_.push_back(
-      {connection, MonotonicNow() + options_.connect_timeout});
+  auto timer = std::make_shared<asio::steady_timer>(io_);
+  timer->expires_after(options_.connect_timeout);
+  timer->async_wait([connection](error_code cancelled) {
+    // The connect handler then reports the failure.
+    if (!cancelled) CloseSocket(connection->socket);
+  });
   connection->socket.async_connect(
       *endpoint,
-      [self = shared_from_this(), connection, call](error_code failure) {
+      [self = shared_from_this(), connection, call, timer](error_code failure) {
+        timer->cancel();
+        if (!failure && !connection->socket.is_open()) {
+          failure = asio::error::timed_out;
+        }
         self->OnConnected(connection, call, failure);
       });
 }
@@ -198,9 +233,6 @@
 void connection_pool::impl::OnConnected(const client_connection_ptr& connection,
                                         const exchange_ptr& call,
                                         const error_code& failure) {
-  std::erase_if(connecting_, [&](const connecting& entry) {
-    return entry.connection == connection;
-  });
   if (failure) {
     Close(connection);
     call->FailUnsent(
@@ -212,6 +244,7 @@
   }
   error_code ignored;
   connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  DetectSilence(connection->socket, options_.silence_timeout);
   Run(call, connection);
 }
 
@@ -252,10 +285,6 @@
   std::erase_if(targets_, [](const auto& entry) {
     return entry.second.open == 0 && entry.second.waiting.empty();
   });
-  for (const auto& entry : connecting_) {
-    // The connect handler then reports the failure.
-    if (now >= entry.deadline) CloseSocket(entry.connection->socket);
-  }
   std::vector<exchange_ptr> calls;
   for (const auto& [key, call] : running_) {
     if (auto alive = call.lock()) calls.push_back(std::move(alive));
@@ -269,10 +298,7 @@
 
 void connection_pool::impl::SweepIdle(target& target, instant now) {
   std::erase_if(target.idle, [&](const client_connection_ptr& connection) {
-    if (now - connection->idle_since < options_.idle_timeout &&
-        !IsStale(connection->socket)) {
-      return false;
-    }
+    if (!IsExpired(*connection, now)) return false;
     CloseSocket(connection->socket);
     --target.open;
     return true;
--- a/libs/caller/src/body_tools.h
+++ b/libs/caller/include/caller/body_tools.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_CALLER_SRC_BODY_TOOLS_H_
-#define POMELOHALL_CALLER_SRC_BODY_TOOLS_H_
+#ifndef POMELOHALL_CALLER_BODY_TOOLS_H_
+#define POMELOHALL_CALLER_BODY_TOOLS_H_
 
 #include <cstddef>
 #include <functional>
@@ -25,4 +25,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_CALLER_SRC_BODY_TOOLS_H_
+#endif  // POMELOHALL_CALLER_BODY_TOOLS_H_
--- a/libs/caller/include/caller/call_server.h
+++ b/libs/caller/include/caller/call_server.h
@@ -32,6 +32,7 @@
   duration header_timeout = std::chrono::seconds(10);
   /// A body that moves no byte for this time ends its connection.
   duration progress_timeout = std::chrono::seconds(60);
+  std::size_t max_header_bytes = 16'384;
 };
 
 /// HTTP/1.1 server: keep-alive, pipelining, bodies with back-pressure. Used on
@@ -53,6 +54,13 @@
   /// Returns the address in use, "ip:port". Listen() must have succeeded.
   std::string Address() const;
 
+  /// Changes the limits of all connections; the address stays as it is.
+  void SetLimits(const call_server_options& options);
+
+  /// Ends each connection with its next answer; idle connections and the
+  /// listener stay open.
+  void CloseAfterAnswers();
+
   /// Stops to accept connections, closes idle ones, and lets the requests in
   /// progress end with `Connection: close`. `done` is called when the last
   /// connection has ended, at the earliest after Stop() returned.
--- a/libs/caller/src/observed_body.h
+++ b/libs/caller/include/caller/observed_body.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_CALLER_SRC_OBSERVED_BODY_H_
-#define POMELOHALL_CALLER_SRC_OBSERVED_BODY_H_
+#ifndef POMELOHALL_CALLER_OBSERVED_BODY_H_
+#define POMELOHALL_CALLER_OBSERVED_BODY_H_
 
 #include <functional>
 #include <memory>
@@ -56,4 +56,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_CALLER_SRC_OBSERVED_BODY_H_
+#endif  // POMELOHALL_CALLER_OBSERVED_BODY_H_
--- a/libs/caller/src/prefixed_body.h
+++ b/libs/caller/include/caller/prefixed_body.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_CALLER_SRC_PREFIXED_BODY_H_
-#define POMELOHALL_CALLER_SRC_PREFIXED_BODY_H_
+#ifndef POMELOHALL_CALLER_PREFIXED_BODY_H_
+#define POMELOHALL_CALLER_PREFIXED_BODY_H_
 
 #include <memory>
 #include <string>
@@ -38,4 +38,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_CALLER_SRC_PREFIXED_BODY_H_
+#endif  // POMELOHALL_CALLER_PREFIXED_BODY_H_
--- a/libs/caller/src/body_tools.cc
+++ b/libs/caller/src/body_tools.cc
@@ -1,4 +1,4 @@
-#include "body_tools.h"
+#include "caller/body_tools.h"
 
 #include <utility>
 
--- a/libs/caller/src/call_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -42,6 +42,8 @@
   void Abort();
   void Sweep(instant now);
   std::size_t OpenConnections() const { return sessions_.size(); }
+  void SetLimits(const call_server_options& options);
+  void CloseAfterAnswers();
 
  private:
   void Accept();
@@ -51,7 +53,8 @@
   void Forget();
 
   asio::io_context& io_;
-  const call_server_options options_;
+  call_server_options options_;
+  bool closing_ = false;
   call_handler& handler_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer timer_;
@@ -109,10 +112,22 @@
   const auto session =
       std::make_shared<call_session>(std::move(socket), options_, handler_);
   sessions_.insert(session);
+  if (closing_) session->CloseAfterAnswer();
   session->Start();
   Accept();
 }
 
+void call_server::impl::SetLimits(const call_server_options& options) {
+  auto address = std::move(options_.address);
+  options_ = options;
+  options_.address = std::move(address);
+}
+
+void call_server::impl::CloseAfterAnswers() {
+  closing_ = true;
+  for (const auto& session : sessions_) session->CloseAfterAnswer();
+}
+
 void call_server::impl::CloseListener() {
   error_code ignored;
   acceptor_.close(ignored);
@@ -173,6 +188,12 @@
   impl_->Stop(std::move(done));
 }
 
+void call_server::SetLimits(const call_server_options& options) {
+  impl_->SetLimits(options);
+}
+
+void call_server::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
+
 void call_server::Abort() { impl_->Abort(); }
 
 void call_server::Sweep(instant now) { impl_->Sweep(now); }
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -28,6 +28,8 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::size_t kWatchBytes = 4096;
+// Beast reads at most the spare capacity at once, 512 bytes if there is none.
+constexpr std::size_t kReadBytes = 4096;
 // After an answer that ends the connection, what the caller still sends is read
 // for this time: closing at once resets the connection, and the caller may lose
 // the answer.
@@ -58,30 +60,45 @@
   }
 }
 
+// Waits for bytes without reading them: a read would have to end before the
+// next request in the buffer is parsed.
 void call_session::Watch() {
-  // A pending read would hold up a request that is in the buffer already, so a
-  // caller that pipelines is only noticed to have gone when it is written to.
-  if (watching_ || closed_ || buffer_.size() > 0) return;
+  if (watching_ || closed_ || buffer_.size() >= options_.max_header_bytes) {
+    return;
+  }
   watching_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kWatchBytes),
-      [self = shared_from_this()](error_code failure, std::size_t bytes) {
-        self->watching_ = false;
-        if (!self->closed_) self->OnWatched(failure, bytes);
-      });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code failure) {
+                       self->watching_ = false;
+                       if (!self->closed_) self->OnWatched(failure);
+                     });
 }
 
-void call_session::OnWatched(error_code failure, std::size_t bytes) {
+void call_session::OnWatched(error_code failure) {
   if (failure) {
     Disconnected();
-    return;
-  }
-  if (linger_until_) {
+  } else if (linger_until_) {
     ReadLinger();
+  } else if (!current_ && !reading_header_ && !answering_) {
+    ReadHeader();
+  } else if (current_ && BodyRead()) {
+    ReadAhead();
+  }
+}
+
+// Reads requests that the caller sends before it has its answer, which also
+// shows that it has left.
+void call_session::ReadAhead() {
+  error_code failure;
+  socket_.non_blocking(true, failure);
+  const auto bytes =
+      socket_.read_some(buffer_.prepare(kWatchBytes), failure);
+  if (failure && failure != asio::error::would_block) {
+    Disconnected();
     return;
   }
   buffer_.commit(bytes);
-  if (!current_) ReadHeader();
+  Watch();
 }
 
 void call_session::Disconnected() {
@@ -95,9 +112,10 @@
   last_progress_ = MonotonicNow();
   reading_header_ = true;
   parser_.emplace();
-  parser_->header_limit(kMaxHeaderBytes);
+  parser_->header_limit(
+      static_cast<std::uint32_t>(options_.max_header_bytes));
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  buffer_.reserve(kMaxHeaderBytes);
+  buffer_.reserve(kReadBytes);
   http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code failure, std::size_t) {
@@ -193,7 +211,8 @@
   pending_read_ = std::move(done);
   last_progress_ = MonotonicNow();
   if (!part_) {
-    part_capacity_ = kBodyPartBytes;
+    part_capacity_ = static_cast<std::size_t>(std::min<std::uint64_t>(
+        kBodyPartBytes, parser_->content_length().value_or(kBodyPartBytes)));
     part_.reset(new char[part_capacity_]);
   }
   parser_->get().body().data = part_.get();
@@ -229,7 +248,7 @@
 }
 
 void call_session::ReadPart() {
-  buffer_.reserve(kMaxHeaderBytes);
+  buffer_.reserve(kReadBytes);
   http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code failure, std::size_t) {
@@ -374,6 +393,7 @@
 
 void call_session::FinishAnswer() {
   answer_ = {};
+  part_.reset();  // Its size is that of one request's body.
   on_disconnect_ = nullptr;
   if (current_) current_->Detach();
   current_ = nullptr;
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -29,6 +29,8 @@
                const call_server_options& options, call_handler& handler);
 
   void Start();
+  // The next answer ends the connection.
+  void CloseAfterAnswer() { draining_ = true; }
   // Answers from now on end the connection; an idle connection is closed.
   void Drain();
   void Close();
@@ -55,7 +57,8 @@
   // Waiting for a request, and noticing that the other side has gone.
   void NextRequest();
   void Watch();
-  void OnWatched(error_code failure, std::size_t bytes);
+  void OnWatched(error_code failure);
+  void ReadAhead();
   void ReadHeader();
   void OnHeader(error_code failure);
   void RejectHeader(const error_code& failure);
--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -12,7 +12,7 @@
 #include "backend/buffered_body.h"
 #include "caller/error_answer.h"
 #include "key_home.h"
-#include "observed_body.h"
+#include "caller/observed_body.h"
 #include "owner.h"
 
 namespace pomelohall {
--- a/libs/caller/src/entry_call.h
+++ b/libs/caller/src/entry_call.h
@@ -9,10 +9,10 @@
 #include <optional>
 #include <string>
 
-#include "body_tools.h"
+#include "caller/body_tools.h"
 #include "caller/incoming_request.h"
 #include "policy/call_plan.h"
-#include "prefixed_body.h"
+#include "caller/prefixed_body.h"
 #include "service_context.h"
 
 namespace pomelohall {
--- a/libs/caller/src/forward_handler.cc
+++ b/libs/caller/src/forward_handler.cc
@@ -5,7 +5,7 @@
 #include <string_view>
 
 #include "backend/http_message.h"
-#include "body_tools.h"
+#include "caller/body_tools.h"
 #include "caller/error_answer.h"
 #include "claim_codec.h"
 #include "key_home.h"
--- a/libs/caller/src/owner_task.cc
+++ b/libs/caller/src/owner_task.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "backend/http_message.h"
-#include "observed_body.h"
+#include "caller/observed_body.h"
 
 namespace pomelohall {
 namespace {
--- a/libs/logging/include/logging/log_event.h
+++ b/libs/logging/include/logging/log_event.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_LOGGING_LOG_EVENT_H_
 #define POMELOHALL_LOGGING_LOG_EVENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -40,6 +41,30 @@
 /// Quotes and escapes a value where needed, as in log lines.
 std::string EscapeLogValue(std::string_view value);
 
+/// Limits of the lines on standard output.
+struct line_output_options {
+  log_level minimum = log_level::kInfo;  ///< Lines below are dropped.
+  /// Lines of each level in a second; those above are counted and dropped.
+  /// Bounds the processor time that logging takes under load: a line costs a
+  /// few microseconds.
+  std::size_t lines_per_s = 400;
+  /// Bytes held while the reader of standard output is slow; lines beyond are
+  /// counted and dropped.
+  std::size_t max_pending_bytes = 262'144;
+};
+
+/// Starts logging to standard output instead of standard error, in lines that
+/// start with the time in milliseconds since the epoch. Writing never blocks.
+/// Call once, before any log line; for programs with one thread.
+void StartLineOutput(const line_output_options& options);
+
+/// Writes what is pending as far as standard output takes it. To be called
+/// often, and before the process ends.
+void FlushLineOutput();
+
+/// Returns how many lines were dropped since the start.
+std::uint64_t DroppedLines();
+
 /// Starts logging to standard error. Call once, before any log line.
 /// @param minimum Lines below this level are dropped.
 void StartLogging(const char* program, log_level minimum);
--- a/libs/logging/src/log_event.cc
+++ b/libs/logging/src/log_event.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "line_output.h"
+
 namespace pomelohall {
 namespace {
 
@@ -51,6 +53,10 @@
     : level_(level), line_("event=" + std::string(name)) {}
 
 log_event::~log_event() {
+  if (line_output* output = line_output::Installed()) {
+    output->Write(level_, line_);
+    return;
+  }
   google::LogMessage("pomelohall", 0, Severity(level_)).stream() << line_;
 }
 
@@ -69,6 +75,19 @@
   return With(key, std::string_view{text});
 }
 
+void StartLineOutput(const line_output_options& options) {
+  line_output::Install(options);
+}
+
+void FlushLineOutput() {
+  if (line_output* output = line_output::Installed()) output->Flush();
+}
+
+std::uint64_t DroppedLines() {
+  const line_output* output = line_output::Installed();
+  return output == nullptr ? 0 : output->Dropped();
+}
+
 void StartLogging(const char* program, log_level minimum) {
   // VMs have no disks: glog must not open log files.
   FLAGS_logtostderr = true;
--- /dev/null
+++ b/libs/mesh/include/mesh/mesh_config.h
@@ -0,0 +1,70 @@
+#ifndef POMELOHALL_MESH_MESH_CONFIG_H_
+#define POMELOHALL_MESH_MESH_CONFIG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/name_table.h"
+#include "base/time.h"
+
+namespace pomelohall {
+
+/// What may be done with the requests of a route.
+enum class request_kind {
+  kSafe,      ///< Idempotent, small answers.
+  kUnsafe,    ///< Runs at most once for each attempt of a caller.
+  kDownload,  ///< Idempotent, large answers.
+};
+
+inline constexpr name_table<request_kind, 3> kRequestKindNames{{{
+    {request_kind::kSafe, "safe"},
+    {request_kind::kUnsafe, "unsafe"},
+    {request_kind::kDownload, "download"},
+}}};
+
+/// Returns whether a request may run more than once.
+constexpr bool IsIdempotent(request_kind kind) {
+  return kind != request_kind::kUnsafe;
+}
+
+/// A service that takes a share of a route's requests.
+struct destination {
+  std::string service;
+  double weight = 1;  ///< Relative to the other destinations; above 0.
+};
+
+/// Requests of one host below one path.
+struct route_rule {
+  std::string name;
+  std::string host;         ///< Lower case, without port.
+  std::string path_prefix;  ///< Begins and ends with "/".
+  request_kind kind = request_kind::kUnsafe;
+  duration timeout{0};         ///< From receipt to the last moment of an answer.
+  duration latency_target{0};  ///< An answer within it meets the target.
+  int priority = 0;            ///< 0 is the most urgent.
+  std::vector<destination> destinations;  ///< At least one.
+  /// Backend servers that one request may be sent to; at least 1.
+  std::uint32_t max_servers = 1;
+};
+
+/// Bounds on what a caller may send.
+struct request_limits {
+  std::size_t max_header_bytes = 16'384;
+  std::uint64_t max_body_bytes = 67'108'864;
+  duration header_timeout = std::chrono::seconds(3);
+  duration idle_timeout = std::chrono::seconds(15);
+};
+
+/// A whole version of the configuration.
+struct mesh_config {
+  std::uint64_t version = 0;
+  std::vector<route_rule> routes;
+  std::vector<std::string> services;
+  request_limits limits;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_MESH_MESH_CONFIG_H_
--- /dev/null
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -0,0 +1,132 @@
+#ifndef POMELOHALL_MESH_SERVER_DIRECTORY_H_
+#define POMELOHALL_MESH_SERVER_DIRECTORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "mesh/mesh_config.h"
+#include "mesh/mesh_member.h"
+#include "mesh/work_queue.h"
+
+namespace pomelohall {
+
+/// Settings of a server_directory.
+struct server_directory_options {
+  std::string member;       ///< Name of this daemon.
+  std::string data_centre;  ///< Data centre of this daemon.
+  /// A member that could not be reached gets no request for this time, doubled
+  /// with each further failure.
+  duration suspension = std::chrono::milliseconds(500);
+  /// Longest suspension. A member that returns is back in use after it at the
+  /// latest.
+  duration max_suspension = std::chrono::seconds(2);
+  /// Share of the latency target that an answer may take longer to stay in the
+  /// data centre, as operators pay for bytes between data centres.
+  double remote_penalty = 0.15;
+  /// The same for large answers, which are most of those bytes.
+  double remote_download_penalty = 1.0;
+  /// A load report older than this says nothing about the load of now.
+  duration report_lifetime = std::chrono::seconds(2);
+};
+
+/// How a request that was sent to a server ended, for the choice of later ones.
+enum class send_outcome {
+  kServed,       ///< The backend server answered.
+  kFailed,       ///< It answered with a failure, or broke off.
+  kRefused,      ///< Its daemon or itself refused; the request did not run.
+  kUnreachable,  ///< The daemon could not be reached, or did not answer.
+};
+
+/// The choice of a server, with the inputs that decided it.
+struct server_choice {
+  mesh_member member;
+  duration expected{0};    ///< Time to the answer, as expected.
+  duration report_age{0};  ///< Age of the load report; 0 without one.
+  std::size_t candidates = 0;
+};
+
+/// What a request needs of a server.
+struct server_demand {
+  std::string service;
+  request_kind kind = request_kind::kSafe;
+  duration latency_target{0};
+  std::set<std::string> excluded;  ///< Members that were tried already.
+};
+
+/// Knows the daemons and their backend servers, and places requests. Answers
+/// two load patterns: backend servers of one service that differ threefold in
+/// speed, where equal shares overload the slow one; and a server that turns
+/// slow, fails or vanishes, where requests pile up on it until a list of
+/// members tells.
+class server_directory {
+ public:
+  server_directory(server_directory_options options, std::uint64_t seed);
+
+  /// Replaces a record; the load known of a member is kept as long as its
+  /// incarnation and backend server are the same.
+  void Put(const mesh_member& member, instant now);
+  void Remove(const std::string& name);
+  /// Removes all members that are not in `names`.
+  void Retain(const std::set<std::string>& names);
+
+  const std::map<std::string, mesh_member>& Members() const {
+    return members_;
+  }
+
+  /// Returns the server for a request, or nothing if none can take it.
+  std::optional<server_choice> Choose(const server_demand& demand, instant now);
+
+  /// Tells that a request was sent to a member. Each call is followed by one of
+  /// OnEnded().
+  void OnSent(const std::string& name);
+  void OnEnded(const std::string& name, send_outcome outcome, instant now);
+
+  /// Takes the load that a daemon reported with an answer.
+  void OnLoad(const std::string& name, const work_load& load, instant now);
+
+  /// A daemon said that its backend server takes no work now.
+  void OnNotServing(const std::string& name, instant now);
+
+  /// Returns whether requests to the member fail at present.
+  bool IsSuspended(const std::string& name, instant now) const;
+
+ private:
+  struct view {
+    work_load load;
+    instant reported_at;
+    bool reported = false;
+    std::size_t sent_since_report = 0;
+    std::size_t outstanding = 0;
+    double failure_share = 0;  ///< Smoothed, 0 to 1.
+    std::size_t failures_in_a_row = 0;
+    instant suspended_until;
+  };
+  struct candidate {
+    const mesh_member* member = nullptr;
+    duration expected{0};
+    double score_us = 0;
+  };
+
+  bool IsUsable(const mesh_member& member, const server_demand& demand,
+                instant now) const;
+  candidate Rate(const mesh_member& member, const server_demand& demand,
+                 duration typical_time, instant now) const;
+  duration TypicalTime(const std::vector<const mesh_member*>& members) const;
+  void Suspend(view& view, instant now);
+
+  const server_directory_options options_;
+  random_source random_;
+  std::map<std::string, mesh_member> members_;
+  std::map<std::string, view> views_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_MESH_SERVER_DIRECTORY_H_
--- /dev/null
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -0,0 +1,108 @@
+#ifndef POMELOHALL_MESH_WORK_QUEUE_H_
+#define POMELOHALL_MESH_WORK_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+
+namespace pomelohall {
+
+/// A request that wants to run on a backend server.
+struct work_item {
+  std::uint64_t id = 0;    ///< Unique in its queue.
+  std::string work_class;  ///< Requests of one class take about the same time.
+  int priority = 0;        ///< 0 is the most urgent.
+  instant target_at;       ///< An answer until then meets its target.
+  instant give_up_at;      ///< An answer after it is of no use.
+};
+
+/// Settings of a work_queue.
+struct work_queue_options {
+  std::size_t slots = 1;  ///< Requests that run at once.
+  /// Work that misses its target waits only while the queue is shorter than
+  /// this part of the time to the target: late work must not build a queue that
+  /// makes work late which arrives in time.
+  double late_share = 0.25;
+};
+
+/// What becomes of offered work.
+enum class work_verdict {
+  kRun,     ///< Starts now.
+  kWait,    ///< Starts later; Next() tells when.
+  kRefuse,  ///< Cannot run in time.
+};
+
+/// Load of a backend server, as its daemon reports it to others.
+struct work_load {
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::size_t slots = 0;
+  duration mean_time{0};  ///< Of a request on the backend server.
+};
+
+/// The requests before one backend server: at most `slots` run, the others wait
+/// in order of priority. Answers the load in which callers send more than the
+/// backend servers can run: without a bound every request waits until it is
+/// late, and with arrival order the least urgent work delays the most urgent.
+/// So work is refused at arrival if it would end too late, urgent work goes
+/// first, and work that still meets its target goes before work that does not.
+class work_queue {
+ public:
+  explicit work_queue(work_queue_options options);
+
+  /// Sets the slots, for example when another backend server has started.
+  void SetSlots(std::size_t slots);
+
+  work_verdict Offer(const work_item& item, instant now);
+
+  /// Takes out the next work that starts, or nothing.
+  std::optional<std::uint64_t> Next(instant now);
+
+  /// Takes out waiting work that can no longer end in time.
+  std::vector<std::uint64_t> TakeExpired(instant now);
+
+  /// Takes out all waiting work.
+  std::vector<std::uint64_t> TakeAll();
+
+  /// Removes waiting work whose caller has left. No effect if it is not there.
+  void Remove(std::uint64_t id);
+
+  /// Frees the slot of work that ran.
+  /// @param took Time on the backend server; nothing if it was broken off.
+  void OnFinished(std::uint64_t id, std::optional<duration> took);
+
+  /// Time until work of `priority` that is offered now would start.
+  duration ExpectedWait(int priority) const;
+
+  /// Mean time that requests of `work_class` run; 0 before the first one.
+  duration ExpectedTime(const std::string& work_class) const;
+
+  work_load Load() const;
+
+ private:
+  // Order of the queue: priority, then work that meets its target, then age.
+  using order_key = std::tuple<int, bool, std::uint64_t>;
+
+  bool MeetsTarget(const work_item& item, instant start) const;
+  void Start(const work_item& item);
+
+  work_queue_options options_;
+  std::uint64_t next_number_ = 0;
+  std::map<order_key, work_item> waiting_;
+  std::unordered_map<std::uint64_t, order_key> keys_;
+  std::unordered_map<std::uint64_t, std::string> running_;  ///< Id to class.
+  std::unordered_map<std::string, double> class_time_us_;
+  double mean_time_us_ = 0;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_MESH_WORK_QUEUE_H_
--- /dev/null
+++ b/libs/mesh/src/route_table.cc
@@ -0,0 +1,57 @@
+#include "mesh/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace pomelohall {
+namespace {
+
+std::string NormalizeHost(std::string_view host) {
+  host = host.substr(0, host.find(':'));
+  std::string normalized(host);
+  std::transform(normalized.begin(), normalized.end(), normalized.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return normalized;
+}
+
+}  // namespace
+
+route_table::route_table(mesh_config config) : config_(std::move(config)) {
+  credits_.resize(config_.routes.size());
+  for (std::size_t i = 0; i < config_.routes.size(); ++i) {
+    const auto& route = config_.routes[i];
+    by_host_[NormalizeHost(route.host)].emplace(route.path_prefix, i);
+    credits_[i].assign(route.destinations.size(), 0);
+  }
+}
+
+const route_rule* route_table::Find(std::string_view host,
+                                    std::string_view target) const {
+  const auto routes = by_host_.find(NormalizeHost(host));
+  if (routes == by_host_.end()) return nullptr;
+  const auto path = target.substr(0, target.find_first_of("?#"));
+  for (auto end = path.rfind('/'); end != std::string_view::npos;
+       end = path.rfind('/', end - 1)) {
+    const auto found = routes->second.find(path.substr(0, end + 1));
+    if (found != routes->second.end()) return &config_.routes[found->second];
+    if (end == 0) break;
+  }
+  return nullptr;
+}
+
+const std::string& route_table::NextDestination(const route_rule& route) {
+  const auto index = static_cast<std::size_t>(&route - config_.routes.data());
+  auto& credits = credits_[index];
+  double total = 0;
+  for (std::size_t i = 0; i < credits.size(); ++i) {
+    credits[i] += route.destinations[i].weight;
+    total += route.destinations[i].weight;
+  }
+  const auto best = std::max_element(credits.begin(), credits.end());
+  *best -= total;
+  return route.destinations[static_cast<std::size_t>(best - credits.begin())]
+      .service;
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/mesh/src/work_queue.cc
@@ -0,0 +1,138 @@
+#include "mesh/work_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelohall {
+namespace {
+
+// Weight of the newest sample: about ten requests decide, which is a few
+// hundred milliseconds of work on one backend server.
+constexpr double kSmoothing = 0.1;
+
+void Smooth(double& mean, double sample) {
+  mean = mean == 0 ? sample : mean + kSmoothing * (sample - mean);
+}
+
+duration ToDuration(double microseconds) {
+  return duration(static_cast<std::int64_t>(microseconds));
+}
+
+}  // namespace
+
+work_queue::work_queue(work_queue_options options) : options_(options) {}
+
+void work_queue::SetSlots(std::size_t slots) {
+  options_.slots = std::max<std::size_t>(slots, 1);
+}
+
+work_verdict work_queue::Offer(const work_item& item, instant now) {
+  const auto wait = ExpectedWait(item.priority);
+  const auto start = now + wait;
+  if (start + ExpectedTime(item.work_class) > item.give_up_at) {
+    return work_verdict::kRefuse;
+  }
+  if (running_.size() < options_.slots && waiting_.empty()) {
+    Start(item);
+    return work_verdict::kRun;
+  }
+  const bool in_time = MeetsTarget(item, start);
+  const auto late_wait = std::chrono::duration_cast<duration>(
+      options_.late_share * (item.give_up_at - now));
+  if (!in_time && wait > late_wait) return work_verdict::kRefuse;
+  const order_key key{item.priority, !in_time, next_number_++};
+  waiting_.emplace(key, item);
+  keys_.emplace(item.id, key);
+  return work_verdict::kWait;
+}
+
+bool work_queue::MeetsTarget(const work_item& item, instant start) const {
+  return start + ExpectedTime(item.work_class) <= item.target_at;
+}
+
+void work_queue::Start(const work_item& item) {
+  running_.emplace(item.id, item.work_class);
+}
+
+std::optional<std::uint64_t> work_queue::Next(instant now) {
+  while (running_.size() < options_.slots && !waiting_.empty()) {
+    const auto first = waiting_.begin();
+    const auto item = first->second;
+    const bool was_in_time = !std::get<1>(first->first);
+    if (was_in_time && !MeetsTarget(item, now)) {
+      // It waited longer than expected, and yields to work that is in time.
+      const order_key key{item.priority, true, std::get<2>(first->first)};
+      waiting_.erase(first);
+      waiting_.emplace(key, item);
+      keys_[item.id] = key;
+      continue;
+    }
+    waiting_.erase(first);
+    keys_.erase(item.id);
+    Start(item);
+    return item.id;
+  }
+  return std::nullopt;
+}
+
+std::vector<std::uint64_t> work_queue::TakeExpired(instant now) {
+  std::vector<std::uint64_t> expired;
+  for (const auto& [key, item] : waiting_) {
+    if (now + ExpectedTime(item.work_class) > item.give_up_at) {
+      expired.push_back(item.id);
+    }
+  }
+  for (const auto id : expired) Remove(id);
+  return expired;
+}
+
+std::vector<std::uint64_t> work_queue::TakeAll() {
+  std::vector<std::uint64_t> all;
+  for (const auto& [key, item] : waiting_) all.push_back(item.id);
+  waiting_.clear();
+  keys_.clear();
+  return all;
+}
+
+void work_queue::Remove(std::uint64_t id) {
+  const auto found = keys_.find(id);
+  if (found == keys_.end()) return;
+  waiting_.erase(found->second);
+  keys_.erase(found);
+}
+
+void work_queue::OnFinished(std::uint64_t id, std::optional<duration> took) {
+  const auto found = running_.find(id);
+  if (found == running_.end()) return;
+  if (took) {
+    const auto sample = static_cast<double>(took->count());
+    Smooth(class_time_us_[found->second], sample);
+    Smooth(mean_time_us_, sample);
+  }
+  running_.erase(found);
+}
+
+duration work_queue::ExpectedWait(int priority) const {
+  if (running_.size() < options_.slots && waiting_.empty()) return duration(0);
+  double ahead_us = mean_time_us_;  // Until the first slot is free.
+  for (const auto& [key, item] : waiting_) {
+    if (std::get<0>(key) > priority) break;
+    const auto time = ExpectedTime(item.work_class).count();
+    ahead_us += time > 0 ? static_cast<double>(time) : mean_time_us_;
+  }
+  return ToDuration(ahead_us / static_cast<double>(options_.slots));
+}
+
+duration work_queue::ExpectedTime(const std::string& work_class) const {
+  const auto found = class_time_us_.find(work_class);
+  return ToDuration(found == class_time_us_.end() ? 0 : found->second);
+}
+
+work_load work_queue::Load() const {
+  return {.running = running_.size(),
+          .waiting = waiting_.size(),
+          .slots = options_.slots,
+          .mean_time = ToDuration(mean_time_us_)};
+}
+
+}  // namespace pomelohall
--- a/libs/settings/src/daemon_settings.cc
+++ b/libs/settings/src/daemon_settings.cc
@@ -13,7 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "schema_check.h"
+#include "settings/schema_check.h"
 
 namespace pomelohall {
 namespace {
--- a/libs/settings/src/schema_check.cc
+++ b/libs/settings/src/schema_check.cc
@@ -1,4 +1,4 @@
-#include "schema_check.h"
+#include "settings/schema_check.h"
 
 #include <algorithm>
 #include <cstddef>
--- /dev/null
+++ b/libs/sidecar/src/collection_watch.cc
@@ -0,0 +1,107 @@
+#include "collection_watch.h"
+
+#include "base/backoff.h"
+#include "logging/log_event.h"
+
+namespace pomelohall {
+
+collection_watch::collection_watch(boost::asio::io_context& io,
+                                   watched_store& store,
+                                   collection_observer& observer,
+                                   collection_watch_options options,
+                                   std::uint64_t seed)
+    : store_(store),
+      observer_(observer),
+      options_(options),
+      random_(seed),
+      timer_(io) {}
+
+void collection_watch::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void collection_watch::List() {
+  listed_ = false;
+  store_.List(options_.collection,
+              [this](const result<object_listing>& listing) {
+                if (!stopped_) OnListed(listing);
+              });
+}
+
+void collection_watch::OnListed(const result<object_listing>& listing) {
+  if (!listing) {
+    OnFailure(listing.error());
+    return;
+  }
+  OnSuccess();
+  listed_ = true;
+  revision_ = listing->revision;
+  observer_.OnListed(listing->objects);
+  Watch();
+}
+
+void collection_watch::Watch() {
+  store_.Watch(options_.collection, revision_, options_.wait,
+               [this](const result<object_changes>& changes) {
+                 if (!stopped_) OnChanges(changes);
+               });
+}
+
+void collection_watch::OnChanges(const result<object_changes>& changes) {
+  if (!changes) {
+    if (changes.error().kind == error_kind::kNotFound) {
+      log_event(log_level::kInfo, "store_history_lost")
+          .With("collection", kStoreCollectionNames.Name(options_.collection))
+          .With("revision", revision_);
+      List();
+      return;
+    }
+    OnFailure(changes.error());
+    return;
+  }
+  OnSuccess();
+  revision_ = changes->revision;
+  for (const auto& change : changes->changes) observer_.OnChanged(change);
+  if (changes->changes.empty()) {
+    Watch();
+  } else {
+    After(options_.pause_after_change, &collection_watch::Watch);
+  }
+}
+
+void collection_watch::OnFailure(const error& failure) {
+  if (failures_ == 0) {
+    log_event(log_level::kWarning, "dependency_lost")
+        .With("dependency", "store")
+        .With("collection", kStoreCollectionNames.Name(options_.collection))
+        .With("revision", revision_)
+        .With("reason", failure.message);
+  }
+  const auto pause = JitteredBackoff(
+      options_.retry_pause, options_.max_retry_pause, failures_++, random_);
+  After(pause, listed_ ? &collection_watch::Watch : &collection_watch::List);
+}
+
+void collection_watch::OnSuccess() {
+  if (failures_ > 0) {
+    log_event(log_level::kInfo, "dependency_regained")
+        .With("dependency", "store")
+        .With("collection", kStoreCollectionNames.Name(options_.collection))
+        .With("failures", static_cast<std::uint64_t>(failures_));
+  }
+  failures_ = 0;
+}
+
+void collection_watch::After(duration pause, void (collection_watch::*next)()) {
+  if (pause.count() == 0) {
+    (this->*next)();
+    return;
+  }
+  timer_.expires_after(pause);
+  timer_.async_wait([this, next](boost::system::error_code cancelled) {
+    if (!cancelled && !stopped_) (this->*next)();
+  });
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/collection_watch.h
@@ -0,0 +1,71 @@
+#ifndef POMELOHALL_SIDECAR_SRC_COLLECTION_WATCH_H_
+#define POMELOHALL_SIDECAR_SRC_COLLECTION_WATCH_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "sidecar/watched_store.h"
+
+namespace pomelohall {
+
+// Receives the objects of a collection.
+class collection_observer {
+ public:
+  virtual ~collection_observer() = default;
+  // Everything that is stored; what is not listed is gone.
+  virtual void OnListed(const std::vector<watched_object>& objects) = 0;
+  virtual void OnChanged(const object_change& change) = 0;
+};
+
+struct collection_watch_options {
+  store_collection collection = store_collection::kConfiguration;
+  // Longest wait of one watch. A watch whose connection went silent is noticed
+  // after it.
+  duration wait = std::chrono::seconds(10);
+  // Pause before the next watch after a change, so that a run of changes costs
+  // a few calls and not one each.
+  duration pause_after_change{0};
+  // First and longest pause after a failed call.
+  duration retry_pause = std::chrono::milliseconds(100);
+  duration max_retry_pause = std::chrono::seconds(1);
+};
+
+// Keeps an observer up to date: lists a collection, then watches it. Lists
+// again when the store no longer has the history.
+class collection_watch {
+ public:
+  // All references must outlive the watch.
+  collection_watch(boost::asio::io_context& io, watched_store& store,
+                   collection_observer& observer,
+                   collection_watch_options options, std::uint64_t seed);
+
+  void Start() { List(); }
+  void Stop();
+
+ private:
+  void List();
+  void Watch();
+  void OnListed(const result<object_listing>& listing);
+  void OnChanges(const result<object_changes>& changes);
+  void OnFailure(const error& failure);
+  void OnSuccess();
+  void After(duration pause, void (collection_watch::*next)());
+
+  watched_store& store_;
+  collection_observer& observer_;
+  const collection_watch_options options_;
+  random_source random_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t revision_ = 0;
+  std::size_t failures_ = 0;
+  bool listed_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_SRC_COLLECTION_WATCH_H_
--- /dev/null
+++ b/libs/sidecar/src/config_holder.cc
@@ -0,0 +1,57 @@
+#include "config_holder.h"
+
+#include <utility>
+
+#include "logging/log_event.h"
+
+namespace pomelohall {
+
+config_holder::config_holder(
+    std::string object_name,
+    std::function<result<mesh_config>(const std::string&)> decode,
+    observer on_change)
+    : object_name_(std::move(object_name)),
+      decode_(std::move(decode)),
+      on_change_(std::move(on_change)) {}
+
+void config_holder::OnListed(const std::vector<watched_object>& objects) {
+  for (const auto& object : objects) Take(object);
+}
+
+void config_holder::OnChanged(const object_change& change) {
+  if (change.deleted) {
+    log_event(log_level::kWarning, "config_deleted")
+        .With("object", change.object.name)
+        .With("kept_version", version_);
+    return;
+  }
+  Take(change.object);
+}
+
+void config_holder::Take(const watched_object& object) {
+  if (object.name != object_name_ || object.revision <= revision_) return;
+  auto config = decode_(object.spec);
+  if (!config) {
+    log_event(log_level::kError, "config_refused")
+        .With("revision", object.revision)
+        .With("kept_version", version_)
+        .With("reason", config.error().message);
+    return;
+  }
+  revision_ = object.revision;
+  if (config->version < version_) {
+    log_event(log_level::kError, "config_refused")
+        .With("revision", object.revision)
+        .With("kept_version", version_)
+        .With("reason", "the version is older");
+    return;
+  }
+  version_ = config->version;
+  log_event(log_level::kInfo, "config_in_force")
+      .With("version", version_)
+      .With("revision", object.revision)
+      .With("routes", static_cast<std::uint64_t>(config->routes.size()));
+  on_change_(std::make_shared<route_table>(std::move(*config)));
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/load_codec.cc
@@ -0,0 +1,33 @@
+#include "load_codec.h"
+
+#include <array>
+#include <cstdint>
+
+#include "backend/http_message.h"
+
+namespace pomelohall {
+
+std::string EncodeLoad(const work_load& load) {
+  return std::to_string(load.running) + "," + std::to_string(load.waiting) +
+         "," + std::to_string(load.slots) + "," +
+         std::to_string(load.mean_time.count());
+}
+
+std::optional<work_load> DecodeLoad(std::string_view text) {
+  std::array<std::uint64_t, 4> values{};
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    const auto comma = text.find(',');
+    const bool last = i + 1 == values.size();
+    if (last != (comma == std::string_view::npos)) return std::nullopt;
+    const auto number = ParseNumber(text.substr(0, comma));
+    if (!number) return std::nullopt;
+    values[i] = *number;
+    if (!last) text.remove_prefix(comma + 1);
+  }
+  return work_load{.running = values[0],
+                   .waiting = values[1],
+                   .slots = values[2],
+                   .mean_time = duration(static_cast<std::int64_t>(values[3]))};
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/member_list.h
@@ -0,0 +1,33 @@
+#ifndef POMELOHALL_SIDECAR_SRC_MEMBER_LIST_H_
+#define POMELOHALL_SIDECAR_SRC_MEMBER_LIST_H_
+
+#include "collection_watch.h"
+#include "member_publisher.h"
+#include "mesh/retry_budget.h"
+#include "mesh/server_directory.h"
+
+namespace pomelohall {
+
+// Brings the records of the store into the directory.
+class member_list final : public collection_observer {
+ public:
+  // All references must outlive the list.
+  member_list(std::string own_name, server_directory& directory,
+              retry_budget& budget, member_publisher& publisher);
+
+  void OnListed(const std::vector<watched_object>& objects) override;
+  void OnChanged(const object_change& change) override;
+
+ private:
+  void Take(const watched_object& object);
+  void Changed();
+
+  const std::string own_name_;
+  server_directory& directory_;
+  retry_budget& budget_;
+  member_publisher& publisher_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_SRC_MEMBER_LIST_H_
--- /dev/null
+++ b/libs/sidecar/src/member_publisher.cc
@@ -0,0 +1,124 @@
+#include "member_publisher.h"
+
+#include <utility>
+
+#include "base/backoff.h"
+#include "logging/log_event.h"
+#include "member_codec.h"
+
+namespace pomelohall {
+namespace {
+
+// Pauses after a failed write. The longest keeps the return of a record within
+// two seconds of the store's.
+constexpr duration kRetryPause = std::chrono::milliseconds(100);
+constexpr duration kMaxRetryPause = std::chrono::seconds(1);
+
+}  // namespace
+
+member_publisher::member_publisher(boost::asio::io_context& io,
+                                   watched_store& store, std::uint64_t seed)
+    : store_(store), random_(seed), timer_(io) {}
+
+void member_publisher::Publish(const mesh_member& member) {
+  name_ = member.name;
+  wanted_ = EncodeMember(member);
+  Pump();
+}
+
+void member_publisher::OnStored(const watched_object& object, bool deleted) {
+  if (busy_ || object.name != name_) return;
+  if (revision_ && object.revision < *revision_) return;
+  revision_ = deleted ? 0 : object.revision;
+  stored_ = deleted ? std::string() : object.spec;
+  Pump();
+}
+
+void member_publisher::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void member_publisher::Pump() {
+  if (busy_ || stopped_ || wanted_ == stored_) return;
+  busy_ = true;
+  if (revision_) {
+    Write();
+  } else {
+    Read();
+  }
+}
+
+void member_publisher::Read() {
+  store_.Get(store_collection::kMembers, name_,
+             [this](const result<watched_object>& object) { OnRead(object); });
+}
+
+void member_publisher::OnRead(const result<watched_object>& object) {
+  busy_ = false;
+  if (object) {
+    revision_ = object->revision;
+    stored_ = object->spec;
+  } else if (object.error().kind == error_kind::kNotFound) {
+    revision_ = 0;
+    stored_.clear();
+  } else {
+    RetryLater(object.error());
+    return;
+  }
+  Pump();
+}
+
+void member_publisher::Write() {
+  const watched_object object{
+      .name = name_, .revision = *revision_, .spec = wanted_};
+  auto done = [this, spec = wanted_](const result<watched_object>& written) {
+    OnWritten(spec, written);
+  };
+  if (*revision_ == 0) {
+    store_.Create(store_collection::kMembers, object, std::move(done));
+  } else {
+    store_.Replace(store_collection::kMembers, object, std::move(done));
+  }
+}
+
+void member_publisher::OnWritten(const std::string& spec,
+                                 const result<watched_object>& object) {
+  busy_ = false;
+  if (object) {
+    log_event(log_level::kInfo, "member_published")
+        .With("revision", object->revision)
+        .With("failures", static_cast<std::uint64_t>(failures_))
+        .With("record", spec);
+    failures_ = 0;
+    revision_ = object->revision;
+    stored_ = spec;
+    Pump();
+    return;
+  }
+  revision_.reset();
+  const auto kind = object.error().kind;
+  if (kind == error_kind::kConflict || kind == error_kind::kNotFound) {
+    Pump();  // Reads what is stored first.
+    return;
+  }
+  RetryLater(object.error());
+}
+
+void member_publisher::RetryLater(const error& failure) {
+  if (stopped_) return;
+  if (failures_ == 0) {
+    log_event(log_level::kWarning, "member_not_published")
+        .With("reason", failure.message);
+  }
+  busy_ = true;
+  timer_.expires_after(
+      JitteredBackoff(kRetryPause, kMaxRetryPause, failures_++, random_));
+  timer_.async_wait([this](boost::system::error_code cancelled) {
+    if (cancelled) return;
+    busy_ = false;
+    Pump();
+  });
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/member_publisher.h
@@ -0,0 +1,55 @@
+#ifndef POMELOHALL_SIDECAR_SRC_MEMBER_PUBLISHER_H_
+#define POMELOHALL_SIDECAR_SRC_MEMBER_PUBLISHER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/random.h"
+#include "mesh/mesh_member.h"
+#include "sidecar/watched_store.h"
+
+namespace pomelohall {
+
+// Keeps this daemon's record in the store equal to its state. Every write
+// names the revision that it replaces: a write whose answer was lost may take
+// effect seconds later, and must then not undo a newer one.
+class member_publisher {
+ public:
+  // `store` must outlive the publisher.
+  member_publisher(boost::asio::io_context& io, watched_store& store,
+                   std::uint64_t seed);
+
+  // Writes the record, now or as soon as the store takes it.
+  void Publish(const mesh_member& member);
+  // Takes note of the stored record, as a watch shows it.
+  void OnStored(const watched_object& object, bool deleted);
+  void Stop();
+
+ private:
+  void Pump();
+  void Read();
+  void OnRead(const result<watched_object>& object);
+  void Write();
+  void OnWritten(const std::string& spec, const result<watched_object>& object);
+  void RetryLater(const error& failure);
+
+  watched_store& store_;
+  random_source random_;
+  boost::asio::steady_timer timer_;
+  std::string name_;
+  std::string wanted_;  // Spec.
+  std::string stored_;  // Spec, as far as is known.
+  // Revision of the stored record; 0: there is none; nothing: unknown.
+  std::optional<std::uint64_t> revision_ = 0;
+  std::size_t failures_ = 0;
+  bool busy_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_SRC_MEMBER_PUBLISHER_H_
--- /dev/null
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -0,0 +1,101 @@
+#include "mesh_endpoint.h"
+
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "backend/buffered_body.h"
+#include "caller/body_tools.h"
+#include "caller/error_answer.h"
+#include "caller/prefixed_body.h"
+#include "load_codec.h"
+
+namespace pomelohall {
+namespace {
+
+std::string TakeField(http_fields& fields, std::string_view name) {
+  const auto* value = FindField(fields, name);
+  std::string text = value == nullptr ? std::string() : *value;
+  RemoveField(fields, name);
+  return text;
+}
+
+duration Millis(std::string_view text) {
+  std::int64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return std::chrono::milliseconds(value);
+}
+
+}  // namespace
+
+mesh_endpoint::mesh_endpoint(server_gate& gate, exchange_fields fields)
+    : gate_(gate), fields_(std::move(fields)) {}
+
+void mesh_endpoint::OnRequest(std::shared_ptr<incoming_request> request) {
+  outgoing_request outgoing;
+  outgoing.head = request->Head();
+  RemoveHopFields(outgoing.head.fields);
+  const auto body = request->Body();
+  if (!body) {
+    Forward(request, std::move(outgoing));
+    return;
+  }
+  // The request waits with its body in memory, so that the end of the
+  // connection is noticed while it waits.
+  ReadBodyStart(body, kMaxBufferedBodyBytes,
+                [this, request, body, outgoing = std::move(outgoing)](
+                    const result<body_start>& start) mutable {
+                  if (!start) return;  // The connection is gone.
+                  if (start->whole) {
+                    outgoing.head.framing = body_framing::kLength;
+                    outgoing.head.length = start->bytes->size();
+                    outgoing.body =
+                        std::make_shared<buffered_body>(start->bytes);
+                  } else {
+                    outgoing.body =
+                        std::make_shared<prefixed_body>(start->bytes, body);
+                  }
+                  Forward(request, std::move(outgoing));
+                });
+}
+
+void mesh_endpoint::Forward(const std::shared_ptr<incoming_request>& request,
+                            outgoing_request outgoing) {
+  auto& fields = outgoing.head.fields;
+  const auto now = request->ReceivedAt();
+  gate_request call;
+  call.instance = TakeField(fields, kMeshInstanceField);
+  call.work_class = TakeField(fields, kMeshClassField);
+  call.kind = kRequestKindNames.Find(TakeField(fields, kMeshKindField))
+                  .value_or(request_kind::kUnsafe);
+  call.priority = static_cast<int>(
+      ParseNumber(TakeField(fields, kMeshPriorityField)).value_or(0));
+  call.target_at = now + Millis(TakeField(fields, kMeshTargetField));
+  call.give_up_at = now + Millis(TakeField(fields, fields_.deadline));
+  if (const auto* id = FindField(fields, fields_.attempt_id)) {
+    call.attempt_id = *id;
+  }
+  call.request = std::move(outgoing);
+  const auto started = gate_.Start(
+      std::move(call), {.on_sent = nullptr,
+                        .on_answer = [this, request](
+                                         result<incoming_answer> answer) {
+                          Answer(*request, std::move(answer));
+                        }});
+  request->SetDisconnectHandler([started] { started->Cancel(); });
+}
+
+void mesh_endpoint::Answer(incoming_request& request,
+                           result<incoming_answer> answer) const {
+  auto outgoing =
+      answer ? std::move(*answer) : ErrorAnswer(answer.error());
+  auto& fields = outgoing.head.fields;
+  if (answer) {
+    RemoveHopFields(fields);
+    RemoveField(fields, kErrorField);
+  }
+  SetField(fields, kMeshLoadField, EncodeLoad(gate_.Load()));
+  request.Answer(std::move(outgoing), nullptr);
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/request_router.cc
@@ -0,0 +1,27 @@
+#include "request_router.h"
+
+#include <utility>
+
+#include "routed_request.h"
+
+namespace pomelohall {
+
+request_router::request_router(boost::asio::io_context& io,
+                               request_router_options options,
+                               server_gate& gate, server_directory& directory,
+                               retry_budget& budget, connection_pool& peers,
+                               sidecar_metrics& metrics, std::uint64_t seed)
+    : io_(io),
+      options_(std::move(options)),
+      gate_(gate),
+      directory_(directory),
+      budget_(budget),
+      peers_(peers),
+      metrics_(metrics),
+      random_(seed) {}
+
+void request_router::OnRequest(std::shared_ptr<incoming_request> request) {
+  std::make_shared<routed_request>(*this, std::move(request))->Start();
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/routed_request.cc
@@ -0,0 +1,464 @@
+#include "routed_request.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "backend/buffered_body.h"
+#include "caller/error_answer.h"
+#include "caller/prefixed_body.h"
+#include "load_codec.h"
+#include "logging/log_event.h"
+#include "mesh/retry_hint.h"
+
+namespace pomelohall {
+namespace {
+
+constexpr int kGatewayTimeout = 504;
+
+// Tells a caller when to come back if no load is known, for example while no
+// configuration is known: about the time in which a daemon learns it.
+constexpr duration kUnknownWait = std::chrono::milliseconds(200);
+
+std::string Seconds(duration span) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", ToMillis(span) / 1000);
+  return text;
+}
+
+std::string Millis(duration span) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+}  // namespace
+
+routed_request::routed_request(request_router& router,
+                               std::shared_ptr<incoming_request> request)
+    : router_(router),
+      request_(std::move(request)),
+      table_(router.Table()),
+      head_(request_->Head()),
+      received_(request_->ReceivedAt()),
+      timer_(router.io_) {}
+
+void routed_request::Start() {
+  const auto& names = router_.options_.fields;
+  if (const auto* id = FindField(head_.fields, names.attempt_id)) {
+    attempt_id_ = *id;
+  }
+  left_at_start_ = router_.options_.default_deadline;
+  if (const auto* text = FindField(head_.fields, names.deadline)) {
+    if (const auto millis = ParseNumber(*text)) {
+      left_at_start_ = std::chrono::milliseconds(*millis);
+    }
+  }
+  request_->SetDisconnectHandler(
+      [self = shared_from_this()] { self->OnCallerGone(); });
+  if (SelectRoute()) ReadBody();
+}
+
+bool routed_request::SelectRoute() {
+  if (!table_) {
+    Fail({error_kind::kConfigUnknown, "no configuration is known yet"});
+    return false;
+  }
+  const auto* host = FindField(head_.fields, "Host");
+  route_ = table_->Find(host == nullptr ? "" : *host, head_.target);
+  if (route_ == nullptr) {
+    Fail({error_kind::kNoRoute, "no route matches host and path"});
+    return false;
+  }
+  const auto limit = table_->Config().limits.max_body_bytes;
+  if (head_.framing == body_framing::kLength && head_.length > limit) {
+    Fail({error_kind::kBodyTooLarge, "the body is above the configured limit"});
+    return false;
+  }
+  SetTimes();
+  return true;
+}
+
+void routed_request::SetTimes() {
+  const auto margin = router_.options_.answer_margin;
+  const auto usable = std::max(left_at_start_ - margin, left_at_start_ / 2);
+  give_up_at_ = received_ + std::min(route_->timeout, usable);
+  target_at_ = received_ + route_->latency_target;
+  timer_.expires_at(give_up_at_ + margin);
+  timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled) self->OnTimeout();
+      });
+}
+
+void routed_request::ReadBody() {
+  const auto body = request_->Body();
+  if (!body) {
+    OnBody(body_start{std::make_shared<const std::string>(), true});
+    return;
+  }
+  ReadBodyStart(body, kMaxBufferedBodyBytes,
+                [self = shared_from_this()](result<body_start> start) {
+                  self->OnBody(std::move(start));
+                });
+}
+
+void routed_request::OnBody(result<body_start> start) {
+  if (finished_) return;
+  if (!start) {
+    Fail({start.error().kind, start.error().message, run_state::kNotRun});
+    return;
+  }
+  if (start->whole) {
+    body_ = start->bytes;
+    head_.framing =
+        body_->empty() ? body_framing::kNone : body_framing::kLength;
+    head_.length = body_->size();
+  } else {
+    rest_ = std::make_shared<prefixed_body>(start->bytes, request_->Body());
+  }
+  service_ = table_->NextDestination(*route_);
+  router_.budget_.OnRequest(service_, received_);
+  demand_ = {.service = service_,
+             .kind = route_->kind,
+             .latency_target = route_->latency_target,
+             .excluded = {}};
+  RemoveHopFields(head_.fields);
+  for (const auto name : {kMeshInstanceField, kMeshClassField, kMeshKindField,
+                          kMeshPriorityField, kMeshTargetField}) {
+    RemoveField(head_.fields, name);
+  }
+  SetField(head_.fields, router_.options_.fields.caller_service,
+           router_.options_.caller_service);
+  OfferNext();
+}
+
+bool routed_request::MayOffer() const {
+  return offers_ < router_.options_.max_offers &&
+         sends_ < route_->max_servers && MonotonicNow() < give_up_at_ &&
+         (!rest_ || !rest_->Consumed());
+}
+
+void routed_request::OfferNext() {
+  const auto now = MonotonicNow();
+  std::optional<server_choice> choice;
+  if (MayOffer()) choice = router_.directory_.Choose(demand_, now);
+  if (choice) {
+    Offer(*choice);
+    return;
+  }
+  if (last_failure_) {
+    Fail(*last_failure_);
+  } else {
+    Fail({error_kind::kNoBackendServer,
+          "no backend server of " + service_ + " can be reached"});
+  }
+}
+
+void routed_request::Offer(const server_choice& choice) {
+  ++offers_;
+  offer_ = choice;
+  demand_.excluded.insert(choice.member.name);
+  router_.directory_.OnSent(choice.member.name);
+  if (choice.member.name == router_.options_.member) {
+    OfferToGate(choice);
+  } else {
+    OfferToPeer(choice);
+  }
+}
+
+outgoing_request routed_request::BuildRequest() const {
+  outgoing_request request;
+  request.head = head_;
+  if (rest_) {
+    request.body = rest_;
+  } else if (!body_->empty()) {
+    request.body = std::make_shared<buffered_body>(body_);
+  }
+  return request;
+}
+
+void routed_request::OfferToGate(const server_choice& choice) {
+  sent_ = router_.gate_.Start(
+      {.request = BuildRequest(),
+       .attempt_id = attempt_id_,
+       .instance = choice.member.server->instance,
+       .work_class = route_->name,
+       .kind = route_->kind,
+       .priority = route_->priority,
+       .target_at = target_at_,
+       .give_up_at = give_up_at_},
+      {.on_sent = nullptr,
+       .on_answer = [self = shared_from_this()](result<incoming_answer> answer) {
+         self->router_.directory_.OnLoad(self->offer_->member.name,
+                                         self->router_.gate_.Load(),
+                                         MonotonicNow());
+         self->OnAnswer(std::move(answer));
+       }});
+}
+
+void routed_request::OfferToPeer(const server_choice& choice) {
+  const auto now = MonotonicNow();
+  auto request = BuildRequest();
+  auto& fields = request.head.fields;
+  SetField(fields, router_.options_.fields.deadline, Millis(give_up_at_ - now));
+  SetField(fields, kMeshInstanceField, choice.member.server->instance);
+  SetField(fields, kMeshClassField, route_->name);
+  SetField(fields, kMeshKindField,
+           std::string(kRequestKindNames.Name(route_->kind)));
+  SetField(fields, kMeshPriorityField, std::to_string(route_->priority));
+  SetField(fields, kMeshTargetField, Millis(target_at_ - now));
+  sent_ = router_.peers_.Start(
+      choice.member.address, std::move(request),
+      {.on_sent = nullptr,
+       .on_answer = [self = shared_from_this()](result<incoming_answer> answer) {
+         self->OnPeerAnswer(std::move(answer));
+       }});
+}
+
+void routed_request::OnPeerAnswer(result<incoming_answer> answer) {
+  if (finished_) return;
+  if (!answer) {
+    OnAnswer(std::move(answer));
+    return;
+  }
+  auto& head = answer->head;
+  if (const auto* text = FindField(head.fields, kMeshLoadField)) {
+    if (const auto load = DecodeLoad(*text)) {
+      router_.directory_.OnLoad(offer_->member.name, *load, MonotonicNow());
+    }
+  }
+  auto failure = ErrorFromAnswer(head);
+  RemoveField(head.fields, kMeshLoadField);
+  RemoveHopFields(head.fields);
+  if (!failure) {
+    OnAnswer(std::move(answer));
+    return;
+  }
+  if (!answer->body) {
+    OnAnswer(tl::unexpected(std::move(*failure)));
+    return;
+  }
+  // Read to its end, which keeps the connection.
+  ReadBodyStart(answer->body, kMaxBufferedBodyBytes,
+                [self = shared_from_this(),
+                 failure = *failure](const result<body_start>&) {
+                  self->OnAnswer(tl::unexpected(failure));
+                });
+}
+
+void routed_request::OnAnswer(result<incoming_answer> answer) {
+  if (finished_) return;
+  if (answer) {
+    ++sends_;
+    if (ShouldRepeat(answer->head.status)) {
+      sent_->Cancel();
+      EndOffer(send_outcome::kFailed);
+      OfferNext();
+      return;
+    }
+    ReadAnswer(std::move(*answer));
+  } else if (answer.error().ran == run_state::kNotRun) {
+    OnRefused(answer.error());
+  } else {
+    OnBroken(answer.error());
+  }
+}
+
+// A failure of one backend server is often not one of the others. At the
+// deadline no other has time left.
+bool routed_request::ShouldRepeat(int status) {
+  if (status < 500 || status == kGatewayTimeout) return false;
+  return IsIdempotent(route_->kind) && MayOffer() && TakeRepeat();
+}
+
+bool routed_request::TakeRepeat() {
+  return router_.budget_.TryRepeat(service_, MonotonicNow());
+}
+
+void routed_request::OnRefused(const error& failure) {
+  last_failure_ = failure;
+  switch (failure.kind) {
+    case error_kind::kBackendFailed:  // The backend server itself refused.
+      ++sends_;
+      EndOffer(send_outcome::kFailed);
+      if (!MayOffer() || !TakeRepeat()) {
+        Fail({error_kind::kOverloaded, failure.message, run_state::kNotRun});
+        return;
+      }
+      break;
+    case error_kind::kOverloaded:
+      EndOffer(send_outcome::kRefused);
+      break;
+    case error_kind::kDraining:
+    case error_kind::kNoBackendServer:
+      router_.directory_.OnNotServing(offer_->member.name, MonotonicNow());
+      EndOffer(send_outcome::kRefused);
+      break;
+    default:
+      EndOffer(send_outcome::kUnreachable);
+      break;
+  }
+  OfferNext();
+}
+
+void routed_request::OnBroken(const error& failure) {
+  ++sends_;
+  may_have_run_ = true;
+  last_failure_ = error(error_kind::kBackendFailed, failure.message,
+                        run_state::kUnknown);
+  EndOffer(failure.kind == error_kind::kPeerUnreachable
+               ? send_outcome::kUnreachable
+               : send_outcome::kFailed);
+  if (IsIdempotent(route_->kind) && MayOffer() && TakeRepeat()) {
+    OfferNext();
+  } else {
+    Fail(*last_failure_);
+  }
+}
+
+void routed_request::EndOffer(send_outcome outcome) {
+  if (!offer_) return;
+  constexpr std::array<std::string_view, 4> kNames{"served", "failed",
+                                                   "refused", "unreachable"};
+  const auto name = kNames[static_cast<std::size_t>(outcome)];
+  router_.directory_.OnEnded(offer_->member.name, outcome, MonotonicNow());
+  router_.metrics_.OnOffer(name);
+  if (outcome != send_outcome::kServed) {
+    log_event(log_level::kInfo, "offer_ended")
+        .With("request", attempt_id_)
+        .With("member", offer_->member.name)
+        .With("instance", offer_->member.server->instance)
+        .With("outcome", name)
+        .With("reason", last_failure_ ? last_failure_->message : "")
+        .With("expected_ms", Millis(offer_->expected))
+        .With("report_age_ms", Millis(offer_->report_age))
+        .With("candidates", static_cast<std::uint64_t>(offer_->candidates))
+        .With("version", table_->Version());
+  }
+  offer_.reset();
+  sent_ = nullptr;
+}
+
+void routed_request::ReadAnswer(incoming_answer answer) {
+  answer_ = std::move(answer);
+  if (!answer_->body) {
+    Deliver();
+    return;
+  }
+  // A small answer is read whole before it is passed on: if it breaks off, the
+  // request can still be repeated, and the caller sees no torn answer.
+  ReadBodyStart(answer_->body, kMaxBufferedBodyBytes,
+                [self = shared_from_this()](const result<body_start>& start) {
+                  self->OnAnswerBody(start);
+                });
+}
+
+void routed_request::OnAnswerBody(const result<body_start>& start) {
+  if (finished_) return;
+  if (!start) {
+    answer_.reset();
+    --sends_;  // Counted again as broken.
+    OnBroken(start.error());
+    return;
+  }
+  if (start->whole) {
+    answer_->body = std::make_shared<buffered_body>(start->bytes);
+    answer_->head.framing = body_framing::kLength;
+    answer_->head.length = start->bytes->size();
+    if (start->bytes->empty()) answer_->body = nullptr;
+  } else {
+    answer_->body = std::make_shared<prefixed_body>(start->bytes, answer_->body);
+  }
+  Deliver();
+}
+
+void routed_request::Deliver() {
+  delivering_ = true;
+  const int status = answer_->head.status;
+  EndOffer(status < 500 ? send_outcome::kServed : send_outcome::kFailed);
+  Answer(std::move(*answer_), "");
+}
+
+void routed_request::Fail(const error& failure) {
+  auto told = failure;
+  // One of the attempts may have run, whatever the last one says.
+  if (may_have_run_ && told.ran == run_state::kNotRun) {
+    told = {error_kind::kBackendFailed, failure.message, run_state::kUnknown};
+  }
+  auto answer = ErrorAnswer(told);
+  RemoveField(answer.head.fields, kErrorField);
+  if (told.ran == run_state::kNotRun && answer.head.status == 503) {
+    const auto left = left_at_start_ - (MonotonicNow() - received_);
+    SetField(answer.head.fields, "Retry-After",
+             Seconds(RetryHint(kUnknownWait, left, router_.random_)));
+  }
+  if (!attempt_id_.empty()) {
+    SetField(answer.head.fields, router_.options_.fields.attempt_id,
+             attempt_id_);
+  }
+  log_event(log_level::kInfo, "request_failed")
+      .With("request", attempt_id_)
+      .With("route", route_ == nullptr ? "" : route_->name)
+      .With("service", service_)
+      .With("error", AnswerFor(told.kind).name)
+      .With("ran", RunStateName(told.ran))
+      .With("reason", told.message)
+      .With("offers", static_cast<std::uint64_t>(offers_))
+      .With("sends", static_cast<std::uint64_t>(sends_))
+      .With("after_ms", Millis(MonotonicNow() - received_))
+      .With("version", table_ ? table_->Version() : 0);
+  Answer(std::move(answer), AnswerFor(told.kind).name.data());
+}
+
+void routed_request::Answer(incoming_answer answer, const char* reason) {
+  const int status = answer.head.status;
+  request_->Answer(std::move(answer),
+                   [self = shared_from_this(), status,
+                    text = std::string(reason)](answer_written written) {
+                     self->Finish(written.whole ? status : 0, text);
+                   });
+  if (!delivering_) finished_ = true;
+}
+
+void routed_request::OnTimeout() {
+  if (finished_) return;
+  if (delivering_) {
+    if (!answer_) return;
+    return;
+  }
+  if (sent_) {
+    may_have_run_ = true;
+    sent_->Cancel();
+  }
+  last_failure_ = error(error_kind::kDeadlineExceeded,
+                        "no answer within the time-out of the route",
+                        run_state::kUnknown);
+  EndOffer(send_outcome::kFailed);
+  Fail(*last_failure_);
+}
+
+void routed_request::OnCallerGone() {
+  if (finished_) return;
+  finished_ = true;
+  if (sent_) sent_->Cancel();
+  last_failure_ = error(error_kind::kCancelled, "the caller left");
+  EndOffer(send_outcome::kRefused);
+  Finish(0, "cancelled");
+}
+
+void routed_request::Finish(int status, const std::string& reason) {
+  finished_ = true;
+  timer_.cancel();
+  const auto took = MonotonicNow() - received_;
+  router_.metrics_.OnRequest(route_ == nullptr ? "none" : route_->name, status,
+                             took);
+  log_event(log_level::kInfo, "request_done")
+      .With("request", attempt_id_)
+      .With("status", static_cast<std::int64_t>(status))
+      .With("reason", reason)
+      .With("ms", Millis(took))
+      .With("service", service_)
+      .With("version", table_ ? table_->Version() : 0);
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/sidecar.cc
@@ -0,0 +1,315 @@
+#include "sidecar/sidecar.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <utility>
+
+#include "backend/connection_pool.h"
+#include "caller/call_server.h"
+#include "collection_watch.h"
+#include "config_holder.h"
+#include "logging/log_event.h"
+#include "member_list.h"
+#include "member_publisher.h"
+#include "mesh/retry_budget.h"
+#include "mesh/server_directory.h"
+#include "mesh_endpoint.h"
+#include "request_router.h"
+#include "server_gate.h"
+#include "sidecar_metrics.h"
+
+namespace pomelohall {
+namespace {
+
+// Resolution of what waits for time at the gate; well below the shortest
+// latency targets of a few hundred milliseconds.
+constexpr duration kTickInterval = std::chrono::milliseconds(50);
+// Idle connections and silence of the backend server are checked this often.
+constexpr std::int64_t kTicksPerSweep = 20;
+// Readiness is checked once a second, and callers turn away after two misses.
+constexpr duration kTurnAwayTime = std::chrono::milliseconds(2200);
+// Kept of the stop grace for the end of the process itself.
+constexpr duration kExitMargin = std::chrono::milliseconds(400);
+// A connection between daemons opens within milliseconds or not at all.
+constexpr duration kPeerConnectTimeout = std::chrono::milliseconds(300);
+// Bytes between daemons are acknowledged within milliseconds; this leaves room
+// for two lost packets in a row.
+constexpr duration kPeerSilenceTimeout = std::chrono::milliseconds(1000);
+// Watch of the members: a stale record costs an offer that is refused.
+constexpr duration kMemberWatchWait = std::chrono::seconds(10);
+constexpr duration kMemberWatchPause = std::chrono::milliseconds(200);
+// Announcements that a backend server may miss until it counts as gone; they
+// arrive seconds late at times.
+constexpr std::int64_t kMissedAnnouncements = 6;
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::uint64_t UnixMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+class sidecar::impl {
+ public:
+  impl(boost::asio::io_context& io, sidecar_settings settings,
+       sidecar_platform platform)
+      : settings_(std::move(settings)),
+        incarnation_(UnixMillis()),
+        gate_(io, {.fields = platform.fields,
+                   .server_address = settings_.server_address,
+                   // Half of the time is left to those that are on their way.
+                   .leaving_grace = settings_.drain_time / 2,
+                   .announcement_timeout =
+                       settings_.announce_interval * kMissedAnnouncements}),
+        directory_({.member = settings_.name,
+                    .data_centre = settings_.data_centre},
+                   RandomSeed()),
+        budget_({.ratio = settings_.retry_ratio,
+                 .window = settings_.retry_window,
+                 .allowance = settings_.retry_allowance}),
+        peers_(io, {.max_connections = kMaxPeerConnections,
+                    .connect_timeout = kPeerConnectTimeout,
+                    .silence_timeout = kPeerSilenceTimeout,
+                    .echo_field = platform.fields.attempt_id,
+                    .connect_error = error_kind::kPeerUnreachable,
+                    .lost_error = error_kind::kPeerUnreachable}),
+        router_(io,
+                {.fields = platform.fields,
+                 .member = settings_.name,
+                 .caller_service = settings_.server_service},
+                gate_, directory_, budget_, peers_, metrics_, RandomSeed()),
+        endpoint_(gate_, platform.fields),
+        callers_(io, {.address = settings_.caller_address}, router_),
+        daemons_(io, {.address = settings_.forward_address}, endpoint_),
+        publisher_(io, *platform.store, RandomSeed()),
+        config_(platform.config_name, platform.decode_config,
+                [this](std::shared_ptr<route_table> table) {
+                  OnTable(std::move(table));
+                }),
+        members_(settings_.name, directory_, budget_, publisher_),
+        config_watch_(io, *platform.store, config_,
+                      {.collection = store_collection::kConfiguration,
+                       .wait = ConfigWait(),
+                       .pause_after_change = settings_.apply_time / 4},
+                      RandomSeed()),
+        member_watch_(io, *platform.store, members_,
+                      {.collection = store_collection::kMembers,
+                       .wait = kMemberWatchWait,
+                       .pause_after_change = kMemberWatchPause},
+                      RandomSeed()),
+        tick_timer_(io),
+        stop_timer_(io) {
+    gate_.SetOfferObserver([this] { OnOfferChanged(); });
+  }
+
+  result<void> Start() {
+    if (auto listening = callers_.Listen(); !listening) return listening;
+    if (auto listening = daemons_.Listen(); !listening) return listening;
+    log_event(log_level::kInfo, "sidecar_started")
+        .With("member", settings_.name)
+        .With("data_centre", settings_.data_centre)
+        .With("incarnation", incarnation_)
+        .With("caller", settings_.caller_address)
+        .With("forward", settings_.forward_address)
+        .With("backend_server", settings_.server_address);
+    OnOfferChanged();
+    config_watch_.Start();
+    member_watch_.Start();
+    ScheduleTick();
+    return {};
+  }
+
+  void Reload(const sidecar_settings& settings) {
+    settings_.server_address = settings.server_address;
+    settings_.server_service = settings.server_service;
+    gate_.SetServerAddress(settings.server_address);
+    router_.SetCallerService(settings.server_service);
+    log_event(log_level::kInfo, "settings_reloaded")
+        .With("backend_server", settings.server_address)
+        .With("service", settings.server_service);
+  }
+
+  bool IsReady() const { return router_.Table() != nullptr && !stopping_; }
+
+  void Stop(std::function<void()> done) {
+    if (stopping_) return;
+    stopping_ = true;
+    on_stopped_ = std::move(done);
+    kill_at_ = MonotonicNow() + settings_.stop_grace - kExitMargin;
+    log_event(log_level::kInfo, "sidecar_stopping")
+        .With("member", settings_.name)
+        .With("caller_connections",
+              static_cast<std::uint64_t>(callers_.OpenConnections()));
+    callers_.CloseAfterAnswers();
+    // Other daemons learn of it while the requests that are on their way still
+    // run.
+    leaving_ = true;
+    OnOfferChanged();
+    After(kTurnAwayTime, [this] { CloseListeners(); });
+  }
+
+  bool OnAnnounced(const server_announcement& announcement) {
+    return gate_.OnAnnounced(announcement, MonotonicNow());
+  }
+
+  bool OnWithdrawn(const std::string& instance) {
+    return gate_.OnWithdrawn(instance, MonotonicNow());
+  }
+
+  std::string RenderMetrics() { return metrics_.Render(); }
+
+ private:
+  // Far above what one daemon needs to another; the gate there is the bound.
+  static constexpr std::size_t kMaxPeerConnections = 200;
+
+  duration ConfigWait() const {
+    // A watch whose connection fell silent has to be noticed within the contact
+    // time.
+    return std::max<duration>(settings_.contact_time * 3 / 4,
+                              std::chrono::milliseconds(500));
+  }
+
+  void OnTable(std::shared_ptr<route_table> table) {
+    metrics_.SetVersion(table->Version());
+    const auto& limits = table->Config().limits;
+    callers_.SetLimits({.idle_timeout = limits.idle_timeout,
+                        .header_timeout = limits.header_timeout,
+                        .max_header_bytes = limits.max_header_bytes});
+    router_.SetTable(std::move(table));
+  }
+
+  void OnOfferChanged() {
+    const auto offer = leaving_ ? std::nullopt : gate_.Offer();
+    const mesh_member self{.name = settings_.name,
+                           .data_centre = settings_.data_centre,
+                           .address = settings_.forward_address,
+                           .incarnation = incarnation_,
+                           .server = offer};
+    // Requests of this VM may use the own backend server until the end.
+    auto own = self;
+    own.server = gate_.Offer();
+    directory_.Put(own, MonotonicNow());
+    budget_.SetDaemons(directory_.Members().size());
+    publisher_.Publish(self);
+    const auto& announced = gate_.Server().Announced();
+    if (announced) router_.SetCallerService(announced->service);
+  }
+
+  void ScheduleTick() {
+    tick_timer_.expires_after(kTickInterval);
+    tick_timer_.async_wait([this](boost::system::error_code cancelled) {
+      if (cancelled) return;
+      const auto now = MonotonicNow();
+      if (!gate_.Idle()) gate_.Tick(now);
+      if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
+      FlushLineOutput();
+      ScheduleTick();
+    });
+  }
+
+  void Sweep(instant now) {
+    callers_.Sweep(now);
+    daemons_.Sweep(now);
+    peers_.Sweep(now);
+    gate_.Sweep(now);
+  }
+
+  template <typename Function>
+  void After(duration pause, Function next) {
+    stop_timer_.expires_after(pause);
+    stop_timer_.async_wait([next](boost::system::error_code cancelled) {
+      if (!cancelled) next();
+    });
+  }
+
+  void CloseListeners() {
+    gate_.StopAccepting();
+    callers_.Stop([this] { OnServerStopped(); });
+    daemons_.Stop([this] { OnServerStopped(); });
+    After(std::max(kill_at_ - MonotonicNow(), duration(0)),
+          [this] { OnStopped("time"); });
+  }
+
+  void OnServerStopped() {
+    constexpr int kServers = 2;
+    if (++stopped_servers_ == kServers) OnStopped("idle");
+  }
+
+  void OnStopped(const char* reason) {
+    config_watch_.Stop();
+    member_watch_.Stop();
+    publisher_.Stop();
+    tick_timer_.cancel();
+    stop_timer_.cancel();
+    log_event(log_level::kInfo, "sidecar_stopped")
+        .With("member", settings_.name)
+        .With("reason", reason)
+        .With("caller_connections",
+              static_cast<std::uint64_t>(callers_.OpenConnections()));
+    FlushLineOutput();
+    if (const auto done = std::exchange(on_stopped_, nullptr)) done();
+  }
+
+  sidecar_settings settings_;
+  const std::uint64_t incarnation_;
+  sidecar_metrics metrics_;
+  server_gate gate_;
+  server_directory directory_;
+  retry_budget budget_;
+  connection_pool peers_;
+  request_router router_;
+  mesh_endpoint endpoint_;
+  call_server callers_;
+  call_server daemons_;
+  member_publisher publisher_;
+  config_holder config_;
+  member_list members_;
+  collection_watch config_watch_;
+  collection_watch member_watch_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer stop_timer_;
+  std::int64_t ticks_ = 0;
+  bool stopping_ = false;
+  bool leaving_ = false;
+  instant kill_at_;
+  int stopped_servers_ = 0;
+  std::function<void()> on_stopped_;
+};
+
+sidecar::sidecar(boost::asio::io_context& io, sidecar_settings settings,
+                 sidecar_platform platform)
+    : impl_(std::make_unique<impl>(io, std::move(settings),
+                                   std::move(platform))) {}
+
+sidecar::~sidecar() = default;
+
+result<void> sidecar::Start() { return impl_->Start(); }
+
+void sidecar::Reload(const sidecar_settings& settings) {
+  impl_->Reload(settings);
+}
+
+void sidecar::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
+
+bool sidecar::IsReady() const { return impl_->IsReady(); }
+
+bool sidecar::OnAnnounced(const server_announcement& announcement) {
+  return impl_->OnAnnounced(announcement);
+}
+
+bool sidecar::OnWithdrawn(const std::string& instance) {
+  return impl_->OnWithdrawn(instance);
+}
+
+std::string sidecar::RenderMetrics() { return impl_->RenderMetrics(); }
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/sidecar_metrics.cc
@@ -0,0 +1,51 @@
+#include "sidecar_metrics.h"
+
+#include "logging/log_event.h"
+
+namespace pomelohall {
+namespace {
+
+// Answers take between a fraction of a millisecond and the longest deadlines of
+// about ten seconds.
+constexpr histogram_range kLatencyRange{
+    .lowest = 0.001, .highest = 10, .buckets = 24};
+
+}  // namespace
+
+sidecar_metrics::sidecar_metrics()
+    : version_(registry_.Gauge("pomelohall_config_version",
+                               "Version of the configuration in force.")),
+      dropped_lines_(registry_.Counter("pomelohall_log_lines_dropped_total",
+                                       "Log lines above the rate limit.")) {}
+
+void sidecar_metrics::OnRequest(const std::string& work_class, int status,
+                                duration took) {
+  registry_
+      .Counter("pomelohall_requests_total", "Requests of callers, by status.",
+               {{"class", work_class}, {"status", std::to_string(status)}})
+      .Add();
+  registry_
+      .Histogram("pomelohall_request_seconds",
+                 "Time from the request to the end of its answer.",
+                 kLatencyRange, {{"class", work_class}})
+      .Record(ToMillis(took) / 1000);
+}
+
+void sidecar_metrics::OnOffer(std::string_view outcome) {
+  registry_
+      .Counter("pomelohall_offers_total",
+               "Offers of requests to backend servers, by outcome.",
+               {{"outcome", std::string(outcome)}})
+      .Add();
+}
+
+void sidecar_metrics::SetVersion(std::uint64_t version) {
+  version_.Set(static_cast<std::int64_t>(version));
+}
+
+std::string sidecar_metrics::Render() {
+  dropped_lines_.SetTotal(DroppedLines());
+  return registry_.Render();
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/sidecar_metrics.h
@@ -0,0 +1,32 @@
+#ifndef POMELOHALL_SIDECAR_SRC_SIDECAR_METRICS_H_
+#define POMELOHALL_SIDECAR_SRC_SIDECAR_METRICS_H_
+
+#include <string>
+
+#include "base/time.h"
+#include "metrics/metric_registry.h"
+
+namespace pomelohall {
+
+// Counters and histograms of a sidecar.
+class sidecar_metrics {
+ public:
+  sidecar_metrics();
+
+  // Counts a request of a caller that ended with `status` (0: no answer).
+  void OnRequest(const std::string& work_class, int status, duration took);
+  // Counts an offer to a backend server by its outcome.
+  void OnOffer(std::string_view outcome);
+  void SetVersion(std::uint64_t version);
+
+  std::string Render();
+
+ private:
+  metric_registry registry_;
+  gauge& version_;
+  counter& dropped_lines_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_SRC_SIDECAR_METRICS_H_
--- /dev/null
+++ b/libs/sidecar/src/sidecar_settings.cc
@@ -0,0 +1,153 @@
+#include "sidecar/sidecar_settings.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "backend/http_message.h"
+#include "settings/schema_check.h"
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kSchema = R"json({
+  "$schema": "http://json-schema.org/draft-07/schema#",
+  "title": "Settings of pomelohall-sidecar",
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["name", "data_centre", "backend_server", "listeners", "store"],
+  "definitions": {
+    "text": {"type": "string", "minLength": 1},
+    "address": {
+      "type": "string",
+      "pattern": "^[0-9.]+:[1-9][0-9]{0,4}$",
+      "$comment": "\"ip:port\" with a port of 1 to 65535"
+    },
+    "millis": {"type": "number", "minimum": 1},
+    "ratio": {"type": "number", "minimum": 0}
+  },
+  "properties": {
+    "name": {"$ref": "#/definitions/text"},
+    "data_centre": {"$ref": "#/definitions/text"},
+    "backend_server": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["address", "service"],
+      "properties": {
+        "address": {"$ref": "#/definitions/address"},
+        "service": {"$ref": "#/definitions/text"},
+        "announce_interval_ms": {"$ref": "#/definitions/millis"},
+        "drain_ms": {"$ref": "#/definitions/millis"}
+      }
+    },
+    "listeners": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["caller", "forward", "local", "ready", "metrics"],
+      "properties": {
+        "caller": {"$ref": "#/definitions/address"},
+        "forward": {"$ref": "#/definitions/address"},
+        "local": {"$ref": "#/definitions/address"},
+        "ready": {"$ref": "#/definitions/address"},
+        "metrics": {"$ref": "#/definitions/address"}
+      }
+    },
+    "store": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["address"],
+      "properties": {"address": {"$ref": "#/definitions/address"}}
+    },
+    "stop_grace_ms": {"$ref": "#/definitions/millis"},
+    "apply_ms": {"$ref": "#/definitions/millis"},
+    "contact_ms": {"$ref": "#/definitions/millis"},
+    "retries": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "ratio": {"$ref": "#/definitions/ratio"},
+        "window_ms": {"$ref": "#/definitions/millis"},
+        "allowance": {"$ref": "#/definitions/ratio"}
+      }
+    }
+  }
+})json";
+
+result<json> ParseDocument(const std::string& text) {
+  auto document = json::parse(text, nullptr, false);
+  if (document.is_discarded()) {
+    return Fail(error_kind::kInvalidSettings, "the settings are not JSON");
+  }
+  static const json schema = json::parse(kSchema);
+  const auto faults = CheckAgainstSchema(schema, document);
+  if (faults.empty()) return document;
+  std::string message = "invalid settings:";
+  for (const auto& [path, fault] : faults) message += "\n  " + path + ": " + fault;
+  return Fail(error_kind::kInvalidSettings, message);
+}
+
+// Requires a document that the schema admits.
+void ReadMillis(const json& object, const char* field, duration& value) {
+  const auto found = object.find(field);
+  if (found == object.end()) return;
+  value = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(found->get<double>()));
+}
+
+void ReadServer(const json& server, sidecar_settings& settings) {
+  settings.server_address = server.at("address");
+  settings.server_service = server.at("service");
+  ReadMillis(server, "announce_interval_ms", settings.announce_interval);
+  ReadMillis(server, "drain_ms", settings.drain_time);
+}
+
+void ReadListeners(const json& listeners, sidecar_settings& settings) {
+  settings.caller_address = listeners.at("caller");
+  settings.forward_address = listeners.at("forward");
+  settings.local_address = listeners.at("local");
+  settings.ready_address = listeners.at("ready");
+  settings.metrics_address = listeners.at("metrics");
+}
+
+void ReadRetries(const json& retries, sidecar_settings& settings) {
+  settings.retry_ratio = retries.value("ratio", settings.retry_ratio);
+  ReadMillis(retries, "window_ms", settings.retry_window);
+  settings.retry_allowance =
+      retries.value("allowance", settings.retry_allowance);
+}
+
+}  // namespace
+
+result<sidecar_settings> ParseSidecarSettings(const std::string& text) {
+  const auto document = ParseDocument(text);
+  if (!document) return tl::unexpected(document.error());
+  sidecar_settings settings;
+  settings.name = document->at("name");
+  settings.data_centre = document->at("data_centre");
+  ReadServer(document->at("backend_server"), settings);
+  ReadListeners(document->at("listeners"), settings);
+  settings.store_address = document->at("store").at("address");
+  ReadMillis(*document, "stop_grace_ms", settings.stop_grace);
+  ReadMillis(*document, "apply_ms", settings.apply_time);
+  ReadMillis(*document, "contact_ms", settings.contact_time);
+  if (document->contains("retries")) {
+    ReadRetries(document->at("retries"), settings);
+  }
+  return settings;
+}
+
+result<sidecar_settings> LoadSidecarSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return Fail(error_kind::kInvalidSettings,
+                path + ": " + std::strerror(errno));
+  }
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  return ParseSidecarSettings(text);
+}
+
+}  // namespace pomelohall
