Serve requests that can meet their target first

Change: a caller with clearly less time left than usual on its route counts as returning, and its work goes behind work in time; work in time runs by earliest target; late work waits 50 ms at most; refused callers return after a quarter to a third of their time; a signed failure is kept and passed on if its repeat finds no server (before, such a request was answered as not run). Ruled out: more slots in use; the backend servers were full.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -34,8 +34,8 @@
   /// value belongs to an earlier request and is skipped.
   std::string echo_field{kCallIdField};
   /// Takes answers without a length, which end with their connection. Such an
-  /// answer is passed on as chunked; it is whole unless the connection is reset.
-  /// False: they count as cut short.
+  /// answer is passed on as chunked; it is whole unless the connection is
+  /// reset. False: they count as cut short.
   bool allow_unframed = false;
   /// Error of a call that found no connection (always not run).
   error_kind connect_error = error_kind::kNoBackendServer;
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -32,8 +32,8 @@
 
 void SetOption(asio::ip::tcp::socket& socket, int level, int name, int value) {
   // A system without the option only detects silence later.
-  static_cast<void>(::setsockopt(socket.native_handle(), level, name, &value,
-                                 sizeof value));
+  static_cast<void>(
+      ::setsockopt(socket.native_handle(), level, name, &value, sizeof value));
 }
 
 // Without these, a connection to a VM without power stays open for minutes.
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -113,8 +113,7 @@
 void call_session::ParseAhead() {
   const auto keep_alive = shared_from_this();
   while (!closed_ && !deferred_ && !reading_header_ && !linger_until_ &&
-         !(answering_ && closing_) &&
-         buffer_.size() > 0 && !pending_.empty() &&
+         !(answering_ && closing_) && buffer_.size() > 0 && !pending_.empty() &&
          pending_.size() < kMaxPipelined && BodyRead() &&
          pending_.back().keep_alive && !draining_) {
     NewParser();
@@ -210,10 +209,9 @@
   }
   const bool too_large = failure == http::error::header_limit ||
                          failure == http::error::buffer_overflow;
-  RefuseRequest(
-      ErrorAnswer({too_large ? error_kind::kHeadersTooLarge
-                             : error_kind::kInvalidRequest,
-                   "the request header is refused: " + failure.message()}));
+  RefuseRequest(ErrorAnswer(
+      {too_large ? error_kind::kHeadersTooLarge : error_kind::kInvalidRequest,
+       "the request header is refused: " + failure.message()}));
 }
 
 std::optional<error> call_session::CheckHeader() const {
@@ -356,7 +354,8 @@
 void call_session::SetDisconnectHandler(const server_request* request,
                                         std::function<void()> handler) {
   for (auto& entry : pending_) {
-    if (entry.request.get() == request) entry.on_disconnect = std::move(handler);
+    if (entry.request.get() == request)
+      entry.on_disconnect = std::move(handler);
   }
 }
 
--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -11,8 +11,8 @@
 
 #include "backend/buffered_body.h"
 #include "caller/error_answer.h"
-#include "key_home.h"
 #include "caller/observed_body.h"
+#include "key_home.h"
 #include "owner.h"
 
 namespace pomelohall {
--- a/libs/caller/src/entry_call.h
+++ b/libs/caller/src/entry_call.h
@@ -11,8 +11,8 @@
 
 #include "caller/body_tools.h"
 #include "caller/incoming_request.h"
-#include "policy/call_plan.h"
 #include "caller/prefixed_body.h"
+#include "policy/call_plan.h"
 #include "service_context.h"
 
 namespace pomelohall {
--- a/libs/logging/src/line_output.cc
+++ b/libs/logging/src/line_output.cc
@@ -65,8 +65,7 @@
 
 void line_output::Flush() {
   if (pending_.empty()) return;
-  const auto written =
-      ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+  const auto written = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
   // A reader that is slow or gone: the lines stay pending, up to their bound.
   if (written > 0) pending_.erase(0, static_cast<std::size_t>(written));
 }
--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -54,7 +54,9 @@
   explicit local_server(local_server_options options);
 
   /// Changes the address, for example after a reload of the settings.
-  void SetAddress(std::string address) { options_.address = std::move(address); }
+  void SetAddress(std::string address) {
+    options_.address = std::move(address);
+  }
 
   /// Takes an announcement.
   /// @return False if it is older than what is known, or names another address.
--- a/libs/mesh/include/mesh/mesh_config.h
+++ b/libs/mesh/include/mesh/mesh_config.h
@@ -41,7 +41,7 @@
   std::string host;         ///< Lower case, without port.
   std::string path_prefix;  ///< Begins and ends with "/".
   request_kind kind = request_kind::kUnsafe;
-  duration timeout{0};         ///< From receipt to the last moment of an answer.
+  duration timeout{0};  ///< From receipt to the last moment of an answer.
   duration latency_target{0};  ///< An answer within it meets the target.
   int priority = 0;            ///< 0 is the most urgent.
   std::vector<destination> destinations;  ///< At least one.
--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -20,9 +20,9 @@
 /// A daemon and what it offers. Each daemon writes its own record to the
 /// platform's store when it changes.
 struct mesh_member {
-  std::string name;         ///< Unique, of the settings.
-  std::string data_centre;  ///< Of the settings.
-  std::string address;      ///< "ip:port" for requests of other daemons.
+  std::string name;               ///< Unique, of the settings.
+  std::string data_centre;        ///< Of the settings.
+  std::string address;            ///< "ip:port" for requests of other daemons.
   std::uint64_t incarnation = 0;  ///< Differs for each start of the daemon.
   std::optional<offered_server> server;  ///< Nothing while it takes no work.
 
--- a/libs/mesh/include/mesh/retry_hint.h
+++ b/libs/mesh/include/mesh/retry_hint.h
@@ -6,17 +6,21 @@
 
 namespace pomelohall {
 
-/// Returns after which time a refused caller should come back.
+/// Why a request was refused.
+enum class refusal_cause {
+  kOverload,  ///< The backend servers have no room.
+  kNoServer,  ///< None can be reached, or no configuration is known.
+};
+
+/// Returns after which time a refused caller should come back: at most a third
+/// of the time that it has left, so that its next attempt can still run.
 ///
 /// Answers the load in which many callers are refused at once: told the same
-/// time, they come back together and are refused together. The time is that in
-/// which the work ahead ends, at least a tenth of what the caller has left so
-/// that it does not spin, and at most a third of it so that its next attempt
-/// still has time to run; a random part spreads the callers.
-/// @param expected_wait Time until work offered now would start.
+/// time, they come back together and are refused together, so a random part
+/// spreads them. An overload lasts for seconds and its callers come back late
+/// in their time; a missing backend server is replaced within moments.
 /// @param left Time until the caller's deadline.
-duration RetryHint(duration expected_wait, duration left,
-                   random_source& random);
+duration RetryHint(refusal_cause cause, duration left, random_source& random);
 
 }  // namespace pomelohall
 
--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -76,9 +76,7 @@
   /// Removes all members that are not in `names`.
   void Retain(const std::set<std::string>& names);
 
-  const std::map<std::string, mesh_member>& Members() const {
-    return members_;
-  }
+  const std::map<std::string, mesh_member>& Members() const { return members_; }
 
   /// Returns the server for a request, or nothing if none can take it.
   std::optional<server_choice> Choose(const server_demand& demand, instant now);
--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -28,9 +28,12 @@
 struct work_queue_options {
   std::size_t slots = 1;  ///< Requests that run at once.
   /// Work that misses its target waits only while the queue is shorter than
-  /// this part of the time to the target: late work must not build a queue that
-  /// makes work late which arrives in time.
-  double late_share = 0.25;
+  /// this: late work must not build a queue that makes work late which arrives
+  /// in time.
+  duration late_wait = std::chrono::milliseconds(50);
+  /// Part of the mean time that is allowed for in addition when work is judged
+  /// by its target, as times differ.
+  double time_margin = 0.25;
 };
 
 /// What becomes of offered work.
@@ -88,8 +91,10 @@
   work_load Load() const;
 
  private:
-  // Order of the queue: priority, then work that meets its target, then age.
-  using order_key = std::tuple<int, bool, std::uint64_t>;
+  // Order of the queue: priority, then work that meets its target, then the
+  // earlier target, which puts the short calls of running requests before new
+  // requests of the same priority; then age.
+  using order_key = std::tuple<int, bool, instant, std::uint64_t>;
 
   bool MeetsTarget(const work_item& item, instant start) const;
   void Start(const work_item& item);
--- a/libs/mesh/src/retry_budget.cc
+++ b/libs/mesh/src/retry_budget.cc
@@ -45,12 +45,11 @@
 bool retry_budget::TryRepeat(const std::string& service, run_state ran,
                              instant now) {
   const auto sum = Sum(service, now);
-  const double share = ran == run_state::kNotRun ? options_.not_run_share
-                                                 : options_.ran_share;
+  const double share =
+      ran == run_state::kNotRun ? options_.not_run_share : options_.ran_share;
   const double budget =
-      share *
-      (options_.ratio * sum.requests +
-       options_.allowance / static_cast<double>(daemons_));
+      share * (options_.ratio * sum.requests +
+               options_.allowance / static_cast<double>(daemons_));
   if (sum.repeats + 1 > budget) return false;
   Current(service, now).repeats += 1;
   return true;
--- a/libs/mesh/src/retry_hint.cc
+++ b/libs/mesh/src/retry_hint.cc
@@ -3,15 +3,28 @@
 #include <algorithm>
 
 namespace pomelohall {
+namespace {
 
-duration RetryHint(duration expected_wait, duration left,
-                   random_source& random) {
-  const auto shortest = std::max(left / 10, duration(1000));
-  const auto longest = std::max(left / 3, shortest);
-  const auto base = std::clamp(expected_wait, shortest, longest);
-  const double spread = 0.75 + random.Unit() / 2;
-  const auto hint = std::chrono::duration_cast<duration>(base * spread);
-  return std::clamp(hint, shortest, longest);
+struct hint_range {
+  double shortest;  // Shares of the time left.
+  double longest;
+};
+
+constexpr hint_range RangeOf(refusal_cause cause) {
+  if (cause == refusal_cause::kOverload) {
+    return {.shortest = 0.25, .longest = 0.33};
+  }
+  return {.shortest = 0.08, .longest = 0.2};
+}
+
+}  // namespace
+
+duration RetryHint(refusal_cause cause, duration left, random_source& random) {
+  const auto range = RangeOf(cause);
+  const double share =
+      range.shortest + random.Unit() * (range.longest - range.shortest);
+  return std::chrono::duration_cast<duration>(std::max(left, duration(0)) *
+                                              share);
 }
 
 }  // namespace pomelohall
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -95,8 +95,7 @@
   // as a part of a wait.
   const double queue = std::max(0.0, busy + 1 - slots) / slots;
   const double fullness = std::min(1.0, busy / slots);
-  const double expected_us =
-      mean_us * (1 + queue + 0.3 * fullness * fullness);
+  const double expected_us = mean_us * (1 + queue + 0.3 * fullness * fullness);
   double score = expected_us + view.failure_share * kFailureCost * mean_us;
   if (member.data_centre != options_.data_centre) {
     const double penalty = demand.kind == request_kind::kDownload
@@ -169,8 +168,8 @@
 void server_directory::Suspend(view& view, instant now) {
   // Requests that fail together are one failure.
   if (now < view.suspended_until) return;
-  const auto factor =
-      std::int64_t{1} << std::min(view.failures_in_a_row, kMaxDoublings);
+  const auto factor = std::int64_t{1}
+                      << std::min(view.failures_in_a_row, kMaxDoublings);
   ++view.failures_in_a_row;
   view.suspended_until =
       now + std::min(options_.suspension * factor, options_.max_suspension);
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -37,17 +37,17 @@
     return work_verdict::kRun;
   }
   const bool in_time = MeetsTarget(item, start);
-  const auto late_wait = std::chrono::duration_cast<duration>(
-      options_.late_share * (item.give_up_at - now));
-  if (!in_time && wait > late_wait) return work_verdict::kRefuse;
-  const order_key key{item.priority, !in_time, next_number_++};
+  if (!in_time && wait > options_.late_wait) return work_verdict::kRefuse;
+  const order_key key{item.priority, !in_time, item.target_at, next_number_++};
   waiting_.emplace(key, item);
   keys_.emplace(item.id, key);
   return work_verdict::kWait;
 }
 
 bool work_queue::MeetsTarget(const work_item& item, instant start) const {
-  return start + ExpectedTime(item.work_class) <= item.target_at;
+  const auto time = std::chrono::duration_cast<duration>(
+      (1 + options_.time_margin) * ExpectedTime(item.work_class));
+  return start + time <= item.target_at;
 }
 
 void work_queue::Start(const work_item& item) {
@@ -61,7 +61,8 @@
     const bool was_in_time = !std::get<1>(first->first);
     if (was_in_time && !MeetsTarget(item, now)) {
       // It waited longer than expected, and yields to work that is in time.
-      const order_key key{item.priority, true, std::get<2>(first->first)};
+      const order_key key{item.priority, true, item.target_at,
+                          std::get<3>(first->first)};
       waiting_.erase(first);
       waiting_.emplace(key, item);
       keys_[item.id] = key;
--- a/libs/sidecar/include/sidecar/exchange_fields.h
+++ b/libs/sidecar/include/sidecar/exchange_fields.h
@@ -12,7 +12,7 @@
   std::string deadline;    ///< Milliseconds that the receiver still has.
   std::string expected_instance;  ///< Backend server that alone may run it.
   std::string caller_service;     ///< Service of the VM of the caller.
-  std::string signature;     ///< Of answers that a backend server made.
+  std::string signature;          ///< Of answers that a backend server made.
   std::string not_executed;  ///< The backend server did not run the request.
   std::string instance;      ///< Instance that answered.
 };
--- a/libs/sidecar/include/sidecar/sidecar_settings.h
+++ b/libs/sidecar/include/sidecar/sidecar_settings.h
@@ -34,7 +34,7 @@
   duration apply_time = std::chrono::seconds(2);
   /// Time after a fault within which connections have to work again.
   duration contact_time = std::chrono::seconds(3);
-  double retry_ratio = 0.2;   ///< Repeats for each request, over all daemons.
+  double retry_ratio = 0.2;  ///< Repeats for each request, over all daemons.
   duration retry_window = std::chrono::seconds(10);
   double retry_allowance = 50;  ///< Repeats beyond the ratio in a window.
 };
--- a/libs/sidecar/src/gate_task.cc
+++ b/libs/sidecar/src/gate_task.cc
@@ -34,13 +34,13 @@
   SetField(fields, names.deadline,
            std::to_string(std::max<std::int64_t>(left.count(), 1)));
   SetField(fields, names.expected_instance, request_.instance);
-  sent_ = gate_->pool_.Start(
-      gate_->server_address_, std::move(request_.request),
-      {.on_sent = std::exchange(events_.on_sent, nullptr),
-       .on_answer = [self = shared_from_this()](
-                        result<incoming_answer> answer) {
-         self->OnAnswer(std::move(answer));
-       }});
+  sent_ =
+      gate_->pool_.Start(gate_->server_address_, std::move(request_.request),
+                         {.on_sent = std::exchange(events_.on_sent, nullptr),
+                          .on_answer = [self = shared_from_this()](
+                                           result<incoming_answer> answer) {
+                            self->OnAnswer(std::move(answer));
+                          }});
 }
 
 void gate_task::Refuse(error failure) {
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -42,21 +42,20 @@
   }
   // The request waits with its body in memory, so that the end of the
   // connection is noticed while it waits.
-  ReadBodyStart(body, kMaxBufferedBodyBytes,
-                [this, request, body, outgoing = std::move(outgoing)](
-                    const result<body_start>& start) mutable {
-                  if (!start) return;  // The connection is gone.
-                  if (start->whole) {
-                    outgoing.head.framing = body_framing::kLength;
-                    outgoing.head.length = start->bytes->size();
-                    outgoing.body =
-                        std::make_shared<buffered_body>(start->bytes);
-                  } else {
-                    outgoing.body =
-                        std::make_shared<prefixed_body>(start->bytes, body);
-                  }
-                  Forward(request, std::move(outgoing));
-                });
+  ReadBodyStart(
+      body, kMaxBufferedBodyBytes,
+      [this, request, body, outgoing = std::move(outgoing)](
+          const result<body_start>& start) mutable {
+        if (!start) return;  // The connection is gone.
+        if (start->whole) {
+          outgoing.head.framing = body_framing::kLength;
+          outgoing.head.length = start->bytes->size();
+          outgoing.body = std::make_shared<buffered_body>(start->bytes);
+        } else {
+          outgoing.body = std::make_shared<prefixed_body>(start->bytes, body);
+        }
+        Forward(request, std::move(outgoing));
+      });
 }
 
 void mesh_endpoint::Forward(const std::shared_ptr<incoming_request>& request,
@@ -77,18 +76,17 @@
   }
   call.request = std::move(outgoing);
   const auto started = gate_.Start(
-      std::move(call), {.on_sent = nullptr,
-                        .on_answer = [this, request](
-                                         result<incoming_answer> answer) {
-                          Answer(*request, std::move(answer));
-                        }});
+      std::move(call),
+      {.on_sent = nullptr,
+       .on_answer = [this, request](result<incoming_answer> answer) {
+         Answer(*request, std::move(answer));
+       }});
   request->SetDisconnectHandler([started] { started->Cancel(); });
 }
 
 void mesh_endpoint::Answer(incoming_request& request,
                            result<incoming_answer> answer) const {
-  auto outgoing =
-      answer ? std::move(*answer) : ErrorAnswer(answer.error());
+  auto outgoing = answer ? std::move(*answer) : ErrorAnswer(answer.error());
   auto& fields = outgoing.head.fields;
   if (answer) {
     RemoveHopFields(fields);
--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -1,5 +1,6 @@
 #include "request_router.h"
 
+#include <set>
 #include <utility>
 
 #include "routed_request.h"
@@ -20,6 +21,15 @@
       metrics_(metrics),
       random_(seed) {}
 
+void request_router::SetTable(std::shared_ptr<route_table> table) {
+  table_ = std::move(table);
+  std::set<std::string> routes;
+  for (const auto& route : table_->Config().routes) routes.insert(route.name);
+  std::erase_if(deadlines_, [&](const auto& entry) {
+    return !routes.contains(entry.first);
+  });
+}
+
 void request_router::OnRequest(std::shared_ptr<incoming_request> request) {
   std::make_shared<routed_request>(*this, std::move(request))->Start();
 }
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include "backend/connection_pool.h"
 #include "base/random.h"
 #include "caller/call_server.h"
+#include "mesh/deadline_history.h"
 #include "mesh/retry_budget.h"
 #include "mesh/route_table.h"
 #include "mesh/server_directory.h"
@@ -44,9 +46,7 @@
                  retry_budget& budget, connection_pool& peers,
                  sidecar_metrics& metrics, std::uint64_t seed);
 
-  void SetTable(std::shared_ptr<route_table> table) {
-    table_ = std::move(table);
-  }
+  void SetTable(std::shared_ptr<route_table> table);
   const std::shared_ptr<route_table>& Table() const { return table_; }
   void SetCallerService(std::string service) {
     options_.caller_service = std::move(service);
@@ -66,6 +66,7 @@
   sidecar_metrics& metrics_;
   random_source random_;
   std::shared_ptr<route_table> table_;
+  std::map<std::string, deadline_history> deadlines_;  // By route.
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -16,10 +16,6 @@
 
 constexpr int kGatewayTimeout = 504;
 
-// Tells a caller when to come back if no load is known, for example while no
-// configuration is known: about the time in which a daemon learns it.
-constexpr duration kUnknownWait = std::chrono::milliseconds(200);
-
 std::string Seconds(duration span) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", ToMillis(span) / 1000);
@@ -82,7 +78,11 @@
   const auto margin = router_.options_.answer_margin;
   const auto usable = std::max(left_at_start_ - margin, left_at_start_ / 2);
   give_up_at_ = received_ + std::min(route_->timeout, usable);
-  target_at_ = received_ + route_->latency_target;
+  // A caller that was refused before has lost its target: its work goes behind
+  // that of callers that can still meet theirs.
+  const bool returned =
+      router_.deadlines_[route_->name].IsReturning(left_at_start_);
+  target_at_ = returned ? received_ : received_ + route_->latency_target;
   timer_.expires_at(give_up_at_ + margin);
   timer_.async_wait(
       [self = shared_from_this()](boost::system::error_code cancelled) {
@@ -188,7 +188,8 @@
        .target_at = target_at_,
        .give_up_at = give_up_at_},
       {.on_sent = nullptr,
-       .on_answer = [self = shared_from_this()](result<incoming_answer> answer) {
+       .on_answer = [self =
+                         shared_from_this()](result<incoming_answer> answer) {
          self->router_.directory_.OnLoad(self->offer_->member.name,
                                          self->router_.gate_.Load(),
                                          MonotonicNow());
@@ -207,12 +208,13 @@
            std::string(kRequestKindNames.Name(route_->kind)));
   SetField(fields, kMeshPriorityField, std::to_string(route_->priority));
   SetField(fields, kMeshTargetField, Millis(target_at_ - now));
-  sent_ = router_.peers_.Start(
-      choice.member.address, std::move(request),
-      {.on_sent = nullptr,
-       .on_answer = [self = shared_from_this()](result<incoming_answer> answer) {
-         self->OnPeerAnswer(std::move(answer));
-       }});
+  sent_ =
+      router_.peers_.Start(choice.member.address, std::move(request),
+                           {.on_sent = nullptr,
+                            .on_answer = [self = shared_from_this()](
+                                             result<incoming_answer> answer) {
+                              self->OnPeerAnswer(std::move(answer));
+                            }});
 }
 
 void routed_request::OnPeerAnswer(result<incoming_answer> answer) {
@@ -250,12 +252,6 @@
   if (finished_) return;
   if (answer) {
     ++sends_;
-    if (ShouldRepeat(answer->head.status)) {
-      sent_->Cancel();
-      EndOffer(send_outcome::kFailed);
-      OfferNext();
-      return;
-    }
     ReadAnswer(std::move(*answer));
   } else if (answer.error().ran == run_state::kNotRun) {
     OnRefused(answer.error());
@@ -267,7 +263,9 @@
 // A failure of one backend server is often not one of the others. At the
 // deadline no other has time left.
 bool routed_request::ShouldRepeat(int status) {
-  if (status < 500 || status == kGatewayTimeout) return false;
+  if (status < 500 || status == kGatewayTimeout || !answer_is_whole_) {
+    return false;
+  }
   return IsIdempotent(route_->kind) && MayOffer() &&
          TakeRepeat(run_state::kRan);
 }
@@ -305,8 +303,8 @@
 void routed_request::OnBroken(const error& failure) {
   ++sends_;
   may_have_run_ = true;
-  last_failure_ = error(error_kind::kBackendFailed, failure.message,
-                        run_state::kUnknown);
+  last_failure_ =
+      error(error_kind::kBackendFailed, failure.message, run_state::kUnknown);
   EndOffer(failure.kind == error_kind::kPeerUnreachable
                ? send_outcome::kUnreachable
                : send_outcome::kFailed);
@@ -343,6 +341,7 @@
 
 void routed_request::ReadAnswer(incoming_answer answer) {
   answer_ = std::move(answer);
+  answer_is_whole_ = !answer_->body;
   if (!answer_->body) {
     Deliver();
     return;
@@ -363,25 +362,44 @@
     OnBroken(start.error());
     return;
   }
+  answer_is_whole_ = start->whole;
   if (start->whole) {
     answer_->body = std::make_shared<buffered_body>(start->bytes);
     answer_->head.framing = body_framing::kLength;
     answer_->head.length = start->bytes->size();
     if (start->bytes->empty()) answer_->body = nullptr;
   } else {
-    answer_->body = std::make_shared<prefixed_body>(start->bytes, answer_->body);
+    answer_->body =
+        std::make_shared<prefixed_body>(start->bytes, answer_->body);
   }
   Deliver();
 }
 
 void routed_request::Deliver() {
-  delivering_ = true;
   const int status = answer_->head.status;
+  if (!fallback_ && ShouldRepeat(status)) {
+    // It is what the caller gets if no other backend server answers.
+    fallback_ = std::exchange(answer_, std::nullopt);
+    last_failure_ =
+        error(error_kind::kBackendFailed,
+              "the backend server answered " + std::to_string(status),
+              run_state::kRan);
+    EndOffer(send_outcome::kFailed);
+    OfferNext();
+    return;
+  }
+  delivering_ = true;
   EndOffer(status < 500 ? send_outcome::kServed : send_outcome::kFailed);
   Answer(std::move(*answer_), "");
 }
 
 void routed_request::Fail(const error& failure) {
+  if (fallback_) {
+    answer_ = std::exchange(fallback_, std::nullopt);
+    delivering_ = true;
+    Answer(std::move(*answer_), "repeat_failed");
+    return;
+  }
   auto told = failure;
   // One of the attempts may have run, whatever the last one says.
   if (may_have_run_ && told.ran == run_state::kNotRun) {
@@ -392,7 +410,10 @@
   if (told.ran == run_state::kNotRun && answer.head.status == 503) {
     const auto left = left_at_start_ - (MonotonicNow() - received_);
     SetField(answer.head.fields, "Retry-After",
-             Seconds(RetryHint(kUnknownWait, left, router_.random_)));
+             Seconds(RetryHint(told.kind == error_kind::kOverloaded
+                                   ? refusal_cause::kOverload
+                                   : refusal_cause::kNoServer,
+                               left, router_.random_)));
   }
   if (!attempt_id_.empty()) {
     SetField(answer.head.fields, router_.options_.fields.attempt_id,
@@ -432,9 +453,9 @@
     may_have_run_ = true;
     sent_->Cancel();
   }
-  last_failure_ = error(error_kind::kDeadlineExceeded,
-                        "no answer within the time-out of the route",
-                        run_state::kUnknown);
+  last_failure_ =
+      error(error_kind::kDeadlineExceeded,
+            "no answer within the time-out of the route", run_state::kUnknown);
   EndOffer(send_outcome::kFailed);
   Fail(*last_failure_);
 }
@@ -460,6 +481,9 @@
       .With("reason", reason)
       .With("ms", Millis(took))
       .With("service", service_)
+      .With("priority",
+            static_cast<std::int64_t>(route_ ? route_->priority : 0))
+      .With("left_ms", Millis(left_at_start_))
       .With("version", table_ ? table_->Version() : 0);
 }
 
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -64,7 +64,7 @@
   instant target_at_;
   instant give_up_at_;
   duration left_at_start_{0};
-  std::shared_ptr<const std::string> body_;   // Whole body, if it is small.
+  std::shared_ptr<const std::string> body_;    // Whole body, if it is small.
   std::shared_ptr<class prefixed_body> rest_;  // A large body, sent once.
 
   server_demand demand_;
@@ -76,6 +76,8 @@
   bool may_have_run_ = false;
 
   std::optional<incoming_answer> answer_;
+  bool answer_is_whole_ = false;             // It is in memory to its end.
+  std::optional<incoming_answer> fallback_;  // Failure of an earlier offer.
   boost::asio::steady_timer timer_;
   bool delivering_ = false;
   bool finished_ = false;
--- a/libs/sidecar/src/server_gate.cc
+++ b/libs/sidecar/src/server_gate.cc
@@ -42,11 +42,11 @@
   const auto offer = server_.Offer();
   if (!offer) {
     const auto phase = server_.Phase();
-    return error(phase == server_phase::kLeaving ? error_kind::kDraining
-                                                 : error_kind::kNoBackendServer,
-                 "the backend server is " +
-                     std::string(kServerPhaseNames.Name(phase)),
-                 run_state::kNotRun);
+    return error(
+        phase == server_phase::kLeaving ? error_kind::kDraining
+                                        : error_kind::kNoBackendServer,
+        "the backend server is " + std::string(kServerPhaseNames.Name(phase)),
+        run_state::kNotRun);
   }
   if (request.instance != offer->instance) {
     return error(error_kind::kNoBackendServer,
@@ -79,7 +79,8 @@
   }
   // Not inline: the starter must have the exchange before its first event.
   if (refusal) {
-    boost::asio::post(io_, [task, failure = *refusal] { task->Refuse(failure); });
+    boost::asio::post(io_,
+                      [task, failure = *refusal] { task->Refuse(failure); });
   } else if (verdict == work_verdict::kRun) {
     boost::asio::post(io_, [task] { task->Run(); });
   }
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -70,9 +70,9 @@
                    .leaving_grace = settings_.drain_time / 2,
                    .announcement_timeout =
                        settings_.announce_interval * kMissedAnnouncements}),
-        directory_({.member = settings_.name,
-                    .data_centre = settings_.data_centre},
-                   RandomSeed()),
+        directory_(
+            {.member = settings_.name, .data_centre = settings_.data_centre},
+            RandomSeed()),
         budget_({.ratio = settings_.retry_ratio,
                  .window = settings_.retry_window,
                  .allowance = settings_.retry_allowance}),
