Read stale data where its age can be told; test the store side

Change: two daemons, by rank, read the latest configuration; the others and all watches of members accept stale data at a tenth of the price; requests and answers between daemons carry the version in force, and a daemon that hears of a newer one reads again.

Adds a store stand-in in the platform's format and tests of watches, publication, decoding and settings.

--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -106,7 +106,7 @@
 class connection_pool::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(asio::io_context& io, pool_options options)
-      : io_(io), options_(options) {}
+      : io_(io), options_(std::move(options)) {}
 
   std::shared_ptr<exchange> Start(const std::string& address,
                                   outgoing_request request,
@@ -331,7 +331,7 @@
 }
 
 connection_pool::connection_pool(asio::io_context& io, pool_options options)
-    : impl_(std::make_shared<impl>(io, options)) {}
+    : impl_(std::make_shared<impl>(io, std::move(options))) {}
 
 connection_pool::~connection_pool() { impl_->CloseIdle(); }
 
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -354,8 +354,9 @@
 void call_session::SetDisconnectHandler(const server_request* request,
                                         std::function<void()> handler) {
   for (auto& entry : pending_) {
-    if (entry.request.get() == request)
-      entry.on_disconnect = std::move(handler);
+    if (entry.request.get() != request) continue;
+    entry.on_disconnect = std::move(handler);
+    return;
   }
 }
 
--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -92,6 +92,10 @@
   /// A daemon said that its backend server takes no work now.
   void OnNotServing(const std::string& name, instant now);
 
+  /// Returns the place of a member in an order on which all daemons agree that
+  /// know the same members. Members that cannot be reached keep their place.
+  std::size_t Rank(const std::string& name) const;
+
   /// Returns whether requests to the member fail at present.
   bool IsSuspended(const std::string& name, instant now) const;
 
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/digest.h"
+
 namespace pomelohall {
 namespace {
 
@@ -61,6 +63,14 @@
   return found != views_.end() && now < found->second.suspended_until;
 }
 
+std::size_t server_directory::Rank(const std::string& name) const {
+  // Names of VMs are in the order of data centres; the hash mixes them.
+  const auto own = FastHash(name);
+  return static_cast<std::size_t>(std::count_if(
+      members_.begin(), members_.end(),
+      [&](const auto& entry) { return FastHash(entry.first) < own; }));
+}
+
 duration server_directory::TypicalTime(
     const std::vector<const mesh_member*>& members) const {
   duration sum{0};
--- a/libs/sidecar/include/sidecar/watched_store.h
+++ b/libs/sidecar/include/sidecar/watched_store.h
@@ -23,6 +23,12 @@
     {store_collection::kMembers, "members"},
 }}};
 
+/// How current the answer to a read has to be.
+enum class read_freshness {
+  kLatest,      ///< Everything that the store has acknowledged.
+  kMayBeStale,  ///< Seconds old at times; costs a tenth.
+};
+
 /// An object of the platform's store.
 struct watched_object {
   std::string name;
@@ -62,10 +68,12 @@
 
   virtual ~watched_store() = default;
 
-  virtual void List(store_collection collection, list_callback done) = 0;
+  virtual void List(store_collection collection, read_freshness freshness,
+                    list_callback done) = 0;
   /// Waits up to `wait` for changes after `revision`; none is a success.
   virtual void Watch(store_collection collection, std::uint64_t revision,
-                     duration wait, watch_callback done) = 0;
+                     duration wait, read_freshness freshness,
+                     watch_callback done) = 0;
   virtual void Get(store_collection collection, const std::string& name,
                    object_callback done) = 0;
   virtual void Create(store_collection collection, const watched_object& object,
--- a/libs/sidecar/src/collection_watch.cc
+++ b/libs/sidecar/src/collection_watch.cc
@@ -1,5 +1,7 @@
 #include "collection_watch.h"
 
+#include <algorithm>
+
 #include "base/backoff.h"
 #include "logging/log_event.h"
 
@@ -12,7 +14,7 @@
                                    std::uint64_t seed)
     : store_(store),
       observer_(observer),
-      options_(options),
+      options_(std::move(options)),
       random_(seed),
       timer_(io) {}
 
@@ -23,7 +25,7 @@
 
 void collection_watch::List() {
   listed_ = false;
-  store_.List(options_.collection,
+  store_.List(options_.collection, options_.mode().freshness,
               [this](const result<object_listing>& listing) {
                 if (!stopped_) OnListed(listing);
               });
@@ -41,14 +43,35 @@
   Watch();
 }
 
+void collection_watch::Refresh() {
+  if (refreshing_ || !listed_ || stopped_) return;
+  refreshing_ = true;
+  store_.List(options_.collection, read_freshness::kLatest,
+              [this](const result<object_listing>& listing) {
+                refreshing_ = false;
+                if (stopped_) return;
+                if (!listing) {
+                  log_event(log_level::kInfo, "refresh_failed")
+                      .With("reason", listing.error().message);
+                  return;
+                }
+                // The watch goes on from its own revision: what it shows again
+                // is known already.
+                observer_.OnListed(listing->objects);
+              });
+}
+
 void collection_watch::Watch() {
-  store_.Watch(options_.collection, revision_, options_.wait,
-               [this](const result<object_changes>& changes) {
-                 if (!stopped_) OnChanges(changes);
+  const auto mode = options_.mode();
+  const auto ends_at = MonotonicNow() + mode.wait / 2;
+  store_.Watch(options_.collection, revision_, mode.wait, mode.freshness,
+               [this, ends_at](const result<object_changes>& changes) {
+                 if (!stopped_) OnChanges(changes, ends_at);
                });
 }
 
-void collection_watch::OnChanges(const result<object_changes>& changes) {
+void collection_watch::OnChanges(const result<object_changes>& changes,
+                                 instant earliest_end) {
   if (!changes) {
     if (changes.error().kind == error_kind::kNotFound) {
       log_event(log_level::kInfo, "store_history_lost")
@@ -61,10 +84,13 @@
     return;
   }
   OnSuccess();
-  revision_ = changes->revision;
+  // Stale data may be older than what was listed.
+  revision_ = std::max(revision_, changes->revision);
   for (const auto& change : changes->changes) observer_.OnChanged(change);
   if (changes->changes.empty()) {
-    Watch();
+    const bool early = MonotonicNow() < earliest_end;
+    After(early ? options_.pause_after_early_end : duration(0),
+          &collection_watch::Watch);
   } else {
     After(options_.pause_after_change, &collection_watch::Watch);
   }
--- a/libs/sidecar/src/collection_watch.h
+++ b/libs/sidecar/src/collection_watch.h
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
@@ -21,14 +23,24 @@
   virtual void OnChanged(const object_change& change) = 0;
 };
 
-struct collection_watch_options {
-  store_collection collection = store_collection::kConfiguration;
-  // Longest wait of one watch. A watch whose connection went silent is noticed
+// How a watch reads, which may change between two calls.
+struct watch_mode {
+  read_freshness freshness = read_freshness::kLatest;
+  // Longest wait of one call. A call whose connection went silent is noticed
   // after it.
   duration wait = std::chrono::seconds(10);
+};
+
+struct collection_watch_options {
+  store_collection collection = store_collection::kConfiguration;
+  // Called before each call.
+  std::function<watch_mode()> mode;
   // Pause before the next watch after a change, so that a run of changes costs
   // a few calls and not one each.
   duration pause_after_change{0};
+  // Pause before the next watch if one ended without changes before its time:
+  // a store that answers from old data may do so at once, each time.
+  duration pause_after_early_end = std::chrono::milliseconds(500);
   // First and longest pause after a failed call.
   duration retry_pause = std::chrono::milliseconds(100);
   duration max_retry_pause = std::chrono::seconds(1);
@@ -44,13 +56,16 @@
                    collection_watch_options options, std::uint64_t seed);
 
   void Start() { List(); }
+  // Lists the latest state now, because the present one is known to be old.
+  // Without effect while a listing is in progress.
+  void Refresh();
   void Stop();
 
  private:
   void List();
   void Watch();
   void OnListed(const result<object_listing>& listing);
-  void OnChanges(const result<object_changes>& changes);
+  void OnChanges(const result<object_changes>& changes, instant earliest_end);
   void OnFailure(const error& failure);
   void OnSuccess();
   void After(duration pause, void (collection_watch::*next)());
@@ -63,6 +78,7 @@
   std::uint64_t revision_ = 0;
   std::size_t failures_ = 0;
   bool listed_ = false;
+  bool refreshing_ = false;
   bool stopped_ = false;
 };
 
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -28,8 +28,9 @@
 
 }  // namespace
 
-mesh_endpoint::mesh_endpoint(server_gate& gate, exchange_fields fields)
-    : gate_(gate), fields_(std::move(fields)) {}
+mesh_endpoint::mesh_endpoint(server_gate& gate, version_exchange& versions,
+                             exchange_fields fields)
+    : gate_(gate), versions_(versions), fields_(std::move(fields)) {}
 
 void mesh_endpoint::OnRequest(std::shared_ptr<incoming_request> request) {
   outgoing_request outgoing;
@@ -62,6 +63,7 @@
                             outgoing_request outgoing) {
   auto& fields = outgoing.head.fields;
   const auto now = request->ReceivedAt();
+  versions_.OnPeerVersion(TakeField(fields, kMeshVersionField));
   gate_request call;
   call.instance = TakeField(fields, kMeshInstanceField);
   call.work_class = TakeField(fields, kMeshClassField);
@@ -93,6 +95,7 @@
     RemoveField(fields, kErrorField);
   }
   SetField(fields, kMeshLoadField, EncodeLoad(gate_.Load()));
+  SetField(fields, kMeshVersionField, std::to_string(versions_.OwnVersion()));
   request.Answer(std::move(outgoing), nullptr);
 }
 
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -1,7 +1,9 @@
 #ifndef POMELOHALL_SIDECAR_SRC_MESH_ENDPOINT_H_
 #define POMELOHALL_SIDECAR_SRC_MESH_ENDPOINT_H_
 
+#include <cstdint>
 #include <memory>
+#include <string>
 
 #include "caller/call_server.h"
 #include "server_gate.h"
@@ -9,11 +11,22 @@
 
 namespace pomelohall {
 
+// Exchanges the version in force with other daemons, on requests and answers: a
+// daemon whose view of the store is stale learns that a newer one exists.
+class version_exchange {
+ public:
+  virtual ~version_exchange() = default;
+  // Version in force; 0 before the first one.
+  virtual std::uint64_t OwnVersion() const = 0;
+  virtual void OnPeerVersion(const std::string& version) = 0;
+};
+
 // Takes requests of other daemons for the backend server of this VM.
 class mesh_endpoint final : public call_handler {
  public:
-  // `gate` must outlive the endpoint.
-  mesh_endpoint(server_gate& gate, exchange_fields fields);
+  // References must outlive the endpoint.
+  mesh_endpoint(server_gate& gate, version_exchange& versions,
+                exchange_fields fields);
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
@@ -23,6 +36,7 @@
   void Answer(incoming_request& request, result<incoming_answer> answer) const;
 
   server_gate& gate_;
+  version_exchange& versions_;
   const exchange_fields fields_;
 };
 
--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -11,6 +11,7 @@
                                request_router_options options,
                                server_gate& gate, server_directory& directory,
                                retry_budget& budget, connection_pool& peers,
+                               version_exchange& versions,
                                sidecar_metrics& metrics, std::uint64_t seed)
     : io_(io),
       options_(std::move(options)),
@@ -18,6 +19,7 @@
       directory_(directory),
       budget_(budget),
       peers_(peers),
+      versions_(versions),
       metrics_(metrics),
       random_(seed) {}
 
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -15,6 +15,7 @@
 #include "mesh/retry_budget.h"
 #include "mesh/route_table.h"
 #include "mesh/server_directory.h"
+#include "mesh_endpoint.h"
 #include "server_gate.h"
 #include "sidecar/exchange_fields.h"
 #include "sidecar_metrics.h"
@@ -44,7 +45,8 @@
   request_router(boost::asio::io_context& io, request_router_options options,
                  server_gate& gate, server_directory& directory,
                  retry_budget& budget, connection_pool& peers,
-                 sidecar_metrics& metrics, std::uint64_t seed);
+                 version_exchange& versions, sidecar_metrics& metrics,
+                 std::uint64_t seed);
 
   void SetTable(std::shared_ptr<route_table> table);
   const std::shared_ptr<route_table>& Table() const { return table_; }
@@ -63,6 +65,7 @@
   server_directory& directory_;
   retry_budget& budget_;
   connection_pool& peers_;
+  version_exchange& versions_;
   sidecar_metrics& metrics_;
   random_source random_;
   std::shared_ptr<route_table> table_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -123,8 +123,9 @@
              .latency_target = route_->latency_target,
              .excluded = {}};
   RemoveHopFields(head_.fields);
-  for (const auto name : {kMeshInstanceField, kMeshClassField, kMeshKindField,
-                          kMeshPriorityField, kMeshTargetField}) {
+  for (const auto name :
+       {kMeshInstanceField, kMeshClassField, kMeshKindField, kMeshVersionField,
+        kMeshPriorityField, kMeshTargetField}) {
     RemoveField(head_.fields, name);
   }
   SetField(head_.fields, router_.options_.fields.caller_service,
@@ -208,6 +209,7 @@
            std::string(kRequestKindNames.Name(route_->kind)));
   SetField(fields, kMeshPriorityField, std::to_string(route_->priority));
   SetField(fields, kMeshTargetField, Millis(target_at_ - now));
+  SetField(fields, kMeshVersionField, std::to_string(table_->Version()));
   sent_ =
       router_.peers_.Start(choice.member.address, std::move(request),
                            {.on_sent = nullptr,
@@ -229,6 +231,10 @@
       router_.directory_.OnLoad(offer_->member.name, *load, MonotonicNow());
     }
   }
+  if (const auto* version = FindField(head.fields, kMeshVersionField)) {
+    router_.versions_.OnPeerVersion(*version);
+  }
+  RemoveField(head.fields, kMeshVersionField);
   auto failure = ErrorFromAnswer(head);
   RemoveField(head.fields, kMeshLoadField);
   RemoveHopFields(head.fields);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "backend/connection_pool.h"
+#include "backend/http_message.h"
 #include "caller/call_server.h"
 #include "collection_watch.h"
 #include "config_holder.h"
@@ -37,9 +38,13 @@
 // Bytes between daemons are acknowledged within milliseconds; this leaves room
 // for two lost packets in a row.
 constexpr duration kPeerSilenceTimeout = std::chrono::milliseconds(1000);
-// Watch of the members: a stale record costs an offer that is refused.
 constexpr duration kMemberWatchWait = std::chrono::seconds(10);
-constexpr duration kMemberWatchPause = std::chrono::milliseconds(200);
+// Records that change together, as after a start of many daemons, cost one
+// call.
+constexpr duration kMemberWatchPause = std::chrono::milliseconds(500);
+// Daemons that read the latest configuration; one may be cut off from the
+// store.
+constexpr std::size_t kReaders = 2;
 // Announcements that a backend server may miss until it counts as gone; they
 // arrive seconds late at times.
 constexpr std::int64_t kMissedAnnouncements = 6;
@@ -58,7 +63,7 @@
 
 }  // namespace
 
-class sidecar::impl {
+class sidecar::impl : private version_exchange {
  public:
   impl(boost::asio::io_context& io, sidecar_settings settings,
        sidecar_platform platform)
@@ -86,8 +91,9 @@
                 {.fields = platform.fields,
                  .member = settings_.name,
                  .caller_service = settings_.server_service},
-                gate_, directory_, budget_, peers_, metrics_, RandomSeed()),
-        endpoint_(gate_, platform.fields),
+                gate_, directory_, budget_, peers_, *this, metrics_,
+                RandomSeed()),
+        endpoint_(gate_, *this, platform.fields),
         callers_(io, {.address = settings_.caller_address}, router_),
         daemons_(io, {.address = settings_.forward_address}, endpoint_),
         publisher_(io, *platform.store, RandomSeed()),
@@ -98,12 +104,18 @@
         members_(settings_.name, directory_, budget_, publisher_),
         config_watch_(io, *platform.store, config_,
                       {.collection = store_collection::kConfiguration,
-                       .wait = ConfigWait(),
+                       .mode = [this] { return ConfigMode(); },
                        .pause_after_change = settings_.apply_time / 4},
                       RandomSeed()),
         member_watch_(io, *platform.store, members_,
                       {.collection = store_collection::kMembers,
-                       .wait = kMemberWatchWait,
+                       .mode =
+                           [] {
+                             // A stale record costs an offer that is refused.
+                             return watch_mode{
+                                 .freshness = read_freshness::kMayBeStale,
+                                 .wait = kMemberWatchWait};
+                           },
                        .pause_after_change = kMemberWatchPause},
                       RandomSeed()),
         tick_timer_(io),
@@ -171,11 +183,32 @@
   // Far above what one daemon needs to another; the gate there is the bound.
   static constexpr std::size_t kMaxPeerConnections = 200;
 
-  duration ConfigWait() const {
-    // A watch whose connection fell silent has to be noticed within the contact
-    // time.
-    return std::max<duration>(settings_.contact_time * 3 / 4,
-                              std::chrono::milliseconds(500));
+  // A few daemons read the latest configuration, so that what the store charges
+  // does not grow with the fleet. The others accept data that may be stale, and
+  // read again when a daemon that they exchange requests with has a newer
+  // version.
+  watch_mode ConfigMode() const {
+    const bool reads_latest = directory_.Rank(settings_.name) < kReaders;
+    // A watch whose connection fell silent is noticed within the contact time.
+    return {.freshness = reads_latest ? read_freshness::kLatest
+                                      : read_freshness::kMayBeStale,
+            .wait = settings_.contact_time * 3 / 4};
+  }
+
+  std::uint64_t OwnVersion() const override {
+    return router_.Table() ? router_.Table()->Version() : 0;
+  }
+
+  void OnPeerVersion(const std::string& version) override {
+    const auto newest = ParseNumber(version).value_or(0);
+    const auto now = MonotonicNow();
+    if (newest <= OwnVersion() || now < next_refresh_) return;
+    // A peer alone is no proof that the version exists: the store is read.
+    next_refresh_ = now + settings_.apply_time / 8;
+    log_event(log_level::kInfo, "config_outdated")
+        .With("version", OwnVersion())
+        .With("peer_version", newest);
+    config_watch_.Refresh();
   }
 
   void OnTable(std::shared_ptr<route_table> table) {
@@ -278,6 +311,7 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::int64_t ticks_ = 0;
+  instant next_refresh_;
   bool stopping_ = false;
   bool leaving_ = false;
   instant kill_at_;
--- /dev/null
+++ b/libs/sidecar/tests/fake_watched_store.h
@@ -0,0 +1,181 @@
+#ifndef POMELOHALL_SIDECAR_TESTS_FAKE_WATCHED_STORE_H_
+#define POMELOHALL_SIDECAR_TESTS_FAKE_WATCHED_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sidecar/watched_store.h"
+
+namespace pomelohall {
+
+/// A store in memory with faults. A watch answers at once if there is a change,
+/// else when the next change is made or EndWatches() is called.
+class fake_watched_store final : public watched_store {
+ public:
+  explicit fake_watched_store(boost::asio::io_context& io) : io_(io) {}
+
+  /// Calls fail as if the store were unreachable.
+  bool down = false;
+  /// Writes take effect, and their answers are lost.
+  bool lose_answers = false;
+  /// Watches fail as if the store had dropped its history, once.
+  bool history_gone = false;
+  /// Watches end at once without changes, as those of a stale replica do.
+  bool end_watches_at_once = false;
+  int lists = 0;
+  int watches = 0;
+  int writes = 0;
+
+  /// Writes as an operator or another daemon.
+  void Put(store_collection collection, const std::string& name,
+           const std::string& spec) {
+    objects_[collection][name] = {
+        .name = name, .revision = ++revision_, .spec = spec};
+    Record(collection, name, false);
+  }
+
+  std::string SpecOf(store_collection collection, const std::string& name) {
+    const auto found = objects_[collection].find(name);
+    return found == objects_[collection].end() ? "" : found->second.spec;
+  }
+
+  void EndWatches() {
+    for (auto& waiting : std::exchange(waiting_, {})) waiting.answer();
+  }
+
+  void List(store_collection collection, read_freshness,
+            list_callback done) override {
+    ++lists;
+    object_listing listing{.objects = {}, .revision = revision_};
+    for (const auto& [name, object] : objects_[collection]) {
+      listing.objects.push_back(object);
+    }
+    Answer(std::move(done), std::move(listing));
+  }
+
+  void Watch(store_collection collection, std::uint64_t revision, duration,
+             read_freshness, watch_callback done) override {
+    ++watches;
+    if (std::exchange(history_gone, false)) {
+      boost::asio::post(io_, [done] {
+        done(Fail(error_kind::kNotFound, "the history is gone"));
+      });
+      return;
+    }
+    const auto answer = [this, collection, revision, done] {
+      Answer(done, ChangesAfter(collection, revision));
+    };
+    if (down || end_watches_at_once ||
+        !ChangesAfter(collection, revision).changes.empty()) {
+      answer();
+    } else {
+      waiting_.push_back({answer});
+    }
+  }
+
+  void Get(store_collection collection, const std::string& name,
+           object_callback done) override {
+    const auto found = objects_[collection].find(name);
+    if (found == objects_[collection].end()) {
+      AnswerError(std::move(done), error_kind::kNotFound);
+    } else {
+      Answer(std::move(done), found->second);
+    }
+  }
+
+  void Create(store_collection collection, const watched_object& object,
+              object_callback done) override {
+    Write(collection, object, objects_[collection].contains(object.name),
+          std::move(done));
+  }
+
+  void Replace(store_collection collection, const watched_object& object,
+               object_callback done) override {
+    const auto found = objects_[collection].find(object.name);
+    const bool same = found != objects_[collection].end() &&
+                      found->second.revision == object.revision;
+    Write(collection, object, !same, std::move(done));
+  }
+
+  void Remove(store_collection, const watched_object&,
+              std::function<void(result<void>)> done) override {
+    boost::asio::post(io_, [done] { done({}); });
+  }
+
+ private:
+  struct change_record {
+    store_collection collection;
+    object_change change;
+  };
+  struct waiting_watch {
+    std::function<void()> answer;
+  };
+
+  template <typename T>
+  void Answer(std::function<void(result<T>)> done, T value) {
+    boost::asio::post(io_, [this, failed = down, done = std::move(done),
+                            value = std::move(value)]() mutable {
+      if (failed) {
+        done(Fail(error_kind::kPlatformUnavailable, "the store is down"));
+      } else {
+        done(std::move(value));
+      }
+    });
+  }
+
+  void AnswerError(object_callback done, error_kind kind) {
+    const auto told = down ? error_kind::kPlatformUnavailable : kind;
+    boost::asio::post(
+        io_, [done = std::move(done), told] { done(Fail(told, "refused")); });
+  }
+
+  void Write(store_collection collection, const watched_object& object,
+             bool conflict, object_callback done) {
+    ++writes;
+    if (down || conflict) {
+      AnswerError(std::move(done), error_kind::kConflict);
+      return;
+    }
+    Put(collection, object.name, object.spec);
+    if (lose_answers) {
+      boost::asio::post(io_, [done = std::move(done)] {
+        done(Fail(error_kind::kPlatformUnavailable, "no answer"));
+      });
+    } else {
+      Answer(std::move(done), objects_[collection][object.name]);
+    }
+  }
+
+  object_changes ChangesAfter(store_collection collection,
+                              std::uint64_t revision) const {
+    object_changes changes{.changes = {}, .revision = revision_};
+    for (const auto& entry : history_) {
+      if (entry.collection == collection &&
+          entry.change.object.revision > revision) {
+        changes.changes.push_back(entry.change);
+      }
+    }
+    return changes;
+  }
+
+  void Record(store_collection collection, const std::string& name,
+              bool deleted) {
+    history_.push_back({collection, {objects_[collection][name], deleted}});
+    EndWatches();
+  }
+
+  boost::asio::io_context& io_;
+  std::uint64_t revision_ = 10;
+  std::map<store_collection, std::map<std::string, watched_object>> objects_;
+  std::vector<change_record> history_;
+  std::vector<waiting_watch> waiting_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_TESTS_FAKE_WATCHED_STORE_H_
--- /dev/null
+++ b/libs/sidecar/tests/sidecar_settings_test.cc
@@ -0,0 +1,58 @@
+#include "sidecar/sidecar_settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace pomelohall {
+namespace {
+
+const std::string kValid = R"({
+  "name": "vm-1", "data_centre": "plant",
+  "backend_server": {"address": "10.0.0.1:80", "service": "orders",
+                     "announce_interval_ms": 1500, "drain_ms": 2500},
+  "listeners": {"caller": "10.0.0.1:1", "forward": "10.0.0.1:2",
+                "local": "10.0.0.1:3", "ready": "10.0.0.1:4",
+                "metrics": "10.0.0.1:5"},
+  "store": {"address": "10.0.0.9:8627"},
+  "stop_grace_ms": 6000,
+  "retries": {"ratio": 0.3, "window_ms": 5000, "allowance": 58}
+})";
+
+std::string Replace(const std::string& from, const std::string& to) {
+  auto text = kValid;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+// Guards against values that are read into the wrong field or unit.
+TEST_CASE("SidecarSettings_ValidFile_IsRead", "[sidecar]") {
+  const auto settings = ParseSidecarSettings(kValid);
+  REQUIRE(settings);
+  CHECK(settings->name == "vm-1");
+  CHECK(settings->server_service == "orders");
+  CHECK(settings->drain_time == std::chrono::milliseconds(2500));
+  CHECK(settings->stop_grace == std::chrono::seconds(6));
+  CHECK(settings->retry_window == std::chrono::seconds(5));
+  CHECK(settings->retry_allowance == Approx(58));
+  CHECK(settings->metrics_address == "10.0.0.1:5");
+}
+
+// Guards against a misspelt or malformed setting that is silently ignored.
+TEST_CASE("SidecarSettings_Faults_AreNamed", "[sidecar]") {
+  const auto fault = [](const std::string& text) {
+    const auto settings = ParseSidecarSettings(text);
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().kind == error_kind::kInvalidSettings);
+    return settings.error().message;
+  };
+  CHECK_THAT(fault("{"), Catch::Contains("not JSON"));
+  CHECK_THAT(fault(Replace("\"drain_ms\": 2500", "\"drain\": 1")),
+             Catch::Contains("drain"));
+  CHECK_THAT(fault(Replace("10.0.0.9:8627", "nowhere")),
+             Catch::Contains("/store/address"));
+  CHECK_THAT(fault(Replace("\"stop_grace_ms\": 6000", "\"stop_grace_ms\": 0")),
+             Catch::Contains("/stop_grace_ms"));
+}
+
+}  // namespace
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/tests/store_sync_test.cc
@@ -0,0 +1,260 @@
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <set>
+
+#include "collection_watch.h"
+#include "config_holder.h"
+#include "fake_watched_store.h"
+#include "member_codec.h"
+#include "member_publisher.h"
+
+namespace pomelohall {
+namespace {
+
+using std::chrono::milliseconds;
+
+class recording_observer final : public collection_observer {
+ public:
+  void OnListed(const std::vector<watched_object>& objects) override {
+    names.clear();
+    for (const auto& object : objects) names.insert(object.name);
+    ++listings;
+  }
+  void OnChanged(const object_change& change) override {
+    names.insert(change.object.name);
+  }
+
+  std::set<std::string> names;
+  int listings = 0;
+};
+
+/// A watch over the members of a store with faults.
+class collection_watch_fixture {
+ protected:
+  collection_watch_fixture()
+      : watch_(io_, store_, observer_,
+               {.collection = store_collection::kMembers,
+                .mode = [] { return watch_mode{}; },
+                .retry_pause = milliseconds(1),
+                .max_retry_pause = milliseconds(5)},
+               1) {}
+
+  ~collection_watch_fixture() { watch_.Stop(); }
+
+  void RunFor(duration time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  boost::asio::io_context io_;
+  fake_watched_store store_{io_};
+  recording_observer observer_;
+  collection_watch watch_;
+};
+
+// Guards against objects that are not seen, before or after the start.
+TEST_CASE_METHOD(collection_watch_fixture, "CollectionWatch_Changes_AreSeen",
+                 "[sidecar]") {
+  store_.Put(store_collection::kMembers, "a", "{}");
+  watch_.Start();
+  RunFor(milliseconds(20));
+  store_.Put(store_collection::kMembers, "b", "{}");
+  RunFor(milliseconds(20));
+  CHECK(observer_.names == std::set<std::string>{"a", "b"});
+}
+
+// Guards against a watch that goes on from a revision which the store no longer
+// knows, and misses what happened in between.
+TEST_CASE_METHOD(collection_watch_fixture,
+                 "CollectionWatch_HistoryGone_ListsAgain", "[sidecar]") {
+  store_.history_gone = true;
+  watch_.Start();
+  store_.Put(store_collection::kMembers, "a", "{}");
+  RunFor(milliseconds(20));
+  CHECK(observer_.listings == 2);
+  CHECK(observer_.names.contains("a"));
+}
+
+// Guards against a daemon that gives up while the store is away.
+TEST_CASE_METHOD(collection_watch_fixture,
+                 "CollectionWatch_StoreReturns_IsFollowedAgain", "[sidecar]") {
+  store_.down = true;
+  watch_.Start();
+  RunFor(milliseconds(30));
+  CHECK(store_.lists > 1);
+  store_.down = false;
+  store_.Put(store_collection::kMembers, "a", "{}");
+  RunFor(milliseconds(30));
+  CHECK(observer_.names.contains("a"));
+}
+
+// Guards against a loop of calls without pause: a replica whose data is older
+// than the revision of the watch may answer at once, each time. With 89 daemons
+// a day of 40 seconds then took minutes to play.
+TEST_CASE_METHOD(collection_watch_fixture,
+                 "CollectionWatch_WatchesEndAtOnce_ArePaced", "[sidecar]") {
+  store_.end_watches_at_once = true;
+  watch_.Start();
+  RunFor(milliseconds(200));
+  CHECK(store_.watches <= 2);
+}
+
+class member_publisher_fixture {
+ protected:
+  member_publisher_fixture() : publisher_(io_, store_, 1) {}
+  ~member_publisher_fixture() { publisher_.Stop(); }
+
+  static mesh_member Member(const std::string& instance) {
+    return {.name = "vm-1",
+            .data_centre = "near",
+            .address = "10.0.0.1:7600",
+            .incarnation = 5,
+            .server = offered_server{
+                .instance = instance, .service = "shop", .slots = 18}};
+  }
+
+  std::string Stored() {
+    return store_.SpecOf(store_collection::kMembers, "vm-1");
+  }
+
+  void RunFor(duration time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  boost::asio::io_context io_;
+  fake_watched_store store_{io_};
+  member_publisher publisher_;
+};
+
+// Guards against writes that change nothing; each call has its price.
+TEST_CASE_METHOD(member_publisher_fixture,
+                 "MemberPublisher_SameRecord_IsWrittenOnce", "[sidecar]") {
+  publisher_.Publish(Member("i-1"));
+  RunFor(milliseconds(10));
+  publisher_.Publish(Member("i-1"));
+  RunFor(milliseconds(10));
+  CHECK(store_.writes == 1);
+  CHECK(Stored() == EncodeMember(Member("i-1")));
+}
+
+// Guards against a record of an earlier process that stays in force.
+TEST_CASE_METHOD(member_publisher_fixture,
+                 "MemberPublisher_RecordOfEarlierProcess_IsReplaced",
+                 "[sidecar]") {
+  store_.Put(store_collection::kMembers, "vm-1", EncodeMember(Member("i-0")));
+  publisher_.Publish(Member("i-1"));
+  RunFor(milliseconds(20));
+  CHECK(Stored() == EncodeMember(Member("i-1")));
+}
+
+// Guards against a write whose answer was lost and that is taken for not done,
+// or for done when it was not.
+TEST_CASE_METHOD(member_publisher_fixture,
+                 "MemberPublisher_LostAnswer_IsResolvedByReading",
+                 "[sidecar]") {
+  store_.lose_answers = true;
+  publisher_.Publish(Member("i-1"));
+  RunFor(milliseconds(10));
+  store_.lose_answers = false;
+  publisher_.Publish(Member("i-2"));
+  RunFor(milliseconds(400));
+  CHECK(Stored() == EncodeMember(Member("i-2")));
+  CHECK(store_.writes == 2);
+}
+
+// Guards against a record that is missing for more than two seconds after the
+// store has returned.
+TEST_CASE_METHOD(member_publisher_fixture,
+                 "MemberPublisher_StoreReturns_RecordIsBack", "[sidecar]") {
+  store_.down = true;
+  publisher_.Publish(Member("i-1"));
+  RunFor(milliseconds(300));
+  CHECK(Stored().empty());
+  store_.down = false;
+  RunFor(milliseconds(1100));
+  CHECK(Stored() == EncodeMember(Member("i-1")));
+}
+
+// Guards against a record that another writer removed and that stays away.
+TEST_CASE_METHOD(member_publisher_fixture,
+                 "MemberPublisher_RecordRemoved_IsWrittenAgain", "[sidecar]") {
+  publisher_.Publish(Member("i-1"));
+  RunFor(milliseconds(10));
+  publisher_.OnStored({.name = "vm-1", .revision = 99, .spec = {}}, true);
+  RunFor(milliseconds(10));
+  CHECK(store_.writes >= 2);
+}
+
+// Guards against records of other programs that name a backend server.
+TEST_CASE("MemberCodec_MalformedRecords_AreRefused", "[sidecar]") {
+  for (const char* spec :
+       {"", "[]", "{", R"({"address":5})", R"({"address":"a","server":3})",
+        R"({"address":"a","server":{"instance":"i","service":"s"}})",
+        R"({"address":"a","server":{"instance":"i","service":4,"slots":2}})"}) {
+    INFO(spec);
+    CHECK_FALSE(DecodeMember("x", spec));
+  }
+}
+
+/// A holder whose specs are version numbers.
+class config_holder_fixture {
+ protected:
+  config_holder_fixture()
+      : holder_(
+            "main",
+            [](const std::string& spec) -> result<mesh_config> {
+              if (spec == "bad") {
+                return Fail(error_kind::kInvalidConfiguration, "bad");
+              }
+              return mesh_config{.version = std::stoull(spec),
+                                 .routes = {},
+                                 .services = {},
+                                 .limits = {}};
+            },
+            [this](const std::shared_ptr<route_table>& table) {
+              version_ = table->Version();
+              ++changes_;
+            }) {}
+
+  void Change(std::uint64_t revision, const std::string& spec) {
+    holder_.OnChanged(
+        {.object = {.name = "main", .revision = revision, .spec = spec},
+         .deleted = false});
+  }
+
+  std::uint64_t version_ = 0;
+  int changes_ = 0;
+  config_holder holder_;
+};
+
+// Guards against a version that goes back: stale reads and late watches show
+// older revisions after newer ones.
+TEST_CASE_METHOD(config_holder_fixture, "ConfigHolder_OlderRevision_IsIgnored",
+                 "[sidecar]") {
+  Change(20, "7");
+  Change(15, "6");
+  holder_.OnListed({{.name = "main", .revision = 18, .spec = "6"}});
+  CHECK(version_ == 7);
+  CHECK(changes_ == 1);
+  Change(21, "6");
+  CHECK(version_ == 7);
+  Change(22, "9");
+  CHECK(version_ == 9);
+}
+
+// Guards against a bad version that takes the good one out of force.
+TEST_CASE_METHOD(config_holder_fixture, "ConfigHolder_BadVersion_KeepsTheOld",
+                 "[sidecar]") {
+  Change(20, "7");
+  Change(21, "bad");
+  holder_.OnChanged({.object = {.name = "main", .revision = 22, .spec = "8"},
+                     .deleted = true});
+  CHECK(version_ == 7);
+  Change(23, "8");
+  CHECK(version_ == 8);
+}
+
+}  // namespace
+}  // namespace pomelohall
