--- a/libs/sidecar/include/sidecar/sidecar.h
+++ b/libs/sidecar/include/sidecar/sidecar.h
@@ -60,6 +60,9 @@
   /// The backend server leaves and will not announce itself again.
   bool OnWithdrawn(const std::string& instance);
 
+  /// Address "ip:port" of the listener for callers, once started.
+  const std::string& CallerAddress() const;
+
   /// Returns counters and histograms as text.
   std::string RenderMetrics();
 
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -126,6 +126,8 @@
   result<void> Start() {
     if (auto listening = callers_.Listen(); !listening) return listening;
     if (auto listening = daemons_.Listen(); !listening) return listening;
+    settings_.caller_address = callers_.Address();
+    settings_.forward_address = daemons_.Address();
     log_event(log_level::kInfo, "sidecar_started")
         .With("member", settings_.name)
         .With("data_centre", settings_.data_centre)
@@ -179,6 +181,8 @@
 
   std::string RenderMetrics() { return metrics_.Render(); }
 
+  const std::string& CallerAddress() const { return settings_.caller_address; }
+
  private:
   // Far above what one daemon needs to another; the gate there is the bound.
   static constexpr std::size_t kMaxPeerConnections = 200;
@@ -344,6 +348,10 @@
   return impl_->OnWithdrawn(instance);
 }
 
+const std::string& sidecar::CallerAddress() const {
+  return impl_->CallerAddress();
+}
+
 std::string sidecar::RenderMetrics() { return impl_->RenderMetrics(); }
 
 }  // namespace pomelohall
--- /dev/null
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -0,0 +1,149 @@
+#include "sidecar_fleet.h"
+
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+#include "platform_adapter/config_decoder.h"
+#include "platform_adapter/wire_names.h"
+
+namespace pomelohall {
+
+using nlohmann::json;
+using platform_adapter::http_watched_store;
+using platform_adapter::store_stand_in;
+
+sidecar_fleet::sidecar_fleet()
+    : work_(boost::asio::make_work_guard(io_)),
+      store_(std::make_unique<store_stand_in>(io_)),
+      thread_([this] { io_.run(); }) {}
+
+sidecar_fleet::~sidecar_fleet() {
+  OnIo([this] { nodes_.clear(); });
+  io_.stop();
+  thread_.join();
+}
+
+std::size_t sidecar_fleet::Add(scripted_server* server,
+                               const std::string& service) {
+  return OnIo([&] {
+    const auto index = nodes_.size();
+    auto added = std::make_unique<node>();
+    sidecar_settings settings;
+    settings.name = "vm-" + std::to_string(index);
+    settings.data_centre = "near";
+    settings.server_address =
+        server == nullptr ? "127.0.0.1:1" : server->Address();
+    settings.server_service = service;
+    settings.caller_address = "127.0.0.1:0";
+    settings.forward_address = "127.0.0.1:0";
+    added->store = std::make_unique<http_watched_store>(io_, store_->Address());
+    added->process = std::make_unique<sidecar>(
+        io_, settings,
+        sidecar_platform{
+            .fields = platform_adapter::ExchangeFields(),
+            .store = added->store.get(),
+            .decode_config = platform_adapter::DecodeConfig,
+            .config_name = std::string(platform_adapter::kConfigName)});
+    if (const auto started = added->process->Start(); !started) {
+      throw std::runtime_error(started.error().message);
+    }
+    if (server != nullptr) {
+      added->announcement = {.instance = "i-" + std::to_string(index),
+                             .service = service,
+                             .address = server->Address(),
+                             .slots = 18,
+                             .draining = false,
+                             .started_unix_ms = 1000,
+                             .sequence = 1};
+      added->process->OnAnnounced(added->announcement);
+    }
+    nodes_.push_back(std::move(added));
+    return index;
+  });
+}
+
+void sidecar_fleet::Configure(int version) {
+  const auto route = [](const char* prefix, const char* kind) {
+    return json{
+        {"name", prefix}, {"host", "test"},    {"pathPrefix", prefix},
+        {"kind", kind},   {"timeoutMs", 3000}, {"latencyTargetMs", 1000},
+        {"priority", 1},  {"service", "shop"}, {"attempts", 2}};
+  };
+  const json spec{
+      {"version", "r" + std::to_string(version)},
+      {"routes", {route("/safe/", "safe"), route("/order/", "unsafe")}},
+      {"services", {{{"name", "shop"}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 100000},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}};
+  OnIo([&] { store_->Put("config", "main", spec); });
+}
+
+void sidecar_fleet::WaitUntilKnown(std::size_t sidecars) {
+  const auto known = [&] {
+    std::size_t offering = 0;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i]->process->IsReady()) return false;
+      const auto spec =
+          store_->SpecOf("pomelohall-members", "vm-" + std::to_string(i));
+      if (spec.is_object() && spec.contains("server")) ++offering;
+    }
+    return offering >= sidecars;
+  };
+  while (!OnIo(known)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  // Watches pause after changes; the records are taken within two pauses.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+}
+
+void sidecar_fleet::AnnounceLeaving(std::size_t index) {
+  OnIo([&] {
+    auto announcement = nodes_[index]->announcement;
+    announcement.draining = true;
+    announcement.sequence = 9;
+    nodes_[index]->process->OnAnnounced(announcement);
+  });
+}
+
+std::future<void> sidecar_fleet::Stop(std::size_t index) {
+  auto stopped = std::make_shared<std::promise<void>>();
+  auto future = stopped->get_future();
+  OnIo([&] {
+    nodes_[index]->process->Stop([stopped] { stopped->set_value(); });
+  });
+  return future;
+}
+
+std::string sidecar_fleet::CallerAddress(std::size_t index) {
+  return OnIo([&] { return nodes_[index]->process->CallerAddress(); });
+}
+
+bool sidecar_fleet::IsReady(std::size_t index) {
+  return OnIo([&] { return nodes_[index]->process->IsReady(); });
+}
+
+raw_answer sidecar_fleet::Call(std::size_t index, const std::string& method,
+                               const std::string& target,
+                               const std::string& fields,
+                               const std::string& body) {
+  raw_client client(CallerAddress(index));
+  return client.Call(method, target,
+                     "Pomelohall-Attempt-Id: a1\r\n"
+                     "Pomelohall-Request-Deadline: 2500\r\n" +
+                         fields,
+                     body);
+}
+
+std::string sidecar_fleet::Signed(int status, const std::string& id,
+                                  const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nPomelohall-Attempt-Id: " + id +
+         "\r\nPomelohall-Response-Signature: sig\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace pomelohall
