--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -223,9 +223,8 @@
       *endpoint,
       [self = shared_from_this(), connection, call, timer](error_code failure) {
         timer->cancel();
-        if (!failure && !connection->socket.is_open()) {
-          failure = asio::error::timed_out;
-        }
+        // Only the timer closes a socket that is connecting.
+        if (!connection->socket.is_open()) failure = asio::error::timed_out;
         self->OnConnected(connection, call, failure);
       });
 }
--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -82,8 +82,9 @@
   /// @param took Time on the backend server; nothing if it was broken off.
   void OnFinished(std::uint64_t id, std::optional<duration> took);
 
-  /// Time until work of `priority` that is offered now would start.
-  duration ExpectedWait(int priority) const;
+  /// Time until `item` would start if it were offered now: only work that goes
+  /// before it counts.
+  duration ExpectedWait(const work_item& item) const;
 
   /// Mean time that requests of `work_class` run; 0 before the first one.
   duration ExpectedTime(const std::string& work_class) const;
@@ -96,6 +97,8 @@
   // requests of the same priority; then age.
   using order_key = std::tuple<int, bool, instant, std::uint64_t>;
 
+  static order_key KeyOf(const work_item& item, bool in_time,
+                         std::uint64_t number);
   bool MeetsTarget(const work_item& item, instant start) const;
   void Start(const work_item& item);
 
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -27,7 +27,7 @@
 }
 
 work_verdict work_queue::Offer(const work_item& item, instant now) {
-  const auto wait = ExpectedWait(item.priority);
+  const auto wait = ExpectedWait(item);
   const auto start = now + wait;
   if (start + ExpectedTime(item.work_class) > item.give_up_at) {
     return work_verdict::kRefuse;
@@ -38,12 +38,17 @@
   }
   const bool in_time = MeetsTarget(item, start);
   if (!in_time && wait > options_.late_wait) return work_verdict::kRefuse;
-  const order_key key{item.priority, !in_time, item.target_at, next_number_++};
+  const auto key = KeyOf(item, in_time, next_number_++);
   waiting_.emplace(key, item);
   keys_.emplace(item.id, key);
   return work_verdict::kWait;
 }
 
+work_queue::order_key work_queue::KeyOf(const work_item& item, bool in_time,
+                                        std::uint64_t number) {
+  return {item.priority, !in_time, item.target_at, number};
+}
+
 bool work_queue::MeetsTarget(const work_item& item, instant start) const {
   const auto time = std::chrono::duration_cast<duration>(
       (1 + options_.time_margin) * ExpectedTime(item.work_class));
@@ -61,8 +66,7 @@
     const bool was_in_time = !std::get<1>(first->first);
     if (was_in_time && !MeetsTarget(item, now)) {
       // It waited longer than expected, and yields to work that is in time.
-      const order_key key{item.priority, true, item.target_at,
-                          std::get<3>(first->first)};
+      const auto key = KeyOf(item, false, std::get<3>(first->first));
       waiting_.erase(first);
       waiting_.emplace(key, item);
       keys_[item.id] = key;
@@ -113,12 +117,13 @@
   running_.erase(found);
 }
 
-duration work_queue::ExpectedWait(int priority) const {
+duration work_queue::ExpectedWait(const work_item& item) const {
   if (running_.size() < options_.slots && waiting_.empty()) return duration(0);
   double ahead_us = mean_time_us_;  // Until the first slot is free.
-  for (const auto& [key, item] : waiting_) {
-    if (std::get<0>(key) > priority) break;
-    const auto time = ExpectedTime(item.work_class).count();
+  const auto own = KeyOf(item, true, next_number_);
+  for (const auto& [key, waiting] : waiting_) {
+    if (own < key) break;
+    const auto time = ExpectedTime(waiting.work_class).count();
     ahead_us += time > 0 ? static_cast<double>(time) : mean_time_us_;
   }
   return ToDuration(ahead_us / static_cast<double>(options_.slots));
--- a/libs/mesh/tests/work_queue_test.cc
+++ b/libs/mesh/tests/work_queue_test.cc
@@ -116,6 +116,19 @@
   CHECK(queue_.Load().running == 0);
 }
 
+// Guards against calls of running requests that are refused because of new
+// requests which would run after them: the running request then fails with the
+// work already done.
+TEST_CASE_METHOD(work_queue_fixture, "WorkQueue_ShortCall_GoesBeforeNewWork",
+                 "[mesh][load]") {
+  FillSlots();
+  for (int i = 0; i < 12; ++i) Offer("lookup", 1, seconds(2), seconds(3));
+  const auto call = Offer("order", 1, milliseconds(250), milliseconds(600));
+  CHECK(last_ == work_verdict::kWait);
+  FinishOne();
+  CHECK(queue_.Next(now_) == call);
+}
+
 /// Replays a burst: for five seconds callers send twice what the backend server
 /// can run. Returns the share of answers within the target of 600 ms.
 class burst_replay {
--- a/libs/sidecar/src/server_gate.h
+++ b/libs/sidecar/src/server_gate.h
@@ -79,9 +79,6 @@
   }
   std::optional<offered_server> Offer() const;
   work_load Load() const { return queue_.Load(); }
-  duration ExpectedWait(int priority) const {
-    return queue_.ExpectedWait(priority);
-  }
   bool Idle() const { return tasks_.empty(); }
   const local_server& Server() const { return server_; }
 
