Judge late work by the whole queue before it

Cause: the wait of late work was computed as if it went first, as its target has passed; it was let in and held until it was given up. Change: work that cannot meet its target is judged by its place behind the work that can. The case is a test.

--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -27,7 +27,14 @@
 }
 
 work_verdict work_queue::Offer(const work_item& item, instant now) {
-  const auto wait = ExpectedWait(item);
+  const auto number = next_number_++;
+  auto key = KeyOf(item, true, number);
+  auto wait = ExpectedWait(key);
+  const bool in_time = MeetsTarget(item, now + wait);
+  if (!in_time) {
+    key = KeyOf(item, false, number);
+    wait = ExpectedWait(key);
+  }
   const auto start = now + wait;
   if (start + ExpectedTime(item.work_class) > item.give_up_at) {
     return work_verdict::kRefuse;
@@ -36,9 +43,7 @@
     Start(item);
     return work_verdict::kRun;
   }
-  const bool in_time = MeetsTarget(item, start);
   if (!in_time && wait > options_.late_wait) return work_verdict::kRefuse;
-  const auto key = KeyOf(item, in_time, next_number_++);
   waiting_.emplace(key, item);
   keys_.emplace(item.id, key);
   return work_verdict::kWait;
@@ -117,12 +122,11 @@
   running_.erase(found);
 }
 
-duration work_queue::ExpectedWait(const work_item& item) const {
+duration work_queue::ExpectedWait(const order_key& key) const {
   if (running_.size() < options_.slots && waiting_.empty()) return duration(0);
   double ahead_us = mean_time_us_;  // Until the first slot is free.
-  const auto own = KeyOf(item, true, next_number_);
-  for (const auto& [key, waiting] : waiting_) {
-    if (own < key) break;
+  for (const auto& [other, waiting] : waiting_) {
+    if (key < other) break;
     const auto time = ExpectedTime(waiting.work_class).count();
     ahead_us += time > 0 ? static_cast<double>(time) : mean_time_us_;
   }
--- a/libs/mesh/tests/work_queue_test.cc
+++ b/libs/mesh/tests/work_queue_test.cc
@@ -129,6 +129,16 @@
   CHECK(queue_.Next(now_) == call);
 }
 
+// Guards against late work that is let in because its target, which has passed,
+// seems to put it first: it then waits until it is given up.
+TEST_CASE_METHOD(work_queue_fixture, "WorkQueue_LateWorkUnderLoad_IsRefused",
+                 "[mesh][load]") {
+  FillSlots();
+  for (int i = 0; i < 12; ++i) Offer("lookup", 1, seconds(2), seconds(3));
+  Offer("lookup", 1, milliseconds(0), seconds(2));
+  CHECK(last_ == work_verdict::kRefuse);
+}
+
 /// Replays a burst: for five seconds callers send twice what the backend server
 /// can run. Returns the share of answers within the target of 600 ms.
 class burst_replay {
