--- a/libs/sidecar/src/gate_task.cc
+++ b/libs/sidecar/src/gate_task.cc
@@ -191,6 +191,10 @@
   if (gate_ == nullptr) return;
   const auto keep_alive = shared_from_this();
   events_ = {};
+  Log("gate_cancelled", {error_kind::kCancelled,
+                         sent_ ? "the sender left while the request ran"
+                               : "the sender left while the request waited",
+                         sent_ ? run_state::kUnknown : run_state::kNotRun});
   // A request that may run once only is left to end: its caller asks for the
   // outcome elsewhere, and breaking it off saves nothing that can be repeated.
   if (sent_ && !IsIdempotent(request_.kind) && !answer_body_) {
