Send large answers one after the other at the pace of the VM's link

Ruled out: slots and processor time of these VMs (1.2 busiest to mean, at most 0.02 of a core).

Change: transmit_queue decides which large answer leaves next, at nine tenths of the rate in the new setting link_mbps, and what the requests in progress will add; work_queue refuses a request whose answer cannot leave in time. A waiting answer is held in memory, so the backend server's slot is free.

The link remains the bound for downloads.

--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -22,6 +22,10 @@
   int priority = 0;        ///< 0 is the most urgent.
   instant target_at;       ///< An answer until then meets its target.
   instant give_up_at;      ///< An answer after it is of no use.
+  /// When the network link has sent what goes before the answer. The answer
+  /// leaves at this time or when the request has run, whichever is later.
+  instant link_free_at;
+  duration link_time{0};  ///< Time that the answer occupies the link.
 };
 
 /// Settings of a work_queue.
@@ -49,6 +53,8 @@
   std::size_t waiting = 0;
   std::size_t slots = 0;
   duration mean_time{0};  ///< Of a request on the backend server.
+  /// Time that a large answer waits for the network link.
+  duration link_wait{0};
 };
 
 /// The requests before one backend server: at most `slots` run, the others wait
@@ -57,6 +63,8 @@
 /// late, and with arrival order the least urgent work delays the most urgent.
 /// So work is refused at arrival if it would end too late, urgent work goes
 /// first, and work that still meets its target goes before work that does not.
+/// An answer that would have to wait for the network link counts as ending when
+/// it has left.
 class work_queue {
  public:
   explicit work_queue(work_queue_options options);
@@ -99,6 +107,10 @@
   // counts.
   duration ExpectedWait(const order_key& key) const;
   bool MeetsTarget(const work_item& item, instant start) const;
+  // Time that the answer waits for the network link after a run from `start`.
+  duration LinkWait(const work_item& item, instant start) const;
+  // Time at which the answer has left, if the request starts at `start`.
+  instant EndOf(const work_item& item, instant start) const;
   void Start(const work_item& item);
 
   work_queue_options options_;
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -92,12 +92,17 @@
   const auto slots = static_cast<double>(member.server->slots);
   double busy = static_cast<double>(view.outstanding);
   duration mean = typical_time;
+  duration link_wait{0};
   if (view.reported) {
     if (view.load.mean_time.count() > 0) mean = view.load.mean_time;
     if (now - view.reported_at < options_.report_lifetime) {
       busy = std::max(
           busy, static_cast<double>(view.load.running + view.load.waiting +
                                     view.sent_since_report));
+      // Small answers do not wait for large ones.
+      if (demand.kind == request_kind::kDownload) {
+        link_wait = view.load.link_wait;
+      }
     }
   }
   const auto mean_us = static_cast<double>(mean.count());
@@ -105,7 +110,8 @@
   // as a part of a wait.
   const double queue = std::max(0.0, busy + 1 - slots) / slots;
   const double fullness = std::min(1.0, busy / slots);
-  const double expected_us = mean_us * (1 + queue + 0.3 * fullness * fullness);
+  const double expected_us = mean_us * (1 + queue + 0.3 * fullness * fullness) +
+                             static_cast<double>(link_wait.count());
   double score = expected_us + view.failure_share * kFailureCost * mean_us;
   if (member.data_centre != options_.data_centre) {
     const double penalty = demand.kind == request_kind::kDownload
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -36,14 +36,14 @@
     wait = ExpectedWait(key);
   }
   const auto start = now + wait;
-  if (start + ExpectedTime(item.work_class) > item.give_up_at) {
+  if (EndOf(item, start) > item.give_up_at) return work_verdict::kRefuse;
+  if (!in_time && wait + LinkWait(item, start) > options_.late_wait) {
     return work_verdict::kRefuse;
   }
   if (running_.size() < options_.slots && waiting_.empty()) {
     Start(item);
     return work_verdict::kRun;
   }
-  if (!in_time && wait > options_.late_wait) return work_verdict::kRefuse;
   waiting_.emplace(key, item);
   keys_.emplace(item.id, key);
   return work_verdict::kWait;
@@ -55,9 +55,19 @@
 }
 
 bool work_queue::MeetsTarget(const work_item& item, instant start) const {
-  const auto time = std::chrono::duration_cast<duration>(
-      (1 + options_.time_margin) * ExpectedTime(item.work_class));
-  return start + time <= item.target_at;
+  const auto margin = std::chrono::duration_cast<duration>(
+      options_.time_margin * ExpectedTime(item.work_class));
+  return EndOf(item, start) + margin <= item.target_at;
+}
+
+duration work_queue::LinkWait(const work_item& item, instant start) const {
+  const auto ready_at = start + ExpectedTime(item.work_class);
+  return std::max(item.link_free_at - ready_at, duration(0));
+}
+
+instant work_queue::EndOf(const work_item& item, instant start) const {
+  return start + ExpectedTime(item.work_class) + LinkWait(item, start) +
+         item.link_time;
 }
 
 void work_queue::Start(const work_item& item) {
--- a/libs/sidecar/include/sidecar/exchange_fields.h
+++ b/libs/sidecar/include/sidecar/exchange_fields.h
@@ -28,7 +28,8 @@
 inline constexpr std::string_view kMeshTargetField = "Pomelohall-Mesh-Target";
 /// Version of the configuration that the sender has in force.
 inline constexpr std::string_view kMeshVersionField = "Pomelohall-Mesh-Version";
-/// "running,waiting,slots,mean microseconds" of the answering daemon's server.
+/// "running,waiting,slots,mean microseconds,link wait in microseconds" of the
+/// answering daemon's server.
 inline constexpr std::string_view kMeshLoadField = "Pomelohall-Mesh-Load";
 
 }  // namespace pomelohall
--- a/libs/sidecar/include/sidecar/sidecar_settings.h
+++ b/libs/sidecar/include/sidecar/sidecar_settings.h
@@ -25,6 +25,10 @@
 
   std::string store_address;  ///< Of the platform's store.
 
+  /// Rate of the VM's network link in megabits a second; 0 if it is not known,
+  /// and answers then leave without a pace.
+  double link_mbps = 0;
+
   /// Time between two announcements of a backend server.
   duration announce_interval = std::chrono::milliseconds(1500);
   /// A leaving backend server may get requests for this time.
--- /dev/null
+++ b/libs/sidecar/src/answer_sender.cc
@@ -0,0 +1,55 @@
+#include "answer_sender.h"
+
+#include <utility>
+
+namespace pomelohall {
+
+answer_sender::answer_sender(boost::asio::io_context& io,
+                             transmit_queue_options options)
+    : queue_(options), timer_(io) {}
+
+void answer_sender::Send(const std::shared_ptr<incoming_request>& request,
+                         incoming_answer answer, instant target_at) {
+  if (!answer.head.length || !queue_.IsPaced(*answer.head.length)) {
+    request->Answer(std::move(answer), nullptr);
+    return;
+  }
+  const auto id = ++last_id_;
+  queue_.Add({.id = id, .bytes = *answer.head.length, .target_at = target_at});
+  waiting_.emplace(
+      id, waiting_answer{.request = request, .answer = std::move(answer)});
+  request->SetDisconnectHandler([this, id] { Forget(id); });
+  Pump();
+}
+
+void answer_sender::Pump() {
+  while (const auto id = queue_.Next(MonotonicNow())) {
+    const auto found = waiting_.find(*id);
+    if (found == waiting_.end()) continue;
+    auto next = std::move(found->second);
+    waiting_.erase(found);
+    next.request->Answer(std::move(next.answer), nullptr);
+  }
+  if (queue_.Empty()) return;
+  timer_.expires_after(queue_.FreeAt() - MonotonicNow());
+  timer_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) Pump();
+  });
+}
+
+void answer_sender::Forget(std::uint64_t id) {
+  queue_.Remove(id);
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) return;
+  // Released after the caller of this handler has returned from the session.
+  const auto forgotten = std::move(found->second);
+  waiting_.erase(found);
+  if (forgotten.answer.body) forgotten.answer.body->Cancel();
+}
+
+void answer_sender::Stop() {
+  timer_.cancel();
+  waiting_.clear();
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/answer_sender.h
@@ -0,0 +1,47 @@
+#ifndef POMELOHALL_SIDECAR_SRC_ANSWER_SENDER_H_
+#define POMELOHALL_SIDECAR_SRC_ANSWER_SENDER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "backend/exchange.h"
+#include "caller/incoming_request.h"
+#include "mesh/transmit_queue.h"
+
+namespace pomelohall {
+
+// Sends answers to other daemons, large ones at the pace of the network link.
+class answer_sender {
+ public:
+  answer_sender(boost::asio::io_context& io, transmit_queue_options options);
+
+  // Sends an answer at once, or when its turn has come if it is large.
+  void Send(const std::shared_ptr<incoming_request>& request,
+            incoming_answer answer, instant target_at);
+
+  // Drops what waits.
+  void Stop();
+
+  transmit_queue& Queue() { return queue_; }
+
+ private:
+  struct waiting_answer {
+    std::shared_ptr<incoming_request> request;
+    incoming_answer answer;
+  };
+
+  void Pump();
+  void Forget(std::uint64_t id);
+
+  transmit_queue queue_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t last_id_ = 0;
+  std::unordered_map<std::uint64_t, waiting_answer> waiting_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_SRC_ANSWER_SENDER_H_
--- a/libs/sidecar/src/gate_task.cc
+++ b/libs/sidecar/src/gate_task.cc
@@ -77,7 +77,8 @@
       .With("running", static_cast<std::uint64_t>(load.running))
       .With("waiting", static_cast<std::uint64_t>(load.waiting))
       .With("slots", static_cast<std::uint64_t>(load.slots))
-      .With("mean_us", static_cast<std::int64_t>(load.mean_time.count()));
+      .With("mean_us", static_cast<std::int64_t>(load.mean_time.count()))
+      .With("link_wait_us", static_cast<std::int64_t>(load.link_wait.count()));
 }
 
 void gate_task::OnFailure(const error& failure) {
@@ -131,6 +132,10 @@
 
 void gate_task::PassOn(incoming_answer answer) {
   const auto took = MonotonicNow() - sent_at_;
+  const bool success = answer.head.status >= 200 && answer.head.status < 300;
+  if (success && answer.head.length) {
+    gate_->link_.OnAnswer(request_.work_class, *answer.head.length);
+  }
   if (!answer.body) {
     End(took);
     Tell(std::move(answer));
--- a/libs/sidecar/src/load_codec.cc
+++ b/libs/sidecar/src/load_codec.cc
@@ -10,11 +10,12 @@
 std::string EncodeLoad(const work_load& load) {
   return std::to_string(load.running) + "," + std::to_string(load.waiting) +
          "," + std::to_string(load.slots) + "," +
-         std::to_string(load.mean_time.count());
+         std::to_string(load.mean_time.count()) + "," +
+         std::to_string(load.link_wait.count());
 }
 
 std::optional<work_load> DecodeLoad(std::string_view text) {
-  std::array<std::uint64_t, 4> values{};
+  std::array<std::uint64_t, 5> values{};
   for (std::size_t i = 0; i < values.size(); ++i) {
     const auto comma = text.find(',');
     const bool last = i + 1 == values.size();
@@ -27,7 +28,8 @@
   return work_load{.running = values[0],
                    .waiting = values[1],
                    .slots = values[2],
-                   .mean_time = duration(static_cast<std::int64_t>(values[3]))};
+                   .mean_time = duration(static_cast<std::int64_t>(values[3])),
+                   .link_wait = duration(static_cast<std::int64_t>(values[4]))};
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -20,6 +20,10 @@
   return text;
 }
 
+// Larger answers are passed on as they arrive. Bounds the memory for answers
+// that wait for the link: a backend server has a few tens of slots.
+constexpr std::size_t kMaxHeldBytes = 1024UL * 1024;
+
 duration Millis(std::string_view text) {
   std::int64_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -28,9 +32,12 @@
 
 }  // namespace
 
-mesh_endpoint::mesh_endpoint(server_gate& gate, version_exchange& versions,
-                             exchange_fields fields)
-    : gate_(gate), versions_(versions), fields_(std::move(fields)) {}
+mesh_endpoint::mesh_endpoint(server_gate& gate, answer_sender& sender,
+                             version_exchange& versions, exchange_fields fields)
+    : gate_(gate),
+      sender_(sender),
+      versions_(versions),
+      fields_(std::move(fields)) {}
 
 void mesh_endpoint::OnRequest(std::shared_ptr<incoming_request> request) {
   outgoing_request outgoing;
@@ -76,18 +83,53 @@
   if (const auto* id = FindField(fields, fields_.attempt_id)) {
     call.attempt_id = *id;
   }
+  call.over_link = true;
   call.request = std::move(outgoing);
+  const auto target_at = call.target_at;
   const auto started = gate_.Start(
       std::move(call),
       {.on_sent = nullptr,
-       .on_answer = [this, request](result<incoming_answer> answer) {
-         Answer(*request, std::move(answer));
+       .on_answer = [this, request, target_at](result<incoming_answer> answer) {
+         OnAnswer(request, target_at, std::move(answer));
        }});
   request->SetDisconnectHandler([started] { started->Cancel(); });
 }
 
-void mesh_endpoint::Answer(incoming_request& request,
-                           result<incoming_answer> answer) const {
+void mesh_endpoint::OnAnswer(const std::shared_ptr<incoming_request>& request,
+                             instant target_at,
+                             result<incoming_answer> answer) {
+  if (answer && answer->body && answer->head.length &&
+      sender_.Queue().IsPaced(*answer->head.length)) {
+    Hold(request, target_at, std::move(*answer));
+  } else {
+    Answer(request, target_at, std::move(answer));
+  }
+}
+
+void mesh_endpoint::Hold(const std::shared_ptr<incoming_request>& request,
+                         instant target_at, incoming_answer answer) {
+  const auto body = answer.body;
+  ReadBodyStart(
+      body, kMaxHeldBytes,
+      [this, request, target_at,
+       answer = std::move(answer)](const result<body_start>& start) mutable {
+        if (!start) {
+          Answer(request, target_at,
+                 Fail(error_kind::kBackendFailed, start.error().message));
+          return;
+        }
+        if (start->whole) {
+          answer.body = std::make_shared<buffered_body>(start->bytes);
+        } else {
+          answer.body = std::make_shared<prefixed_body>(start->bytes,
+                                                        std::move(answer.body));
+        }
+        Answer(request, target_at, std::move(answer));
+      });
+}
+
+void mesh_endpoint::Answer(const std::shared_ptr<incoming_request>& request,
+                           instant target_at, result<incoming_answer> answer) {
   auto outgoing = answer ? std::move(*answer) : ErrorAnswer(answer.error());
   auto& fields = outgoing.head.fields;
   if (answer) {
@@ -96,7 +138,7 @@
   }
   SetField(fields, kMeshLoadField, EncodeLoad(gate_.Load()));
   SetField(fields, kMeshVersionField, std::to_string(versions_.OwnVersion()));
-  request.Answer(std::move(outgoing), nullptr);
+  sender_.Send(request, std::move(outgoing), target_at);
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "answer_sender.h"
 #include "caller/call_server.h"
 #include "server_gate.h"
 #include "sidecar/exchange_fields.h"
@@ -25,17 +26,25 @@
 class mesh_endpoint final : public call_handler {
  public:
   // References must outlive the endpoint.
-  mesh_endpoint(server_gate& gate, version_exchange& versions,
-                exchange_fields fields);
+  mesh_endpoint(server_gate& gate, answer_sender& sender,
+                version_exchange& versions, exchange_fields fields);
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
  private:
   void Forward(const std::shared_ptr<incoming_request>& request,
                outgoing_request outgoing);
-  void Answer(incoming_request& request, result<incoming_answer> answer) const;
+  void OnAnswer(const std::shared_ptr<incoming_request>& request,
+                instant target_at, result<incoming_answer> answer);
+  // Reads a large answer into memory, which frees the backend server while the
+  // answer waits for the network link.
+  void Hold(const std::shared_ptr<incoming_request>& request, instant target_at,
+            incoming_answer answer);
+  void Answer(const std::shared_ptr<incoming_request>& request,
+              instant target_at, result<incoming_answer> answer);
 
   server_gate& gate_;
+  answer_sender& sender_;
   version_exchange& versions_;
   const exchange_fields fields_;
 };
--- a/libs/sidecar/src/server_gate.cc
+++ b/libs/sidecar/src/server_gate.cc
@@ -23,9 +23,10 @@
 }  // namespace
 
 server_gate::server_gate(boost::asio::io_context& io,
-                         server_gate_options options)
+                         server_gate_options options, transmit_queue& link)
     : io_(io),
       options_(std::move(options)),
+      link_(link),
       server_address_(options_.server_address),
       pool_(io, PoolOptions(options_)),
       server_({.address = options_.server_address,
@@ -60,11 +61,17 @@
                                              exchange_events events) {
   const auto now = MonotonicNow();
   auto refusal = Refusal(request);
-  const work_item item{.id = ++last_id_,
-                       .work_class = request.work_class,
-                       .priority = request.priority,
-                       .target_at = request.target_at,
-                       .give_up_at = request.give_up_at};
+  work_item item{.id = ++last_id_,
+                 .work_class = request.work_class,
+                 .priority = request.priority,
+                 .target_at = request.target_at,
+                 .give_up_at = request.give_up_at};
+  if (request.over_link) {
+    item.link_free_at = link_.DoneAt(now);
+    item.link_time = link_.ExpectedTime(item.work_class);
+    // Small answers do not wait for large ones.
+    if (item.link_time.count() == 0) item.link_free_at = now;
+  }
   auto task = std::make_shared<gate_task>(*this, item.id, std::move(request),
                                           std::move(events));
   tasks_.emplace(item.id, task);
@@ -75,6 +82,8 @@
       refusal = error(error_kind::kOverloaded,
                       "the backend server cannot run the request in time",
                       run_state::kNotRun);
+    } else if (item.link_time.count() > 0) {
+      link_.Promise(item.id, item.work_class);
     }
   }
   // Not inline: the starter must have the exchange before its first event.
@@ -141,6 +150,15 @@
   return accepting_ ? server_.Offer() : std::nullopt;
 }
 
+work_load server_gate::Load() const {
+  auto load = queue_.Load();
+  const auto now = MonotonicNow();
+  // What the link sends while a request runs does not delay its answer.
+  load.link_wait =
+      std::max(link_.DoneAt(now) - now - load.mean_time, duration(0));
+  return load;
+}
+
 void server_gate::Tick(instant now) {
   Refuse(queue_.TakeExpired(now), error_kind::kOverloaded,
          "the request waited too long to be answered in time");
@@ -183,6 +201,7 @@
 
 void server_gate::Forget(std::uint64_t id) {
   queue_.Remove(id);
+  link_.Withdraw(id);
   tasks_.erase(id);
 }
 
--- a/libs/sidecar/src/server_gate.h
+++ b/libs/sidecar/src/server_gate.h
@@ -14,6 +14,7 @@
 #include "backend/exchange.h"
 #include "mesh/local_server.h"
 #include "mesh/mesh_config.h"
+#include "mesh/transmit_queue.h"
 #include "mesh/work_queue.h"
 #include "sidecar/exchange_fields.h"
 
@@ -31,6 +32,7 @@
   int priority = 0;
   instant target_at;
   instant give_up_at;
+  bool over_link = false;  // The answer leaves this VM.
 };
 
 struct server_gate_options {
@@ -51,7 +53,9 @@
 // a request that it refuses did not run.
 class server_gate {
  public:
-  server_gate(boost::asio::io_context& io, server_gate_options options);
+  // `io` and `link` must outlive the gate.
+  server_gate(boost::asio::io_context& io, server_gate_options options,
+              transmit_queue& link);
   ~server_gate();
   server_gate(const server_gate&) = delete;
   server_gate& operator=(const server_gate&) = delete;
@@ -78,7 +82,7 @@
     on_offer_changed_ = std::move(observer);
   }
   std::optional<offered_server> Offer() const;
-  work_load Load() const { return queue_.Load(); }
+  work_load Load() const;
   bool Idle() const { return tasks_.empty(); }
   const local_server& Server() const { return server_; }
 
@@ -96,6 +100,7 @@
 
   boost::asio::io_context& io_;
   const server_gate_options options_;
+  transmit_queue& link_;
   std::string server_address_;
   connection_pool pool_;
   local_server server_;
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "answer_sender.h"
 #include "backend/connection_pool.h"
 #include "backend/http_message.h"
 #include "caller/call_server.h"
@@ -49,6 +50,15 @@
 // arrive seconds late at times.
 constexpr std::int64_t kMissedAnnouncements = 6;
 
+// Part of the link for large answers; the rest is for small ones, requests and
+// acknowledgements.
+constexpr double kPacedLinkShare = 0.9;
+
+double PacedBytesPerSecond(double link_mbps) {
+  constexpr double kBytesPerMegabit = 125'000;
+  return kPacedLinkShare * link_mbps * kBytesPerMegabit;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -69,12 +79,16 @@
        const sidecar_platform& platform)
       : settings_(std::move(settings)),
         incarnation_(UnixMillis()),
-        gate_(io, {.fields = platform.fields,
-                   .server_address = settings_.server_address,
-                   // Half of the time is left to those that are on their way.
-                   .leaving_grace = settings_.drain_time / 2,
-                   .announcement_timeout =
-                       settings_.announce_interval * kMissedAnnouncements}),
+        sender_(io,
+                {.bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)}),
+        gate_(io,
+              {.fields = platform.fields,
+               .server_address = settings_.server_address,
+               // Half of the time is left to those that are on their way.
+               .leaving_grace = settings_.drain_time / 2,
+               .announcement_timeout =
+                   settings_.announce_interval * kMissedAnnouncements},
+              sender_.Queue()),
         directory_(
             {.member = settings_.name, .data_centre = settings_.data_centre},
             RandomSeed()),
@@ -93,7 +107,7 @@
                  .caller_service = settings_.server_service},
                 gate_, directory_, budget_, peers_, *this, metrics_,
                 RandomSeed()),
-        endpoint_(gate_, *this, platform.fields),
+        endpoint_(gate_, sender_, *this, platform.fields),
         callers_(io, {.address = settings_.caller_address}, router_),
         daemons_(io, {.address = settings_.forward_address}, endpoint_),
         publisher_(io, *platform.store, RandomSeed()),
@@ -286,6 +300,7 @@
     config_watch_.Stop();
     member_watch_.Stop();
     publisher_.Stop();
+    sender_.Stop();
     tick_timer_.cancel();
     stop_timer_.cancel();
     log_event(log_level::kInfo, "sidecar_stopped")
@@ -300,6 +315,7 @@
   sidecar_settings settings_;
   const std::uint64_t incarnation_;
   sidecar_metrics metrics_;
+  answer_sender sender_;
   server_gate gate_;
   server_directory directory_;
   retry_budget budget_;
--- a/libs/sidecar/src/sidecar_settings.cc
+++ b/libs/sidecar/src/sidecar_settings.cc
@@ -63,6 +63,11 @@
       "required": ["address"],
       "properties": {"address": {"$ref": "#/definitions/address"}}
     },
+    "link_mbps": {
+      "type": ["number", "null"],
+      "minimum": 0,
+      "$comment": "null is the same as 0"
+    },
     "stop_grace_ms": {"$ref": "#/definitions/millis"},
     "apply_ms": {"$ref": "#/definitions/millis"},
     "contact_ms": {"$ref": "#/definitions/millis"},
@@ -134,6 +139,10 @@
   ReadServer(document->at("backend_server"), settings);
   ReadListeners(document->at("listeners"), settings);
   settings.store_address = document->at("store").at("address");
+  const auto link = document->find("link_mbps");
+  if (link != document->end() && link->is_number()) {
+    settings.link_mbps = link->get<double>();
+  }
   ReadMillis(*document, "stop_grace_ms", settings.stop_grace);
   ReadMillis(*document, "apply_ms", settings.apply_time);
   ReadMillis(*document, "contact_ms", settings.contact_time);
