Hand configurations on between daemons by the routes that differ

Ruled out: the way of versions itself; each daemon heard of the new version within some hundred milliseconds.

Change: a daemon that hears of a newer version sends the digest of its routes (64 buckets) to the daemon that has it, and gets the buckets that differ; the result is checked against the sender's checksum, and the store is read if anything fails. A watch that may be stale puts its next listing off while versions come this way, and lists until nothing is new before it watches on. A daemon that the store does not serve now gets the configuration as well.

Two tests of collection_watch ran their I/O context once only: a context without work stops, so the later steps did nothing. They now restart it.

--- /dev/null
+++ b/libs/mesh/src/config_difference.cc
@@ -0,0 +1,91 @@
+#include "mesh/config_difference.h"
+
+#include <algorithm>
+
+#include "base/digest.h"
+
+namespace pomelohall {
+namespace {
+
+std::size_t BucketOf(const route_rule& route) {
+  return FastHash(route.name) % config_digest::kBuckets;
+}
+
+void Append(std::string& text, const std::string& field) {
+  // The length keeps neighbouring fields apart.
+  text.append(std::to_string(field.size())).append(":").append(field);
+}
+
+std::uint64_t Fingerprint(const route_rule& route) {
+  std::string text;
+  for (const auto* field : {&route.name, &route.host, &route.path_prefix}) {
+    Append(text, *field);
+  }
+  Append(text, std::to_string(static_cast<int>(route.kind)));
+  Append(text, std::to_string(route.timeout.count()));
+  Append(text, std::to_string(route.latency_target.count()));
+  Append(text, std::to_string(route.priority));
+  Append(text, std::to_string(route.max_servers));
+  for (const auto& entry : route.destinations) {
+    Append(text, entry.service);
+    Append(text, std::to_string(entry.weight));
+  }
+  return FastHash(text);
+}
+
+}  // namespace
+
+config_digest DigestOf(const mesh_config& config) {
+  config_digest digest;
+  // A sum does not depend on the order of the routes.
+  for (const auto& route : config.routes) {
+    digest.buckets[BucketOf(route)] += Fingerprint(route);
+  }
+  return digest;
+}
+
+std::uint64_t Checksum(const config_digest& digest) {
+  std::string text;
+  for (const auto bucket : digest.buckets) Append(text, std::to_string(bucket));
+  return FastHash(text);
+}
+
+config_difference DifferenceTo(const mesh_config& config,
+                               const config_digest& other) {
+  const auto digest = DigestOf(config);
+  config_difference difference{.version = config.version,
+                               .services = config.services,
+                               .limits = config.limits,
+                               .buckets = {},
+                               .routes = {},
+                               .checksum = Checksum(digest)};
+  std::array<bool, config_digest::kBuckets> differs{};
+  for (std::size_t i = 0; i < config_digest::kBuckets; ++i) {
+    differs[i] = digest.buckets[i] != other.buckets[i];
+    if (differs[i]) difference.buckets.push_back(i);
+  }
+  for (const auto& route : config.routes) {
+    if (differs[BucketOf(route)]) difference.routes.push_back(route);
+  }
+  return difference;
+}
+
+std::optional<mesh_config> ApplyDifference(
+    const mesh_config& base, const config_difference& difference) {
+  std::array<bool, config_digest::kBuckets> differs{};
+  for (const auto bucket : difference.buckets) {
+    if (bucket >= config_digest::kBuckets) return std::nullopt;
+    differs[bucket] = true;
+  }
+  mesh_config config{.version = difference.version,
+                     .routes = difference.routes,
+                     .services = difference.services,
+                     .limits = difference.limits};
+  for (const auto& route : base.routes) {
+    if (!differs[BucketOf(route)]) config.routes.push_back(route);
+  }
+  if (Checksum(DigestOf(config)) != difference.checksum) return std::nullopt;
+  return config;
+}
+
+}  // namespace pomelohall
--- a/libs/sidecar/include/sidecar/exchange_fields.h
+++ b/libs/sidecar/include/sidecar/exchange_fields.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_SIDECAR_EXCHANGE_FIELDS_H_
 #define POMELOHALL_SIDECAR_EXCHANGE_FIELDS_H_
 
+#include <array>
 #include <string>
 #include <string_view>
 
@@ -28,10 +29,20 @@
 inline constexpr std::string_view kMeshTargetField = "Pomelohall-Mesh-Target";
 /// Version of the configuration that the sender has in force.
 inline constexpr std::string_view kMeshVersionField = "Pomelohall-Mesh-Version";
+/// Address at which the sender answers fetches of that configuration.
+inline constexpr std::string_view kMeshSenderField = "Pomelohall-Mesh-Sender";
+/// Marks a fetch of the configuration in force; the version of the sender.
+inline constexpr std::string_view kMeshFetchField = "Pomelohall-Mesh-Fetch";
 /// "running,waiting,slots,mean microseconds,link wait in microseconds" of the
 /// answering daemon's server.
 inline constexpr std::string_view kMeshLoadField = "Pomelohall-Mesh-Load";
 
+/// All fields between daemons.
+inline constexpr std::array kMeshFields{
+    kMeshInstanceField, kMeshClassField,  kMeshKindField,
+    kMeshPriorityField, kMeshTargetField, kMeshVersionField,
+    kMeshSenderField,   kMeshFetchField,  kMeshLoadField};
+
 }  // namespace pomelohall
 
 #endif  // POMELOHALL_SIDECAR_EXCHANGE_FIELDS_H_
--- a/libs/sidecar/src/collection_watch.cc
+++ b/libs/sidecar/src/collection_watch.cc
@@ -25,6 +25,7 @@
 
 void collection_watch::List() {
   listed_ = false;
+  pausing_ = false;
   store_.List(options_.collection, options_.mode().freshness,
               [this](const result<object_listing>& listing) {
                 if (!stopped_) OnListed(listing);
@@ -39,8 +40,27 @@
   OnSuccess();
   listed_ = true;
   revision_ = listing->revision;
+  const auto newest = newest_object_;
+  for (const auto& object : listing->objects) {
+    newest_object_ = std::max(newest_object_, object.revision);
+  }
   observer_.OnListed(listing->objects);
-  Watch();
+  if (options_.list_after_change && newest > 0 && newest_object_ > newest) {
+    ListLater();
+  } else {
+    Watch();
+  }
+}
+
+void collection_watch::ListLater() {
+  pausing_ = true;
+  After(options_.pause_after_change, &collection_watch::List);
+}
+
+void collection_watch::Postpone() {
+  if (pausing_ && options_.mode().freshness == read_freshness::kMayBeStale) {
+    ListLater();
+  }
 }
 
 void collection_watch::Refresh() {
@@ -86,15 +106,18 @@
   OnSuccess();
   // Stale data may be older than what was listed.
   revision_ = std::max(revision_, changes->revision);
-  for (const auto& change : changes->changes) observer_.OnChanged(change);
+  for (const auto& change : changes->changes) {
+    newest_object_ = std::max(newest_object_, change.object.revision);
+    observer_.OnChanged(change);
+  }
   if (changes->changes.empty()) {
     const bool early = MonotonicNow() < earliest_end;
     After(early ? options_.pause_after_early_end : duration(0),
           &collection_watch::Watch);
+  } else if (options_.list_after_change) {
+    ListLater();
   } else {
-    After(options_.pause_after_change, options_.list_after_change
-                                           ? &collection_watch::List
-                                           : &collection_watch::Watch);
+    After(options_.pause_after_change, &collection_watch::Watch);
   }
 }
 
--- a/libs/sidecar/src/collection_watch.h
+++ b/libs/sidecar/src/collection_watch.h
@@ -38,9 +38,9 @@
   // Pause before the next watch after a change, so that a run of changes costs
   // a few calls and not one each.
   duration pause_after_change{0};
-  // Lists after that pause instead of watching on: a watch shows each change
-  // with its whole object, and a listing only the last one. For collections
-  // with few and large objects.
+  // Lists after that pause, until a listing shows nothing new, instead of
+  // watching on: a watch shows each change with its whole object, and a listing
+  // only the last one. For collections with few and large objects.
   bool list_after_change = false;
   // Pause before the next watch if one ended without changes before its time:
   // a store that answers from old data may do so at once, each time.
@@ -63,6 +63,10 @@
   // Lists the latest state now, because the present one is known to be old.
   // Without effect while a listing is in progress.
   void Refresh();
+  // The observer learned a newer state elsewhere: a listing after a change that
+  // waits for its pause waits anew. Without effect on reads of the latest
+  // state, which others rely on.
+  void Postpone();
   void Stop();
 
  private:
@@ -70,6 +74,7 @@
   void Watch();
   void OnListed(const result<object_listing>& listing);
   void OnChanges(const result<object_changes>& changes, instant earliest_end);
+  void ListLater();
   void OnFailure(const error& failure);
   void OnSuccess();
   void After(duration pause, void (collection_watch::*next)());
@@ -81,7 +86,9 @@
   boost::asio::steady_timer timer_;
   std::uint64_t revision_ = 0;
   std::size_t failures_ = 0;
+  std::uint64_t newest_object_ = 0;  // Highest revision of an object seen.
   bool listed_ = false;
+  bool pausing_ = false;  // A listing after a change waits.
   bool refreshing_ = false;
   bool stopped_ = false;
 };
--- /dev/null
+++ b/libs/sidecar/src/config_codec.cc
@@ -0,0 +1,107 @@
+#include "config_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+json ToJson(const route_rule& route) {
+  json destinations = json::array();
+  for (const auto& entry : route.destinations) {
+    destinations.push_back({entry.service, entry.weight});
+  }
+  return {{"name", route.name},
+          {"host", route.host},
+          {"prefix", route.path_prefix},
+          {"kind", kRequestKindNames.Name(route.kind)},
+          {"timeout_us", route.timeout.count()},
+          {"target_us", route.latency_target.count()},
+          {"priority", route.priority},
+          {"servers", route.max_servers},
+          {"to", std::move(destinations)}};
+}
+
+// Throws json::exception on another form.
+route_rule ToRoute(const json& item) {
+  route_rule route{
+      .name = item.at("name"),
+      .host = item.at("host"),
+      .path_prefix = item.at("prefix"),
+      .kind = kRequestKindNames.Find(item.at("kind").get<std::string>())
+                  .value_or(request_kind::kUnsafe),
+      .timeout = duration(item.at("timeout_us").get<std::int64_t>()),
+      .latency_target = duration(item.at("target_us").get<std::int64_t>()),
+      .priority = item.at("priority"),
+      .destinations = {},
+      .max_servers = item.at("servers")};
+  for (const auto& entry : item.at("to")) {
+    route.destinations.push_back(
+        {.service = entry.at(0), .weight = entry.at(1)});
+  }
+  return route;
+}
+
+json ToJson(const request_limits& limits) {
+  return {{"header_bytes", limits.max_header_bytes},
+          {"body_bytes", limits.max_body_bytes},
+          {"header_us", limits.header_timeout.count()},
+          {"idle_us", limits.idle_timeout.count()}};
+}
+
+request_limits ToLimits(const json& item) {
+  return {.max_header_bytes = item.at("header_bytes"),
+          .max_body_bytes = item.at("body_bytes"),
+          .header_timeout = duration(item.at("header_us").get<std::int64_t>()),
+          .idle_timeout = duration(item.at("idle_us").get<std::int64_t>())};
+}
+
+}  // namespace
+
+std::string EncodeDigest(const config_digest& digest) {
+  return json(digest.buckets).dump();
+}
+
+std::optional<config_digest> DecodeDigest(const std::string& text) {
+  try {
+    return config_digest{
+        json::parse(text).get<decltype(config_digest::buckets)>()};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeDifference(const revised_difference& message) {
+  const auto& difference = message.difference;
+  json routes = json::array();
+  for (const auto& route : difference.routes) routes.push_back(ToJson(route));
+  const json document{
+      {"revision", message.revision},    {"version", difference.version},
+      {"services", difference.services}, {"limits", ToJson(difference.limits)},
+      {"buckets", difference.buckets},   {"routes", std::move(routes)},
+      {"checksum", difference.checksum}};
+  return document.dump();
+}
+
+std::optional<revised_difference> DecodeDifference(const std::string& text) {
+  try {
+    const auto document = json::parse(text);
+    revised_difference message{
+        .revision = document.at("revision"),
+        .difference = {.version = document.at("version"),
+                       .services = document.at("services"),
+                       .limits = ToLimits(document.at("limits")),
+                       .buckets = document.at("buckets"),
+                       .routes = {},
+                       .checksum = document.at("checksum")}};
+    for (const auto& item : document.at("routes")) {
+      message.difference.routes.push_back(ToRoute(item));
+    }
+    return message;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/config_exchange.cc
@@ -0,0 +1,165 @@
+#include "config_exchange.h"
+
+#include <utility>
+
+#include "backend/buffered_body.h"
+#include "caller/body_tools.h"
+#include "caller/error_answer.h"
+#include "config_codec.h"
+#include "logging/log_event.h"
+#include "mesh/config_difference.h"
+
+namespace pomelohall {
+namespace {
+
+// A digest takes about 1.3 kB.
+constexpr std::size_t kMaxDigestBytes = 16UL * 1024;
+// The store's objects are at most 1 MiB.
+constexpr std::size_t kMaxDifferenceBytes = 2UL * 1024 * 1024;
+
+std::shared_ptr<body_source> ToBody(std::string text) {
+  return std::make_shared<buffered_body>(
+      std::make_shared<const std::string>(std::move(text)));
+}
+
+}  // namespace
+
+config_exchange::config_exchange(boost::asio::io_context& io,
+                                 connection_pool& peers, config_holder& holder,
+                                 collection_watch& watch,
+                                 config_exchange_options options)
+    : peers_(peers),
+      holder_(holder),
+      watch_(watch),
+      options_(std::move(options)),
+      timer_(io) {}
+
+void config_exchange::OnPeerVersion(const std::string& version,
+                                    const std::string& address) {
+  const auto newest = ParseNumber(version).value_or(0);
+  const auto now = MonotonicNow();
+  if (newest <= OwnVersion() || fetching_ || now < next_fetch_ ||
+      address.empty()) {
+    return;
+  }
+  next_fetch_ = now + options_.pause;
+  log_event(log_level::kInfo, "config_outdated")
+      .With("version", OwnVersion())
+      .With("peer_version", newest)
+      .With("peer", address);
+  Fetch(address);
+}
+
+void config_exchange::Fetch(const std::string& address) {
+  auto digest = EncodeDigest(DigestOf(holder_.Config()));
+  outgoing_request request;
+  request.head.method = "POST";
+  request.head.target = "/";
+  request.head.fields = {
+      {"Host", address},
+      {std::string(kMeshFetchField), std::to_string(OwnVersion())},
+      {options_.attempt_id, "config-" + std::to_string(++fetches_)}};
+  request.head.framing = body_framing::kLength;
+  request.head.length = digest.size();
+  request.body = ToBody(std::move(digest));
+  fetching_ = peers_.Start(
+      address, std::move(request),
+      {.on_sent = nullptr, .on_answer = [this](result<incoming_answer> answer) {
+         OnAnswer(std::move(answer));
+       }});
+  timer_.expires_after(options_.timeout);
+  timer_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) OnFailure("no answer in time");
+  });
+}
+
+void config_exchange::EndFetch() {
+  timer_.cancel();
+  if (const auto fetch = std::exchange(fetching_, nullptr)) fetch->Cancel();
+}
+
+void config_exchange::Stop() { EndFetch(); }
+
+void config_exchange::OnAnswer(result<incoming_answer> answer) {
+  if (!answer) {
+    OnFailure(answer.error().message);
+    return;
+  }
+  if (!answer->body) {
+    OnFailure("the answer is empty");
+    return;
+  }
+  const int status = answer->head.status;
+  ReadBodyStart(answer->body, kMaxDifferenceBytes,
+                [this, status](const result<body_start>& start) {
+                  if (!start) {
+                    OnFailure(start.error().message);
+                  } else if (status != 200 || !start->whole) {
+                    OnFailure("the daemon answered " + std::to_string(status));
+                  } else {
+                    OnDifference(*start->bytes);
+                  }
+                });
+}
+
+void config_exchange::OnDifference(const std::string& text) {
+  const auto message = DecodeDifference(text);
+  if (!message) {
+    OnFailure("the answer is no configuration");
+    return;
+  }
+  auto config = ApplyDifference(holder_.Config(), message->difference);
+  if (!config) {
+    OnFailure("the result differs from the daemon's configuration");
+    return;
+  }
+  EndFetch();
+  log_event(log_level::kInfo, "config_fetched")
+      .With("version", config->version)
+      .With("bytes", static_cast<std::uint64_t>(text.size()))
+      .With("changed_routes",
+            static_cast<std::uint64_t>(message->difference.routes.size()));
+  holder_.OnFetched(std::move(*config), message->revision);
+  watch_.Postpone();
+}
+
+void config_exchange::OnFailure(const std::string& reason) {
+  EndFetch();
+  log_event(log_level::kInfo, "config_fetch_failed").With("reason", reason);
+  watch_.Refresh();
+}
+
+void config_exchange::Serve(const std::shared_ptr<incoming_request>& request) {
+  const auto body = request->Body();
+  if (!body) {
+    request->Answer(ErrorAnswer({error_kind::kInvalidRequest, "no digest"}),
+                    nullptr);
+    return;
+  }
+  ReadBodyStart(
+      body, kMaxDigestBytes, [this, request](const result<body_start>& start) {
+        if (!start) return;  // The connection is gone.
+        const auto digest =
+            start->whole ? DecodeDigest(*start->bytes) : std::nullopt;
+        if (!digest) {
+          request->Answer(
+              ErrorAnswer({error_kind::kInvalidRequest, "no digest"}), nullptr);
+          return;
+        }
+        auto text = EncodeDifference(
+            {.revision = holder_.Revision(),
+             .difference = DifferenceTo(holder_.Config(), *digest)});
+        incoming_answer answer;
+        answer.head.status = 200;
+        if (const auto* id =
+                FindField(request->Head().fields, options_.attempt_id)) {
+          answer.head.fields.emplace_back(options_.attempt_id, *id);
+        }
+        answer.head.framing = body_framing::kLength;
+        answer.head.length = text.size();
+        answer.body = ToBody(std::move(text));
+        request->Answer(std::move(answer), nullptr);
+      });
+}
+
+}  // namespace pomelohall
--- a/libs/sidecar/src/config_holder.cc
+++ b/libs/sidecar/src/config_holder.cc
@@ -22,7 +22,7 @@
   if (change.deleted) {
     log_event(log_level::kWarning, "config_deleted")
         .With("object", change.object.name)
-        .With("kept_version", version_);
+        .With("kept_version", Version());
     return;
   }
   Take(change.object);
@@ -34,24 +34,37 @@
   if (!config) {
     log_event(log_level::kError, "config_refused")
         .With("revision", object.revision)
-        .With("kept_version", version_)
+        .With("kept_version", Version())
         .With("reason", config.error().message);
     return;
   }
-  revision_ = object.revision;
-  if (config->version < version_) {
+  Enforce(std::move(*config), object.revision);
+}
+
+void config_holder::OnFetched(mesh_config config, std::uint64_t revision) {
+  if (revision > revision_) Enforce(std::move(config), revision);
+}
+
+void config_holder::Enforce(mesh_config config, std::uint64_t revision) {
+  revision_ = revision;
+  if (config.version < Version()) {
     log_event(log_level::kError, "config_refused")
-        .With("revision", object.revision)
-        .With("kept_version", version_)
+        .With("revision", revision)
+        .With("kept_version", Version())
         .With("reason", "the version is older");
     return;
   }
-  version_ = config->version;
   log_event(log_level::kInfo, "config_in_force")
-      .With("version", version_)
-      .With("revision", object.revision)
-      .With("routes", static_cast<std::uint64_t>(config->routes.size()));
-  on_change_(std::make_shared<route_table>(std::move(*config)));
+      .With("version", config.version)
+      .With("revision", revision)
+      .With("routes", static_cast<std::uint64_t>(config.routes.size()));
+  table_ = std::make_shared<route_table>(std::move(config));
+  on_change_(table_);
+}
+
+const mesh_config& config_holder::Config() const {
+  static const mesh_config empty;
+  return table_ ? table_->Config() : empty;
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/config_holder.h
+++ b/libs/sidecar/src/config_holder.h
@@ -24,15 +24,25 @@
 
   void OnListed(const std::vector<watched_object>& objects) override;
   void OnChanged(const object_change& change) override;
+  // Takes a configuration that another daemon read.
+  // @param revision Of the store's object that holds it.
+  void OnFetched(mesh_config config, std::uint64_t revision);
+
+  // The configuration in force; an empty one before the first.
+  const mesh_config& Config() const;
+  std::uint64_t Version() const { return Config().version; }
+  // Of the store's object that was last looked at.
+  std::uint64_t Revision() const { return revision_; }
 
  private:
+  void Enforce(mesh_config config, std::uint64_t revision);
   void Take(const watched_object& object);
 
   const std::string object_name_;
   const std::function<result<mesh_config>(const std::string&)> decode_;
   const observer on_change_;
   std::uint64_t revision_ = 0;
-  std::uint64_t version_ = 0;
+  std::shared_ptr<route_table> table_;
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -33,13 +33,17 @@
 }  // namespace
 
 mesh_endpoint::mesh_endpoint(server_gate& gate, answer_sender& sender,
-                             version_exchange& versions, exchange_fields fields)
+                             config_exchange& configs, exchange_fields fields)
     : gate_(gate),
       sender_(sender),
-      versions_(versions),
+      configs_(configs),
       fields_(std::move(fields)) {}
 
 void mesh_endpoint::OnRequest(std::shared_ptr<incoming_request> request) {
+  if (FindField(request->Head().fields, kMeshFetchField) != nullptr) {
+    configs_.Serve(request);
+    return;
+  }
   outgoing_request outgoing;
   outgoing.head = request->Head();
   RemoveHopFields(outgoing.head.fields);
@@ -70,7 +74,8 @@
                             outgoing_request outgoing) {
   auto& fields = outgoing.head.fields;
   const auto now = request->ReceivedAt();
-  versions_.OnPeerVersion(TakeField(fields, kMeshVersionField));
+  const auto version = TakeField(fields, kMeshVersionField);
+  configs_.OnPeerVersion(version, TakeField(fields, kMeshSenderField));
   gate_request call;
   call.instance = TakeField(fields, kMeshInstanceField);
   call.work_class = TakeField(fields, kMeshClassField);
@@ -137,7 +142,7 @@
     RemoveField(fields, kErrorField);
   }
   SetField(fields, kMeshLoadField, EncodeLoad(gate_.Load()));
-  SetField(fields, kMeshVersionField, std::to_string(versions_.OwnVersion()));
+  SetField(fields, kMeshVersionField, std::to_string(configs_.OwnVersion()));
   sender_.Send(request, std::move(outgoing), target_at);
 }
 
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -7,27 +7,18 @@
 
 #include "answer_sender.h"
 #include "caller/call_server.h"
+#include "config_exchange.h"
 #include "server_gate.h"
 #include "sidecar/exchange_fields.h"
 
 namespace pomelohall {
 
-// Exchanges the version in force with other daemons, on requests and answers: a
-// daemon whose view of the store is stale learns that a newer one exists.
-class version_exchange {
- public:
-  virtual ~version_exchange() = default;
-  // Version in force; 0 before the first one.
-  virtual std::uint64_t OwnVersion() const = 0;
-  virtual void OnPeerVersion(const std::string& version) = 0;
-};
-
 // Takes requests of other daemons for the backend server of this VM.
 class mesh_endpoint final : public call_handler {
  public:
   // References must outlive the endpoint.
   mesh_endpoint(server_gate& gate, answer_sender& sender,
-                version_exchange& versions, exchange_fields fields);
+                config_exchange& configs, exchange_fields fields);
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
@@ -45,7 +36,7 @@
 
   server_gate& gate_;
   answer_sender& sender_;
-  version_exchange& versions_;
+  config_exchange& configs_;
   const exchange_fields fields_;
 };
 
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -11,6 +11,7 @@
 #include "backend/connection_pool.h"
 #include "base/random.h"
 #include "caller/call_server.h"
+#include "config_exchange.h"
 #include "mesh/deadline_history.h"
 #include "mesh/retry_budget.h"
 #include "mesh/route_table.h"
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -123,11 +123,7 @@
              .latency_target = route_->latency_target,
              .excluded = {}};
   RemoveHopFields(head_.fields);
-  for (const auto name :
-       {kMeshInstanceField, kMeshClassField, kMeshKindField, kMeshVersionField,
-        kMeshPriorityField, kMeshTargetField}) {
-    RemoveField(head_.fields, name);
-  }
+  for (const auto name : kMeshFields) RemoveField(head_.fields, name);
   SetField(head_.fields, router_.options_.fields.caller_service,
            router_.options_.caller_service);
   OfferNext();
@@ -209,7 +205,9 @@
            std::string(kRequestKindNames.Name(route_->kind)));
   SetField(fields, kMeshPriorityField, std::to_string(route_->priority));
   SetField(fields, kMeshTargetField, Millis(target_at_ - now));
-  SetField(fields, kMeshVersionField, std::to_string(table_->Version()));
+  SetField(fields, kMeshVersionField,
+           std::to_string(router_.versions_.OwnVersion()));
+  SetField(fields, kMeshSenderField, router_.versions_.OwnAddress());
   sent_ =
       router_.peers_.Start(choice.member.address, std::move(request),
                            {.on_sent = nullptr,
@@ -232,7 +230,7 @@
     }
   }
   if (const auto* version = FindField(head.fields, kMeshVersionField)) {
-    router_.versions_.OnPeerVersion(*version);
+    router_.versions_.OnPeerVersion(*version, offer_->member.address);
   }
   RemoveField(head.fields, kMeshVersionField);
   auto failure = ErrorFromAnswer(head);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -8,9 +8,9 @@
 
 #include "answer_sender.h"
 #include "backend/connection_pool.h"
-#include "backend/http_message.h"
 #include "caller/call_server.h"
 #include "collection_watch.h"
+#include "config_exchange.h"
 #include "config_holder.h"
 #include "logging/log_event.h"
 #include "member_list.h"
@@ -73,7 +73,7 @@
 
 }  // namespace
 
-class sidecar::impl : private version_exchange {
+class sidecar::impl {
  public:
   impl(boost::asio::io_context& io, sidecar_settings settings,
        const sidecar_platform& platform)
@@ -101,27 +101,31 @@
                     .echo_field = platform.fields.attempt_id,
                     .connect_error = error_kind::kPeerUnreachable,
                     .lost_error = error_kind::kPeerUnreachable}),
-        router_(io,
-                {.fields = platform.fields,
-                 .member = settings_.name,
-                 .caller_service = settings_.server_service},
-                gate_, directory_, budget_, peers_, *this, metrics_,
-                RandomSeed()),
-        endpoint_(gate_, sender_, *this, platform.fields),
-        callers_(io, {.address = settings_.caller_address}, router_),
-        daemons_(io, {.address = settings_.forward_address}, endpoint_),
-        publisher_(io, *platform.store, RandomSeed()),
         config_(platform.config_name, platform.decode_config,
                 [this](std::shared_ptr<route_table> table) {
                   OnTable(std::move(table));
                 }),
-        members_(settings_.name, directory_, budget_, publisher_),
         config_watch_(io, *platform.store, config_,
                       {.collection = store_collection::kConfiguration,
                        .mode = [this] { return ConfigMode(); },
                        .pause_after_change = settings_.apply_time / 4,
                        .list_after_change = true},
                       RandomSeed()),
+        configs_(io, peers_, config_, config_watch_,
+                 {.attempt_id = platform.fields.attempt_id,
+                  .pause = settings_.apply_time / 8,
+                  .timeout = settings_.apply_time / 4}),
+        router_(io,
+                {.fields = platform.fields,
+                 .member = settings_.name,
+                 .caller_service = settings_.server_service},
+                gate_, directory_, budget_, peers_, configs_, metrics_,
+                RandomSeed()),
+        endpoint_(gate_, sender_, configs_, platform.fields),
+        callers_(io, {.address = settings_.caller_address}, router_),
+        daemons_(io, {.address = settings_.forward_address}, endpoint_),
+        publisher_(io, *platform.store, RandomSeed()),
+        members_(settings_.name, directory_, budget_, publisher_),
         member_watch_(io, *platform.store, members_,
                       {.collection = store_collection::kMembers,
                        .mode =
@@ -143,6 +147,7 @@
     if (auto listening = daemons_.Listen(); !listening) return listening;
     settings_.caller_address = callers_.Address();
     settings_.forward_address = daemons_.Address();
+    configs_.SetAddress(settings_.forward_address);
     log_event(log_level::kInfo, "sidecar_started")
         .With("member", settings_.name)
         .With("data_centre", settings_.data_centre)
@@ -204,8 +209,7 @@
 
   // A few daemons read the latest configuration, so that what the store charges
   // does not grow with the fleet. The others accept data that may be stale, and
-  // read again when a daemon that they exchange requests with has a newer
-  // version.
+  // fetch what is newer from the daemons that they exchange requests with.
   watch_mode ConfigMode() const {
     const bool reads_latest = directory_.Rank(settings_.name) < kReaders;
     // A watch whose connection fell silent is noticed within the contact time.
@@ -214,22 +218,6 @@
             .wait = settings_.contact_time * 3 / 4};
   }
 
-  std::uint64_t OwnVersion() const override {
-    return router_.Table() ? router_.Table()->Version() : 0;
-  }
-
-  void OnPeerVersion(const std::string& version) override {
-    const auto newest = ParseNumber(version).value_or(0);
-    const auto now = MonotonicNow();
-    if (newest <= OwnVersion() || now < next_refresh_) return;
-    // A peer alone is no proof that the version exists: the store is read.
-    next_refresh_ = now + settings_.apply_time / 8;
-    log_event(log_level::kInfo, "config_outdated")
-        .With("version", OwnVersion())
-        .With("peer_version", newest);
-    config_watch_.Refresh();
-  }
-
   void OnTable(std::shared_ptr<route_table> table) {
     metrics_.SetVersion(table->Version());
     const auto& limits = table->Config().limits;
@@ -297,6 +285,7 @@
   }
 
   void OnStopped(const char* reason) {
+    configs_.Stop();
     config_watch_.Stop();
     member_watch_.Stop();
     publisher_.Stop();
@@ -320,19 +309,19 @@
   server_directory directory_;
   retry_budget budget_;
   connection_pool peers_;
+  config_holder config_;
+  collection_watch config_watch_;
+  config_exchange configs_;
   request_router router_;
   mesh_endpoint endpoint_;
   call_server callers_;
   call_server daemons_;
   member_publisher publisher_;
-  config_holder config_;
   member_list members_;
-  collection_watch config_watch_;
   collection_watch member_watch_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::int64_t ticks_ = 0;
-  instant next_refresh_;
   bool stopping_ = false;
   bool leaving_ = false;
   instant kill_at_;
--- a/libs/sidecar/tests/store_sync_test.cc
+++ b/libs/sidecar/tests/store_sync_test.cc
@@ -100,6 +100,12 @@
   CHECK(store_.watches <= 2);
 }
 
+// An I/O context without work stops, and would skip the later runs.
+void RunFor(boost::asio::io_context& io, duration time) {
+  io.restart();
+  io.run_for(time);
+}
+
 // Guards against a run of changes to a large object whose every version is
 // fetched: on a VM with a slow link that took longer than the bound in which
 // the last version has to be in force.
@@ -114,17 +120,49 @@
                           .list_after_change = true},
                          1);
   watch.Start();
-  io.run_for(milliseconds(5));
+  RunFor(io, milliseconds(5));
   for (int i = 0; i < 10; ++i) {
     store.Put(store_collection::kConfiguration, "main", std::to_string(i));
-    io.run_for(milliseconds(5));
+    RunFor(io, milliseconds(5));
   }
-  io.run_for(milliseconds(100));
+  RunFor(io, milliseconds(100));
   CHECK(observer.listings <= 3);
   CHECK(store.watches <= 3);
   watch.Stop();
 }
 
+// Guards against a daemon that reads a large object again and again while other
+// daemons hand it each version.
+TEST_CASE("CollectionWatch_NewerStateFromElsewhere_PostponesTheListing",
+          "[sidecar]") {
+  for (const auto freshness :
+       {read_freshness::kMayBeStale, read_freshness::kLatest}) {
+    boost::asio::io_context io;
+    fake_watched_store store(io);
+    recording_observer observer;
+    collection_watch watch(
+        io, store, observer,
+        {.collection = store_collection::kConfiguration,
+         .mode = [freshness] { return watch_mode{.freshness = freshness}; },
+         .pause_after_change = milliseconds(40),
+         .list_after_change = true},
+        1);
+    store.Put(store_collection::kConfiguration, "main", "0");
+    watch.Start();
+    RunFor(io, milliseconds(5));
+    for (int i = 0; i < 10; ++i) {
+      store.Put(store_collection::kConfiguration, "main", std::to_string(i));
+      RunFor(io, milliseconds(10));
+      watch.Postpone();
+    }
+    const bool postponed = observer.listings == 1;
+    CHECK(postponed == (freshness == read_freshness::kMayBeStale));
+    RunFor(io, milliseconds(200));
+    CHECK(observer.listings > 1);
+    watch.Stop();
+  }
+}
+
 class member_publisher_fixture {
  protected:
   member_publisher_fixture() : publisher_(io_, store_, 1) {}
--- a/tests/sidecar/sidecar_calls_test.cc
+++ b/tests/sidecar/sidecar_calls_test.cc
@@ -46,6 +46,41 @@
   CHECK(answer.Field("Pomelohall-Attempt-Id") == "a1");
 }
 
+// Guards against a daemon that refuses all requests while the store does not
+// serve it, although daemons around it have the configuration.
+TEST_CASE_METHOD(sidecar_fleet,
+                 "Sidecar_ConfigurationOutOfReach_IsFetchedFromADaemon",
+                 "[sidecar]") {
+  scripted_server server(
+      [](const std::string&) { return Signed(200, "a1", "ok"); });
+  Add(nullptr, "front");
+  Configure(3);
+  WaitUntilKnown(0);
+  OnIo([this] { store_->refused_kind = "config"; });
+  Add(&server);
+  // The other daemon learns of it within two pauses of its watch.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  CHECK_FALSE(IsReady(1));
+  CHECK(Call(0, "GET", "/safe/1").status == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(IsReady(1));
+  CHECK(Call(1, "GET", "/safe/1").status == 200);
+}
+
+// Guards against a caller that makes a daemon take its request for one of
+// another daemon.
+TEST_CASE_METHOD(sidecar_fleet, "Sidecar_ForgedFetch_IsForwarded",
+                 "[sidecar]") {
+  scripted_server server(
+      [](const std::string&) { return Signed(200, "a1", "ok"); });
+  Add(nullptr, "front");
+  Add(&server);
+  Configure(3);
+  WaitUntilKnown(1);
+  const auto answer = Call(0, "GET", "/safe/1", "Pomelohall-Mesh-Fetch: 1\r\n");
+  CHECK(answer.body == "ok");
+}
+
 // Guards against fields that are lost, forged or leaked on the way over two
 // daemons.
 TEST_CASE_METHOD(sidecar_fleet, "Sidecar_CallOverTwoDaemons_KeepsItsFields",
