Add a randomized fault soak with real daemons as separate processes

The soak starts each daemon as a process of its own on loopback, with a stand-in for the store, backend servers and callers in the platform's format, and proxies before the store and between the daemons. By a seed, it delays, resets, silences and cuts connections one way, pauses, kills, stops and reloads daemons, crashes, spoils and replaces backend servers, changes configurations and drops the store's history, in series and overlapping, and checks the promises from what callers and backend servers see.

The new setting listeners.advertised names the address under which other daemons reach one, which a proxy between them needs.

The daemons keep nothing on disk and measure time by the steady clock, so the soak has no faults of storage and clocks.

--- a/build.sh
+++ b/build.sh
@@ -6,6 +6,8 @@
 #   demo     setup, build, then the main job with separate processes
 #   bench    setup, build, then the benchmarks
 #   matrix   setup, build, then the fault matrix as a table
+#   soak     setup, build, then daemons under random faults
+#            (soak [--seed N] [--minutes M] [--vms N])
 #   format   checks formatting (format --fix rewrites)
 #   lint     runs clang-tidy on every source file
 set -euo pipefail
@@ -69,7 +71,8 @@
   demo) shift; setup; build; exec python3 tools/demo/demo.py "$BUILD_DIR/bin" "$@" ;;
   bench) shift; setup; build; exec bench/run.sh "$BUILD_DIR/bin" "$@" ;;
   matrix) shift; setup; build; exec "$BUILD_DIR/bin/fault_matrix" "$@" ;;
+  soak) shift; setup; build; exec python3 tests/soak/soak.py "$BUILD_DIR/bin" "$@" ;;
   format) shift; format "$@" ;;
   lint) lint ;;
-  *) sed -n '2,10s/^# \{0,1\}//p' "$0" >&2; exit 2 ;;
+  *) sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2 ;;
 esac
--- a/libs/sidecar/include/sidecar/sidecar_settings.h
+++ b/libs/sidecar/include/sidecar/sidecar_settings.h
@@ -19,6 +19,8 @@
 
   std::string caller_address;   ///< Listener for callers on this VM.
   std::string forward_address;  ///< Listener for other daemons.
+  /// Address that other daemons use; empty: `forward_address`.
+  std::string advertised_address;
   std::string local_address;    ///< Listener for the backend server.
   std::string ready_address;    ///< Listener for readiness checks.
   std::string metrics_address;  ///< Listener for metrics.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -147,7 +147,10 @@
     if (auto listening = daemons_.Listen(); !listening) return listening;
     settings_.caller_address = callers_.Address();
     settings_.forward_address = daemons_.Address();
-    configs_.SetAddress(settings_.forward_address);
+    if (settings_.advertised_address.empty()) {
+      settings_.advertised_address = settings_.forward_address;
+    }
+    configs_.SetAddress(settings_.advertised_address);
     log_event(log_level::kInfo, "sidecar_started")
         .With("member", settings_.name)
         .With("data_centre", settings_.data_centre)
@@ -231,7 +234,7 @@
     const auto offer = leaving_ ? std::nullopt : gate_.Offer();
     const mesh_member self{.name = settings_.name,
                            .data_centre = settings_.data_centre,
-                           .address = settings_.forward_address,
+                           .address = settings_.advertised_address,
                            .incarnation = incarnation_,
                            .server = offer};
     // Requests of this VM may use the own backend server until the end.
--- a/libs/sidecar/src/sidecar_settings.cc
+++ b/libs/sidecar/src/sidecar_settings.cc
@@ -52,6 +52,7 @@
       "properties": {
         "caller": {"$ref": "#/definitions/address"},
         "forward": {"$ref": "#/definitions/address"},
+        "advertised": {"$ref": "#/definitions/address"},
         "local": {"$ref": "#/definitions/address"},
         "ready": {"$ref": "#/definitions/address"},
         "metrics": {"$ref": "#/definitions/address"}
@@ -116,6 +117,7 @@
 void ReadListeners(const json& listeners, sidecar_settings& settings) {
   settings.caller_address = listeners.at("caller");
   settings.forward_address = listeners.at("forward");
+  settings.advertised_address = listeners.value("advertised", "");
   settings.local_address = listeners.at("local");
   settings.ready_address = listeners.at("ready");
   settings.metrics_address = listeners.at("metrics");
--- /dev/null
+++ b/tests/soak/messages.py
@@ -0,0 +1,78 @@
+"""HTTP/1.1 messages on asyncio streams, with lengths and chunks."""
+
+import asyncio
+import dataclasses
+
+LIMIT = 1 << 20
+
+
+@dataclasses.dataclass
+class Message:
+    """A request or an answer."""
+
+    first_line: str
+    fields: dict
+    body: bytes = b""
+
+    @property
+    def method(self):
+        return self.first_line.split(" ")[0]
+
+    @property
+    def target(self):
+        return self.first_line.split(" ")[1]
+
+    @property
+    def status(self):
+        return int(self.first_line.split(" ")[1])
+
+
+async def read_head(reader):
+    """Returns a message without its body; None at the end of the stream."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as short:
+        if short.partial:
+            raise
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            fields[name.lower()] = value.strip()
+    return Message(lines[0], fields)
+
+
+async def read_body(reader, fields):
+    """Reads a body with a length or in chunks."""
+    if "chunked" in fields.get("transfer-encoding", ""):
+        body = b""
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+            if size == 0:
+                return body
+    return await reader.readexactly(int(fields.get("content-length", 0)))
+
+
+async def read_request(reader):
+    message = await read_head(reader)
+    if message is not None:
+        message.body = await read_body(reader, message.fields)
+    return message
+
+
+def request(method, target, fields, body=b""):
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    if body or method in ("POST", "PUT"):
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def response(status, body, fields=None):
+    lines = [f"HTTP/1.1 {status} -", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
