Count all answers on the VM's link, not only those that wait for a turn

Large answers left at nine tenths of it, but the downloads of the VM's own callers, small answers and headers came on top, so the link was overbooked and its queue never drained.

Ruled out: versions that travel late (the VM's requests with the version in their fields were what waited).

Change: answers that leave without a turn take their time on the link, and the large ones wait for it.

--- a/libs/mesh/include/mesh/transmit_queue.h
+++ b/libs/mesh/include/mesh/transmit_queue.h
@@ -62,6 +62,10 @@
   /// The earliest target that can still be met goes first, then the oldest.
   std::optional<std::uint64_t> Next(instant now);
 
+  /// Counts bytes that leave without a turn: small answers, and those to the
+  /// callers of this VM, which use the same link.
+  void OnSent(std::uint64_t bytes, instant now);
+
   /// Whether answers wait.
   bool Empty() const { return waiting_.empty(); }
   /// When the answer that leaves at present has left.
--- a/libs/mesh/src/transmit_queue.cc
+++ b/libs/mesh/src/transmit_queue.cc
@@ -86,6 +86,10 @@
   return id;
 }
 
+void transmit_queue::OnSent(std::uint64_t bytes, instant now) {
+  free_at_ = std::max(free_at_, now) + TimeOf(bytes);
+}
+
 instant transmit_queue::DoneAt(instant now) const {
   return std::max(now, free_at_) + waiting_time_ + promised_time_;
 }
--- a/libs/mesh/tests/transmit_queue_test.cc
+++ b/libs/mesh/tests/transmit_queue_test.cc
@@ -83,6 +83,17 @@
   CHECK(link_.DoneAt(now_) == now_ + kTime);
 }
 
+// Guards against a link that is filled by large answers in turn and by others
+// beside them: requests of the VM then waited for seconds behind them.
+TEST_CASE_METHOD(transmit_queue_fixture,
+                 "TransmitQueue_AnswersBesideTheQueue_TakeTheirTime",
+                 "[mesh]") {
+  Add(1, seconds(1));
+  link_.OnSent(kBytes, now_);
+  CHECK_FALSE(link_.Next(now_).has_value());
+  CHECK(link_.Next(now_ + kTime) == 1U);
+}
+
 // Guards against late timers that leave the link unused between two answers.
 TEST_CASE_METHOD(transmit_queue_fixture, "TransmitQueue_LateTurn_IsCaughtUp",
                  "[mesh]") {
--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace pomelohall {
+namespace {
+
+// Fields of a usual answer, and the headers of its packets.
+constexpr std::uint64_t kHeaderBytes = 500;
+
+}  // namespace
 
 answer_sender::answer_sender(boost::asio::io_context& io,
                              transmit_queue_options options)
@@ -11,6 +17,7 @@
 void answer_sender::Send(const std::shared_ptr<incoming_request>& request,
                          incoming_answer answer, instant target_at) {
   if (!answer.head.length || !queue_.IsPaced(*answer.head.length)) {
+    CountSent(answer.head);
     request->Answer(std::move(answer), nullptr);
     return;
   }
@@ -22,6 +29,10 @@
   Pump();
 }
 
+void answer_sender::CountSent(const answer_head& head) {
+  queue_.OnSent(kHeaderBytes + head.length.value_or(0), MonotonicNow());
+}
+
 void answer_sender::Pump() {
   while (const auto id = queue_.Next(MonotonicNow())) {
     const auto found = waiting_.find(*id);
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -22,6 +22,9 @@
   void Send(const std::shared_ptr<incoming_request>& request,
             incoming_answer answer, instant target_at);
 
+  // Counts an answer that leaves without a turn.
+  void CountSent(const answer_head& head);
+
   // Drops what waits.
   void Stop();
 
--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -9,13 +9,15 @@
 
 request_router::request_router(boost::asio::io_context& io,
                                request_router_options options,
-                               server_gate& gate, server_directory& directory,
+                               server_gate& gate, answer_sender& sender,
+                               server_directory& directory,
                                retry_budget& budget, connection_pool& peers,
                                version_exchange& versions,
                                sidecar_metrics& metrics, std::uint64_t seed)
     : io_(io),
       options_(std::move(options)),
       gate_(gate),
+      sender_(sender),
       directory_(directory),
       budget_(budget),
       peers_(peers),
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "answer_sender.h"
 #include "backend/connection_pool.h"
 #include "base/random.h"
 #include "caller/call_server.h"
@@ -44,10 +45,10 @@
  public:
   // All references must outlive the router and its requests.
   request_router(boost::asio::io_context& io, request_router_options options,
-                 server_gate& gate, server_directory& directory,
-                 retry_budget& budget, connection_pool& peers,
-                 version_exchange& versions, sidecar_metrics& metrics,
-                 std::uint64_t seed);
+                 server_gate& gate, answer_sender& sender,
+                 server_directory& directory, retry_budget& budget,
+                 connection_pool& peers, version_exchange& versions,
+                 sidecar_metrics& metrics, std::uint64_t seed);
 
   void SetTable(std::shared_ptr<route_table> table);
   const std::shared_ptr<route_table>& Table() const { return table_; }
@@ -63,6 +64,7 @@
   boost::asio::io_context& io_;
   request_router_options options_;
   server_gate& gate_;
+  answer_sender& sender_;
   server_directory& directory_;
   retry_budget& budget_;
   connection_pool& peers_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -439,6 +439,7 @@
 
 void routed_request::Answer(incoming_answer answer, const char* reason) {
   const int status = answer.head.status;
+  router_.sender_.CountSent(answer.head);
   request_->Answer(std::move(answer),
                    [self = shared_from_this(), status,
                     text = std::string(reason)](answer_written written) {
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -50,8 +50,8 @@
 // arrive seconds late at times.
 constexpr std::int64_t kMissedAnnouncements = 6;
 
-// Part of the link for large answers; the rest is for small ones, requests and
-// acknowledgements.
+// Part of the link for answers; the rest is for requests, acknowledgements and
+// the headers of packets.
 constexpr double kPacedLinkShare = 0.9;
 
 double PacedBytesPerSecond(double link_mbps) {
@@ -119,7 +119,7 @@
                 {.fields = platform.fields,
                  .member = settings_.name,
                  .caller_service = settings_.server_service},
-                gate_, directory_, budget_, peers_, configs_, metrics_,
+                gate_, sender_, directory_, budget_, peers_, configs_, metrics_,
                 RandomSeed()),
         endpoint_(gate_, sender_, configs_, platform.fields),
         callers_(io, {.address = settings_.caller_address}, router_),
