--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -52,7 +52,7 @@
 
 // Part of the link for answers; the rest is for requests, acknowledgements and
 // the headers of packets.
-constexpr double kPacedLinkShare = 0.9;
+constexpr double kPacedLinkShare = 0.8;
 
 double PacedBytesPerSecond(double link_mbps) {
   constexpr double kBytesPerMegabit = 125'000;
