--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -253,6 +253,8 @@
   // Bytes beyond the answer belong to no call.
   if (reusable && connection->buffer.size() == 0) {
     connection->idle_since = MonotonicNow();
+    // A daemon keeps a connection to each other one, most of them idle.
+    connection->buffer.shrink_to_fit();
     targets_[address].idle.push_back(std::move(connection));
   } else {
     Close(connection);
