--- a/libs/sidecar/src/config_exchange.cc
+++ b/libs/sidecar/src/config_exchange.cc
@@ -153,7 +153,7 @@
         answer.head.status = 200;
         if (const auto* id =
                 FindField(request->Head().fields, options_.attempt_id)) {
-          answer.head.fields.emplace_back(options_.attempt_id, *id);
+          answer.head.fields.push_back({options_.attempt_id, *id});
         }
         answer.head.framing = body_framing::kLength;
         answer.head.length = text.size();
