Let the soak's calm spans show planned work, and count where checks applied

Change: spans with faults and spans with planned work only take turns, leaving backend servers serve on for 1 to 5 s, and the result names how often each check that needs a calm span applied.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -70,7 +70,8 @@
             await asyncio.sleep(0.2)
         if acknowledged:
             self.drained_at = time.monotonic()
-        await asyncio.sleep(drain_s + 1.5)
+        # It may go on for seconds, in which nothing new may arrive.
+        await asyncio.sleep(drain_s + self.random.uniform(1, 5))
         await self.crash()
 
     async def announce(self):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -25,6 +25,8 @@
         self.sent = {}
         self.answers = collections.Counter()
         self.answered_at = []
+        # How often a check applied that needs a calm span.
+        self.applied = collections.Counter()
         # When a disruption began or ended last, by VM, and the last unplanned
         # one anywhere.
         self.disrupted_at = collections.defaultdict(float)
@@ -86,11 +88,12 @@
             self.break_promise("TWICE", f"{attempt} ran again")
         if attempt in self.refused:
             self.break_promise("REFUSED", f"{attempt} ran after a refusal")
-        late = backend.drained_at and time.monotonic() - backend.drained_at
-        if late and late > DRAIN_S + SLACK_S and self.in_touch(
-                sent.vm, backend.drained_at):
-            self.break_promise(
-                "DRAIN", f"{attempt} arrived {late:.1f} s after the answer")
+        if backend.drained_at and self.in_touch(sent.vm, backend.drained_at):
+            self.applied["DRAIN"] += 1
+            late = time.monotonic() - backend.drained_at
+            if late > DRAIN_S + SLACK_S:
+                self.break_promise(
+                    "DRAIN", f"{attempt} came {late:.1f} s after the answer")
 
     # Callers -----------------------------------------------------------------
 
@@ -101,8 +104,10 @@
         status = answer.status if answer else 0
         self.answers[status] += 1
         self.answered_at.append((now, status == 200))
+        planned = sent.stopping and self.calm(sent.at)
+        self.applied["LOST"] += planned
         if answer is None:
-            if sent.stopping and self.calm(sent.at):
+            if planned:
                 self.break_promise(
                     "LOST", f"{sent.attempt} at a daemon that was stopped")
             return
@@ -125,8 +130,10 @@
 
     def on_probe(self, vm, route_added_at, sent_at, status):
         """Takes the answer to a request on a route that was just added."""
-        if (status == 404 and sent_at > route_added_at + APPLY_S + SLACK_S and
-                self.in_touch(vm, route_added_at)):
+        if not self.in_touch(vm, route_added_at):
+            return
+        self.applied["CONFIG"] += 1
+        if status == 404 and sent_at > route_added_at + APPLY_S + SLACK_S:
             self.break_promise("CONFIG", f"{vm} does not know a route after "
                                f"{sent_at - route_added_at:.1f} s")
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,6 +30,9 @@
 from store import Store
 
 RECOVER_S = 15.0
+# Spans with and without unplanned faults take turns.
+FAULTY_S = 10.0
+CALM_S = 8.0
 # Smallest memory of a VM of the users' deployments.
 MEMORY_MB = 160
 
@@ -303,18 +306,25 @@
         await asyncio.sleep(3)
         loops = [asyncio.create_task(caller.run()) for caller in self.callers]
         await asyncio.sleep(2)
-        actions = (self.store_trouble, self.peer_trouble, self.forget_history,
-                   self.pause_daemon, self.kill_daemons, self.crash_backend,
-                   self.spoil_backend, self.change_configuration,
-                   self.change_configuration, self.stop_daemon,
-                   self.stop_daemon, self.reload_daemon, self.replace_backend,
-                   self.replace_backend)
+        planned = (self.change_configuration, self.stop_daemon,
+                   self.reload_daemon, self.replace_backend)
+        actions = 2 * planned + (
+            self.store_trouble, self.peer_trouble, self.forget_history,
+            self.pause_daemon, self.kill_daemons, self.crash_backend,
+            self.spoil_backend)
+        calm_until = 0.0
+        calm_from = time.monotonic()
         end = time.monotonic() + self.options.minutes * 60
         while time.monotonic() < end:
-            # Series, overlaps, and calm spans in which planned work shows.
-            if self.random.random() < 0.1:
-                await asyncio.sleep(5)
-            action = self.random.choice(actions)
+            # Series, overlaps, and calm spans in which only planned work
+            # happens, which has to go unnoticed.
+            if time.monotonic() > calm_from + FAULTY_S:
+                await asyncio.gather(*self.tasks)
+                await asyncio.sleep(CONTACT_S)
+                calm_until = time.monotonic() + CALM_S
+                calm_from = calm_until
+            calm = time.monotonic() < calm_until
+            action = self.random.choice(planned if calm else actions)
             print(f"{time.monotonic() - end:8.2f} {action.__name__}",
                   flush=True)
             task = asyncio.create_task(action())
@@ -365,7 +375,8 @@
         soak.end()
     broken = soak.checks.broken
     print(f"seed {options.seed}: {sum(soak.checks.answers.values())} answers "
-          f"{dict(soak.checks.answers)}, {share:.2f} served at the end, "
+          f"{dict(soak.checks.answers)}, checks in calm spans "
+          f"{dict(soak.checks.applied)}, {share:.2f} served at the end, "
           f"{len(broken)} broken promises")
     if broken or options.keep:
         print(f"logs: {folder}")
