--- a/libs/mesh/include/mesh/transmit_queue.h
+++ b/libs/mesh/include/mesh/transmit_queue.h
@@ -14,8 +14,8 @@
 
 /// Settings of a transmit_queue.
 struct transmit_queue_options {
-  /// Rate at which large answers may leave, in bytes a second; 0 is without a
-  /// bound, and no answer then waits.
+  /// Rate at which answers may leave, in bytes a second; 0 is without a bound,
+  /// and no answer then waits.
   double bytes_per_second = 0;
   /// Answers that leave in less than this go at once: they delay others by
   /// little, and are what running requests wait for.
