Keep what is known of a member in one map

Cause: server_directory kept members and their loads in two maps with the same keys, which every operation had to look up twice, up to three times for each candidate of a request.

Change: one map of known_member. Members(), of which only the size was used, becomes Size().

--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -80,7 +80,8 @@
   /// Removes all members that are not in `names`.
   void Retain(const std::set<std::string>& names);
 
-  const std::map<std::string, mesh_member>& Members() const { return members_; }
+  /// Number of members, with or without a backend server.
+  std::size_t Size() const { return members_.size(); }
 
   /// Returns the server for a request, or nothing if none can take it.
   std::optional<server_choice> Choose(const server_demand& demand, instant now);
@@ -104,7 +105,8 @@
   bool IsSuspended(const std::string& name, instant now) const;
 
  private:
-  struct view {
+  struct known_member {
+    mesh_member member;
     work_load load;
     instant reported_at;
     bool reported = false;
@@ -115,27 +117,25 @@
     instant suspended_until;
   };
   struct candidate {
-    const mesh_member* member = nullptr;
+    const known_member* known = nullptr;
     duration expected{0};
     double score_us = 0;
   };
 
-  bool IsUsable(const mesh_member& member, const server_demand& demand,
-                instant now) const;
-  candidate Rate(const mesh_member& member, const server_demand& demand,
+  candidate Rate(const known_member& known, const server_demand& demand,
                  duration typical_time, instant now) const;
-  std::vector<const mesh_member*> Usable(const server_demand& demand,
-                                         instant now) const;
+  std::vector<const known_member*> Usable(const server_demand& demand,
+                                          instant now) const;
   // Draws servers by their capacity, at most `max_compared`.
-  std::vector<const mesh_member*> Draw(
-      const std::vector<const mesh_member*>& members, duration typical_time);
-  duration TypicalTime(const std::vector<const mesh_member*>& members) const;
-  void Suspend(view& view, instant now);
+  std::vector<const known_member*> Draw(
+      const std::vector<const known_member*>& members, duration typical_time);
+  static duration TypicalTime(const std::vector<const known_member*>& members);
+  known_member* Find(const std::string& name);
+  void Suspend(known_member& known, instant now) const;
 
   const server_directory_options options_;
   random_source random_;
-  std::map<std::string, mesh_member> members_;
-  std::map<std::string, view> views_;
+  std::map<std::string, known_member> members_;
 };
 
 }  // namespace pomelohall
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -27,42 +27,37 @@
     : options_(std::move(options)), random_(seed) {}
 
 void server_directory::Put(const mesh_member& member, instant now) {
-  auto& current = members_[member.name];
-  const bool same = current.incarnation == member.incarnation &&
-                    current.server == member.server;
-  current = member;
-  if (same) return;
+  auto& known = members_[member.name];
+  const bool same = known.member.incarnation == member.incarnation &&
+                    known.member.server == member.server;
+  if (same) {
+    known.member = member;
+    return;
+  }
   // Requests in progress end later and are still counted.
-  auto& old = views_[member.name];
-  old = {.reported_at = now,
-         .outstanding = old.outstanding,
-         .suspended_until = now};
+  known = {.member = member,
+           .reported_at = now,
+           .outstanding = known.outstanding,
+           .suspended_until = now};
 }
 
-void server_directory::Remove(const std::string& name) {
-  members_.erase(name);
-  views_.erase(name);
-}
+void server_directory::Remove(const std::string& name) { members_.erase(name); }
 
 void server_directory::Retain(const std::set<std::string>& names) {
-  std::vector<std::string> gone;
-  for (const auto& [name, member] : members_) {
-    if (!names.contains(name)) gone.push_back(name);
-  }
-  for (const auto& name : gone) Remove(name);
+  std::erase_if(members_, [&](const auto& entry) {
+    return !names.contains(entry.first);
+  });
 }
 
-bool server_directory::IsUsable(const mesh_member& member,
-                                const server_demand& demand,
-                                instant now) const {
-  return member.server && member.server->service == demand.service &&
-         !demand.excluded.contains(member.name) &&
-         !IsSuspended(member.name, now);
+bool server_directory::IsSuspended(const std::string& name, instant now) const {
+  const auto found = members_.find(name);
+  return found != members_.end() && now < found->second.suspended_until;
 }
 
-bool server_directory::IsSuspended(const std::string& name, instant now) const {
-  const auto found = views_.find(name);
-  return found != views_.end() && now < found->second.suspended_until;
+server_directory::known_member* server_directory::Find(
+    const std::string& name) {
+  const auto found = members_.find(name);
+  return found == members_.end() ? nullptr : &found->second;
 }
 
 std::size_t server_directory::Rank(const std::string& name) const {
@@ -74,36 +69,35 @@
 }
 
 duration server_directory::TypicalTime(
-    const std::vector<const mesh_member*>& members) const {
+    const std::vector<const known_member*>& members) {
   duration sum{0};
-  std::int64_t known = 0;
-  for (const auto* member : members) {
-    const auto time = views_.at(member->name).load.mean_time;
+  std::int64_t reported = 0;
+  for (const auto* known : members) {
+    const auto time = known->load.mean_time;
     if (time.count() == 0) continue;
     sum += time;
-    ++known;
+    ++reported;
   }
-  return known == 0 ? kUnknownTime : sum / known;
+  return reported == 0 ? kUnknownTime : sum / reported;
 }
 
-server_directory::candidate server_directory::Rate(const mesh_member& member,
+server_directory::candidate server_directory::Rate(const known_member& known,
                                                    const server_demand& demand,
                                                    duration typical_time,
                                                    instant now) const {
-  const auto& view = views_.at(member.name);
-  const auto slots = static_cast<double>(member.server->slots);
-  double busy = static_cast<double>(view.outstanding);
+  const auto slots = static_cast<double>(known.member.server->slots);
+  double busy = static_cast<double>(known.outstanding);
   duration mean = typical_time;
   duration link_wait{0};
-  if (view.reported) {
-    if (view.load.mean_time.count() > 0) mean = view.load.mean_time;
-    if (now - view.reported_at < options_.report_lifetime) {
+  if (known.reported) {
+    if (known.load.mean_time.count() > 0) mean = known.load.mean_time;
+    if (now - known.reported_at < options_.report_lifetime) {
       busy = std::max(
-          busy, static_cast<double>(view.load.running + view.load.waiting +
-                                    view.sent_since_report));
+          busy, static_cast<double>(known.load.running + known.load.waiting +
+                                    known.sent_since_report));
       // Small answers do not wait for large ones.
       if (demand.kind == request_kind::kDownload) {
-        link_wait = view.load.link_wait;
+        link_wait = known.load.link_wait;
       }
     }
   }
@@ -114,44 +108,48 @@
   const double fullness = std::min(1.0, busy / slots);
   const double expected_us = mean_us * (1 + queue + 0.3 * fullness * fullness) +
                              static_cast<double>(link_wait.count());
-  double score = expected_us + view.failure_share * kFailureCost * mean_us;
-  if (member.data_centre != options_.data_centre) {
+  double score = expected_us + known.failure_share * kFailureCost * mean_us;
+  if (known.member.data_centre != options_.data_centre) {
     const double penalty = demand.kind == request_kind::kDownload
                                ? options_.remote_download_penalty
                                : options_.remote_penalty;
     score += penalty * static_cast<double>(demand.latency_target.count());
   }
-  return {.member = &member,
+  return {.known = &known,
           .expected = duration(static_cast<std::int64_t>(expected_us)),
           .score_us = score};
 }
 
-std::vector<const mesh_member*> server_directory::Usable(
+std::vector<const server_directory::known_member*> server_directory::Usable(
     const server_demand& demand, instant now) const {
-  std::vector<const mesh_member*> usable;
-  for (const auto& [name, member] : members_) {
-    if (IsUsable(member, demand, now)) usable.push_back(&member);
+  std::vector<const known_member*> usable;
+  for (const auto& [name, known] : members_) {
+    const auto& server = known.member.server;
+    if (server && server->service == demand.service &&
+        !demand.excluded.contains(name) && now >= known.suspended_until) {
+      usable.push_back(&known);
+    }
   }
   return usable;
 }
 
-std::vector<const mesh_member*> server_directory::Draw(
-    const std::vector<const mesh_member*>& members, duration typical_time) {
+std::vector<const server_directory::known_member*> server_directory::Draw(
+    const std::vector<const known_member*>& members, duration typical_time) {
   if (members.size() <= options_.max_compared) return members;
   // The highest keys of u^(1/weight) are a weighted draw without replacement.
-  std::vector<std::pair<double, const mesh_member*>> keys;
+  std::vector<std::pair<double, const known_member*>> keys;
   keys.reserve(members.size());
-  for (const auto* member : members) {
-    const auto mean = views_.at(member->name).load.mean_time;
+  for (const auto* known : members) {
+    const auto mean = known->load.mean_time;
     const auto time = mean.count() > 0 ? mean : typical_time;
-    const double weight = static_cast<double>(member->server->slots) /
+    const double weight = static_cast<double>(known->member.server->slots) /
                           static_cast<double>(time.count());
-    keys.emplace_back(std::log(random_.Unit()) / weight, member);
+    keys.emplace_back(std::log(random_.Unit()) / weight, known);
   }
   const auto end =
       keys.begin() + static_cast<std::ptrdiff_t>(options_.max_compared);
   std::nth_element(keys.begin(), end, keys.end(), std::greater<>());
-  std::vector<const mesh_member*> drawn;
+  std::vector<const known_member*> drawn;
   for (auto key = keys.begin(); key != end; ++key) drawn.push_back(key->second);
   return drawn;
 }
@@ -161,16 +159,16 @@
   const auto usable = Usable(demand, now);
   if (usable.empty()) return std::nullopt;
   const auto typical = TypicalTime(usable);
-  std::vector<const mesh_member*> near;
-  std::vector<const mesh_member*> far;
-  for (const auto* member : usable) {
-    (member->data_centre == options_.data_centre ? near : far)
-        .push_back(member);
+  std::vector<const known_member*> near;
+  std::vector<const known_member*> far;
+  for (const auto* known : usable) {
+    (known->member.data_centre == options_.data_centre ? near : far)
+        .push_back(known);
   }
   std::vector<candidate> candidates;
   for (const auto& group : {Draw(near, typical), Draw(far, typical)}) {
-    for (const auto* member : group) {
-      candidates.push_back(Rate(*member, demand, typical, now));
+    for (const auto* known : group) {
+      candidates.push_back(Rate(*known, demand, typical, now));
     }
   }
   // Load reports are a few requests old. If all daemons took the best server
@@ -186,61 +184,58 @@
     if (entry.score_us <= bound) good.push_back(&entry);
   }
   const auto& chosen = *good[random_.Below(good.size())];
-  const auto& view = views_.at(chosen.member->name);
+  const auto& known = *chosen.known;
   return server_choice{
-      .member = *chosen.member,
+      .member = known.member,
       .expected = chosen.expected,
-      .report_age = view.reported ? now - view.reported_at : duration(0),
+      .report_age = known.reported ? now - known.reported_at : duration(0),
       .candidates = usable.size()};
 }
 
 void server_directory::OnSent(const std::string& name) {
-  const auto found = views_.find(name);
-  if (found == views_.end()) return;
-  ++found->second.outstanding;
-  ++found->second.sent_since_report;
+  auto* const known = Find(name);
+  if (known == nullptr) return;
+  ++known->outstanding;
+  ++known->sent_since_report;
 }
 
 void server_directory::OnEnded(const std::string& name, send_outcome outcome,
                                instant now) {
-  const auto found = views_.find(name);
-  if (found == views_.end()) return;
-  auto& view = found->second;
-  if (view.outstanding > 0) --view.outstanding;
+  auto* const known = Find(name);
+  if (known == nullptr) return;
+  if (known->outstanding > 0) --known->outstanding;
   if (outcome == send_outcome::kUnreachable) {
-    Suspend(view, now);
+    Suspend(*known, now);
     return;
   }
-  view.failures_in_a_row = 0;
+  known->failures_in_a_row = 0;
   if (outcome == send_outcome::kRefused) return;
   const double sample = outcome == send_outcome::kServed ? 0 : 1;
-  view.failure_share += kFailureSmoothing * (sample - view.failure_share);
+  known->failure_share += kFailureSmoothing * (sample - known->failure_share);
 }
 
-void server_directory::Suspend(view& view, instant now) {
+void server_directory::Suspend(known_member& known, instant now) const {
   // Requests that fail together are one failure.
-  if (now < view.suspended_until) return;
+  if (now < known.suspended_until) return;
   const auto factor = std::int64_t{1}
-                      << std::min(view.failures_in_a_row, kMaxDoublings);
-  ++view.failures_in_a_row;
-  view.suspended_until =
+                      << std::min(known.failures_in_a_row, kMaxDoublings);
+  ++known.failures_in_a_row;
+  known.suspended_until =
       now + std::min(options_.suspension * factor, options_.max_suspension);
 }
 
 void server_directory::OnLoad(const std::string& name, const work_load& load,
                               instant now) {
-  const auto found = views_.find(name);
-  if (found == views_.end()) return;
-  auto& view = found->second;
-  view.load = load;
-  view.reported = true;
-  view.reported_at = now;
-  view.sent_since_report = 0;
+  auto* const known = Find(name);
+  if (known == nullptr) return;
+  known->load = load;
+  known->reported = true;
+  known->reported_at = now;
+  known->sent_since_report = 0;
 }
 
 void server_directory::OnNotServing(const std::string& name, instant now) {
-  const auto found = views_.find(name);
-  if (found != views_.end()) Suspend(found->second, now);
+  if (auto* const known = Find(name)) Suspend(*known, now);
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -241,7 +241,7 @@
     auto own = self;
     own.server = gate_.Offer();
     directory_.Put(own, MonotonicNow());
-    budget_.SetDaemons(directory_.Members().size());
+    budget_.SetDaemons(directory_.Size());
     publisher_.Publish(self);
     const auto& announced = gate_.Server().Announced();
     if (announced) router_.SetCallerService(announced->service);
