Share the smoothed mean of the queues

Cause: work_queue and transmit_queue each had their own smoothing with the same weight and the same first sample.

Change: both use smoothed_mean.

--- /dev/null
+++ b/libs/mesh/include/mesh/smoothed_mean.h
@@ -0,0 +1,27 @@
+#ifndef POMELOHALL_MESH_SMOOTHED_MEAN_H_
+#define POMELOHALL_MESH_SMOOTHED_MEAN_H_
+
+namespace pomelohall {
+
+/// Mean of the latest samples. The newest has a weight of a tenth, so about ten
+/// decide, which is a few hundred milliseconds of work on one backend server.
+class smoothed_mean {
+ public:
+  void Add(double sample) {
+    value_ = empty_ ? sample : value_ + kWeight * (sample - value_);
+    empty_ = false;
+  }
+
+  /// 0 before the first sample.
+  double Value() const { return value_; }
+
+ private:
+  static constexpr double kWeight = 0.1;
+
+  double value_ = 0;
+  bool empty_ = true;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_MESH_SMOOTHED_MEAN_H_
--- a/libs/mesh/include/mesh/transmit_queue.h
+++ b/libs/mesh/include/mesh/transmit_queue.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/smoothed_mean.h"
 
 namespace pomelohall {
 
@@ -80,7 +81,7 @@
   instant free_at_;
   std::vector<transmission> waiting_;  ///< In order of arrival.
   duration waiting_time_{0};
-  std::unordered_map<std::string, double> class_bytes_;  ///< Smoothed.
+  std::unordered_map<std::string, smoothed_mean> class_bytes_;
   std::unordered_map<std::uint64_t, duration> promised_;
   duration promised_time_{0};
 };
--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/smoothed_mean.h"
 
 namespace pomelohall {
 
@@ -23,7 +24,8 @@
   instant target_at;       ///< An answer until then meets its target.
   instant give_up_at;      ///< An answer after it is of no use.
   /// When the network link has sent what goes before the answer. The answer
-  /// leaves at this time or when the request has run, whichever is later.
+  /// leaves at this time or when the request has run, whichever is later. In
+  /// the past for an answer that does not wait.
   instant link_free_at;
   duration link_time{0};  ///< Time that the answer occupies the link.
   /// The sender has other backend servers to ask, and asks them first if the
@@ -121,8 +123,8 @@
   std::map<order_key, work_item> waiting_;
   std::unordered_map<std::uint64_t, order_key> keys_;
   std::unordered_map<std::uint64_t, std::string> running_;  ///< Id to class.
-  std::unordered_map<std::string, double> class_time_us_;
-  double mean_time_us_ = 0;
+  std::unordered_map<std::string, smoothed_mean> class_time_us_;
+  smoothed_mean mean_time_us_;
 };
 
 }  // namespace pomelohall
--- a/libs/mesh/src/transmit_queue.cc
+++ b/libs/mesh/src/transmit_queue.cc
@@ -6,8 +6,6 @@
 namespace pomelohall {
 namespace {
 
-// Weight of the newest size: about ten answers decide, as with their times.
-constexpr double kSmoothing = 0.1;
 // Timers fire late by milliseconds; a turn that is taken late by up to this
 // does not move the later ones.
 constexpr duration kCatchUp = std::chrono::milliseconds(20);
@@ -30,15 +28,13 @@
 
 void transmit_queue::OnAnswer(const std::string& work_class,
                               std::uint64_t bytes) {
-  const auto sample = static_cast<double>(bytes);
-  const auto [entry, is_first] = class_bytes_.try_emplace(work_class, sample);
-  if (!is_first) entry->second += kSmoothing * (sample - entry->second);
+  class_bytes_[work_class].Add(static_cast<double>(bytes));
 }
 
 duration transmit_queue::ExpectedTime(const std::string& work_class) const {
   const auto found = class_bytes_.find(work_class);
   if (found == class_bytes_.end()) return duration(0);
-  const auto bytes = static_cast<std::uint64_t>(found->second);
+  const auto bytes = static_cast<std::uint64_t>(found->second.Value());
   return IsPaced(bytes) ? TimeOf(bytes) : duration(0);
 }
 
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -6,14 +6,6 @@
 namespace pomelohall {
 namespace {
 
-// Weight of the newest sample: about ten requests decide, which is a few
-// hundred milliseconds of work on one backend server.
-constexpr double kSmoothing = 0.1;
-
-void Smooth(double& mean, double sample) {
-  mean = mean == 0 ? sample : mean + kSmoothing * (sample - mean);
-}
-
 duration ToDuration(double microseconds) {
   return duration(static_cast<std::int64_t>(microseconds));
 }
@@ -129,33 +121,33 @@
   if (found == running_.end()) return;
   if (took) {
     const auto sample = static_cast<double>(took->count());
-    Smooth(class_time_us_[found->second], sample);
-    Smooth(mean_time_us_, sample);
+    class_time_us_[found->second].Add(sample);
+    mean_time_us_.Add(sample);
   }
   running_.erase(found);
 }
 
 duration work_queue::ExpectedWait(const order_key& key) const {
   if (running_.size() < options_.slots && waiting_.empty()) return duration(0);
-  double ahead_us = mean_time_us_;  // Until the first slot is free.
+  double ahead_us = mean_time_us_.Value();  // Until the first slot is free.
   for (const auto& [other, waiting] : waiting_) {
     if (key < other) break;
     const auto time = ExpectedTime(waiting.work_class).count();
-    ahead_us += time > 0 ? static_cast<double>(time) : mean_time_us_;
+    ahead_us += time > 0 ? static_cast<double>(time) : mean_time_us_.Value();
   }
   return ToDuration(ahead_us / static_cast<double>(options_.slots));
 }
 
 duration work_queue::ExpectedTime(const std::string& work_class) const {
   const auto found = class_time_us_.find(work_class);
-  return ToDuration(found == class_time_us_.end() ? 0 : found->second);
+  return ToDuration(found == class_time_us_.end() ? 0 : found->second.Value());
 }
 
 work_load work_queue::Load() const {
   return {.running = running_.size(),
           .waiting = waiting_.size(),
           .slots = options_.slots,
-          .mean_time = ToDuration(mean_time_us_)};
+          .mean_time = ToDuration(mean_time_us_.Value())};
 }
 
 }  // namespace pomelohall
