Set the time of the link only for answers that wait for it

Cause: the gate set the time at which the link is free and took it back for small answers. Change: it is set once, for answers that occupy the link; a time in the past, its default, means no wait. Behaviour is unchanged.

--- a/libs/sidecar/src/server_gate.cc
+++ b/libs/sidecar/src/server_gate.cc
@@ -68,11 +68,10 @@
                  .give_up_at = request.give_up_at,
                  .max_wait = request.max_wait};
   if (request.over_link) {
-    item.link_free_at = link_.DoneAt(now);
     item.link_time = link_.ExpectedTime(item.work_class);
-    // Small answers do not wait for large ones.
-    if (item.link_time.count() == 0) item.link_free_at = now;
   }
+  // Small answers do not wait for large ones.
+  if (item.link_time.count() > 0) item.link_free_at = link_.DoneAt(now);
   auto task = std::make_shared<gate_task>(*this, item.id, std::move(request),
                                           std::move(events));
   tasks_.emplace(item.id, task);
