Name the outcomes of offers in a name table

Cause: the names stood in an array by the position of the enumerators, beside the name_table that other enumerations have. Change: kSendOutcomeNames. The names in lines and metrics are the same.

--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base/name_table.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "mesh/mesh_config.h"
@@ -48,6 +49,13 @@
   kUnreachable,  ///< The daemon could not be reached, or did not answer.
 };
 
+inline constexpr name_table<send_outcome, 4> kSendOutcomeNames{{{
+    {send_outcome::kServed, "served"},
+    {send_outcome::kFailed, "failed"},
+    {send_outcome::kRefused, "refused"},
+    {send_outcome::kUnreachable, "unreachable"},
+}}};
+
 /// The choice of a server, with the inputs that decided it.
 struct server_choice {
   mesh_member member;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -336,9 +336,7 @@
 
 void routed_request::EndOffer(send_outcome outcome) {
   if (!offer_) return;
-  constexpr std::array<std::string_view, 4> kNames{"served", "failed",
-                                                   "refused", "unreachable"};
-  const auto name = kNames[static_cast<std::size_t>(outcome)];
+  const auto name = kSendOutcomeNames.Name(outcome);
   router_.directory_.OnEnded(offer_->member.name, outcome, MonotonicNow());
   router_.metrics_.OnOffer(name);
   if (outcome != send_outcome::kServed) {
