Compute the digest of a configuration once for each version

Cause: a daemon that hands a version on computed the digest of all routes for each daemon that asked, and again for its own fetch: 0.53 ms for 1,132 routes on this machine, on a thread with a tenth of a core.

Change: config_holder keeps the digest of the version in force, computed when it is asked for. The answer to a fetch is a function of its own, which had two copies of its refusal. Behaviour is unchanged.

--- a/libs/mesh/include/mesh/config_difference.h
+++ b/libs/mesh/include/mesh/config_difference.h
@@ -41,7 +41,9 @@
 };
 
 /// Returns what the owner of a configuration with digest `other` lacks.
+/// @param digest Of `config`.
 config_difference DifferenceTo(const mesh_config& config,
+                               const config_digest& digest,
                                const config_digest& other);
 
 /// Returns the configuration that results; nothing if it is not the one that
--- a/libs/mesh/src/config_difference.cc
+++ b/libs/mesh/src/config_difference.cc
@@ -51,8 +51,8 @@
 }
 
 config_difference DifferenceTo(const mesh_config& config,
+                               const config_digest& digest,
                                const config_digest& other) {
-  const auto digest = DigestOf(config);
   config_difference difference{.version = config.version,
                                .services = config.services,
                                .limits = config.limits,
--- a/libs/mesh/tests/config_difference_test.cc
+++ b/libs/mesh/tests/config_difference_test.cc
@@ -37,7 +37,8 @@
   newer.routes.erase(newer.routes.begin() + 500);
   newer.routes.push_back({.name = "added", .host = "shop.example"});
   newer.limits.max_body_bytes = 5;
-  const auto difference = DifferenceTo(newer, DigestOf(config_));
+  const auto difference =
+      DifferenceTo(newer, DigestOf(newer), DigestOf(config_));
   const auto applied = ApplyDifference(config_, difference);
   REQUIRE(applied.has_value());
   CHECK(applied->version == 9);
@@ -52,7 +53,8 @@
                  "[mesh]") {
   auto newer = config_;
   newer.routes[3].priority = 1;
-  const auto difference = DifferenceTo(newer, DigestOf(config_));
+  const auto difference =
+      DifferenceTo(newer, DigestOf(newer), DigestOf(config_));
   CHECK(difference.buckets.size() == 1);
   CHECK(difference.routes.size() < 50);
 }
@@ -63,7 +65,8 @@
                  "ConfigDifference_OtherBase_IsRefused", "[mesh]") {
   auto newer = config_;
   newer.routes[3].priority = 1;
-  const auto difference = DifferenceTo(newer, DigestOf(config_));
+  const auto difference =
+      DifferenceTo(newer, DigestOf(newer), DigestOf(config_));
   auto other = config_;
   other.routes[800].priority = 2;
   CHECK_FALSE(ApplyDifference(other, difference).has_value());
@@ -73,7 +76,8 @@
 // another daemon.
 TEST_CASE_METHOD(config_difference_fixture,
                  "ConfigDifference_EmptyBase_GetsAllRoutes", "[mesh]") {
-  const auto applied = ApplyDifference({}, DifferenceTo(config_, DigestOf({})));
+  const auto applied = ApplyDifference(
+      {}, DifferenceTo(config_, DigestOf(config_), DigestOf({})));
   REQUIRE(applied.has_value());
   CHECK(applied->routes.size() == config_.routes.size());
 }
--- a/libs/sidecar/src/config_exchange.cc
+++ b/libs/sidecar/src/config_exchange.cc
@@ -51,7 +51,7 @@
 }
 
 void config_exchange::Fetch(const std::string& address) {
-  auto digest = EncodeDigest(DigestOf(holder_.Config()));
+  auto digest = EncodeDigest(holder_.Digest());
   outgoing_request request;
   request.head.method = "POST";
   request.head.target = "/";
@@ -132,34 +132,37 @@
 void config_exchange::Serve(const std::shared_ptr<incoming_request>& request) {
   const auto body = request->Body();
   if (!body) {
-    request->Answer(ErrorAnswer({error_kind::kInvalidRequest, "no digest"}),
-                    nullptr);
+    Answer(*request, std::nullopt);
     return;
   }
   ReadBodyStart(
       body, kMaxDigestBytes, [this, request](const result<body_start>& start) {
         if (!start) return;  // The connection is gone.
-        const auto digest =
-            start->whole ? DecodeDigest(*start->bytes) : std::nullopt;
-        if (!digest) {
-          request->Answer(
-              ErrorAnswer({error_kind::kInvalidRequest, "no digest"}), nullptr);
-          return;
-        }
-        auto text = EncodeDifference(
-            {.revision = holder_.Revision(),
-             .difference = DifferenceTo(holder_.Config(), *digest)});
-        incoming_answer answer;
-        answer.head.status = 200;
-        if (const auto* id =
-                FindField(request->Head().fields, options_.attempt_id)) {
-          answer.head.fields.push_back({options_.attempt_id, *id});
-        }
-        answer.head.framing = body_framing::kLength;
-        answer.head.length = text.size();
-        answer.body = ToBody(std::move(text));
-        request->Answer(std::move(answer), nullptr);
+        Answer(*request,
+               start->whole ? DecodeDigest(*start->bytes) : std::nullopt);
       });
 }
 
+void config_exchange::Answer(incoming_request& request,
+                             const std::optional<config_digest>& digest) {
+  if (!digest) {
+    request.Answer(ErrorAnswer({error_kind::kInvalidRequest, "no digest"}),
+                   nullptr);
+    return;
+  }
+  auto text =
+      EncodeDifference({.revision = holder_.Revision(),
+                        .difference = DifferenceTo(holder_.Config(),
+                                                   holder_.Digest(), *digest)});
+  incoming_answer answer;
+  answer.head.status = 200;
+  if (const auto* id = FindField(request.Head().fields, options_.attempt_id)) {
+    answer.head.fields.push_back({options_.attempt_id, *id});
+  }
+  answer.head.framing = body_framing::kLength;
+  answer.head.length = text.size();
+  answer.body = ToBody(std::move(text));
+  request.Answer(std::move(answer), nullptr);
+}
+
 }  // namespace pomelohall
--- a/libs/sidecar/src/config_exchange.h
+++ b/libs/sidecar/src/config_exchange.h
@@ -5,12 +5,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "backend/connection_pool.h"
 #include "caller/incoming_request.h"
 #include "collection_watch.h"
 #include "config_holder.h"
+#include "mesh/config_difference.h"
 #include "sidecar/exchange_fields.h"
 
 namespace pomelohall {
@@ -65,6 +67,8 @@
   void OnAnswer(result<incoming_answer> answer);
   void OnDifference(const std::string& text);
   void EndFetch();
+  void Answer(incoming_request& request,
+              const std::optional<config_digest>& digest);
   // The store is read instead.
   void OnFailure(const std::string& reason);
 
--- a/libs/sidecar/src/config_holder.cc
+++ b/libs/sidecar/src/config_holder.cc
@@ -59,6 +59,7 @@
       .With("revision", revision)
       .With("routes", static_cast<std::uint64_t>(config.routes.size()));
   table_ = std::make_shared<route_table>(std::move(config));
+  digest_.reset();
   on_change_(table_);
 }
 
@@ -67,4 +68,9 @@
   return table_ ? table_->Config() : empty;
 }
 
+const config_digest& config_holder::Digest() {
+  if (!digest_) digest_ = DigestOf(Config());
+  return *digest_;
+}
+
 }  // namespace pomelohall
--- a/libs/sidecar/src/config_holder.h
+++ b/libs/sidecar/src/config_holder.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "collection_watch.h"
+#include "mesh/config_difference.h"
 #include "mesh/route_table.h"
 #include "sidecar/sidecar.h"
 
@@ -30,6 +32,9 @@
 
   // The configuration in force; an empty one before the first.
   const mesh_config& Config() const;
+  // Of Config(). Computed at the first call for a version, as most daemons hand
+  // few versions on: it takes about 0.5 ms with a thousand routes.
+  const config_digest& Digest();
   std::uint64_t Version() const { return Config().version; }
   // Of the store's object that was last looked at.
   std::uint64_t Revision() const { return revision_; }
@@ -43,6 +48,7 @@
   const observer on_change_;
   std::uint64_t revision_ = 0;
   std::shared_ptr<route_table> table_;
+  std::optional<config_digest> digest_;
 };
 
 }  // namespace pomelohall
