--- a/libs/sidecar/tests/store_sync_test.cc
+++ b/libs/sidecar/tests/store_sync_test.cc
@@ -14,6 +14,12 @@
 
 using std::chrono::milliseconds;
 
+// An I/O context without work stops, and would skip the later runs.
+void RunFor(boost::asio::io_context& io, duration time) {
+  io.restart();
+  io.run_for(time);
+}
+
 class recording_observer final : public collection_observer {
  public:
   void OnListed(const std::vector<watched_object>& objects) override {
@@ -42,10 +48,7 @@
 
   ~collection_watch_fixture() { watch_.Stop(); }
 
-  void RunFor(duration time) {
-    io_.restart();
-    io_.run_for(time);
-  }
+  void RunFor(duration time) { pomelohall::RunFor(io_, time); }
 
   boost::asio::io_context io_;
   fake_watched_store store_{io_};
@@ -100,12 +103,6 @@
   CHECK(store_.watches <= 2);
 }
 
-// An I/O context without work stops, and would skip the later runs.
-void RunFor(boost::asio::io_context& io, duration time) {
-  io.restart();
-  io.run_for(time);
-}
-
 // Guards against a run of changes to a large object whose every version is
 // fetched: on a VM with a slow link that took longer than the bound in which
 // the last version has to be in force.
@@ -181,10 +178,7 @@
     return store_.SpecOf(store_collection::kMembers, "vm-1");
   }
 
-  void RunFor(duration time) {
-    io_.restart();
-    io_.run_for(time);
-  }
+  void RunFor(duration time) { pomelohall::RunFor(io_, time); }
 
   boost::asio::io_context io_;
   fake_watched_store store_{io_};
--- a/tests/http/mesh_fixture.h
+++ b/tests/http/mesh_fixture.h
@@ -3,19 +3,18 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <cstddef>
 #include <functional>
-#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
-#include <type_traits>
+#include <utility>
 #include <vector>
 
 #include "backend_stub/stub_server.h"
 #include "caller/call_service.h"
+#include "io_task.h"
 
 namespace pomelohall {
 
@@ -56,10 +55,7 @@
   /// Runs `action` on the I/O thread and returns its result.
   template <typename Action>
   auto OnIo(Action action) {
-    std::packaged_task<std::invoke_result_t<Action>()> task(std::move(action));
-    auto done = task.get_future();
-    boost::asio::post(io_, [&task] { task(); });
-    return done.get();
+    return RunOnIo(io_, std::move(action));
   }
 
   /// Waits until `condition`, evaluated on the I/O thread, holds. The time is
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -3,14 +3,14 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <future>
 #include <memory>
 #include <string>
 #include <thread>
-#include <type_traits>
+#include <utility>
 #include <vector>
 
+#include "io_task.h"
 #include "platform_adapter/http_watched_store.h"
 #include "raw_client.h"
 #include "scripted_server.h"
@@ -53,10 +53,7 @@
 
   template <typename Action>
   auto OnIo(Action action) {
-    std::packaged_task<std::invoke_result_t<Action>()> task(std::move(action));
-    auto done = task.get_future();
-    boost::asio::post(io_, [&task] { task(); });
-    return done.get();
+    return RunOnIo(io_, std::move(action));
   }
 
  protected:
