Share the start of the programs that take settings from a file

Cause: pomelohall-sidecar repeated the arguments, the check and the report of a failed start of pomelohalld. Change: RunSettingsProgram and ReportStartError in libs/settings.

--- a/tools/pomelohall_sidecar/main.cc
+++ b/tools/pomelohall_sidecar/main.cc
@@ -1,11 +1,9 @@
-#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
-#include <iostream>
 #include <iterator>
 #include <memory>
 #include <string>
@@ -16,20 +14,17 @@
 #include "platform_adapter/http_watched_store.h"
 #include "platform_adapter/local_endpoints.h"
 #include "platform_adapter/wire_names.h"
+#include "settings/settings_program.h"
 #include "sidecar/sidecar.h"
 
 namespace pomelohall {
 namespace {
 
+constexpr const char* kProgram = "pomelohall-sidecar";
+
 // The file is also replaced without a signal.
 constexpr auto kSettingsCheckInterval = std::chrono::seconds(1);
 
-int ReportStartError(const error& failure) {
-  std::cerr << "pomelohall-sidecar: " << AnswerFor(failure.kind).name << ": "
-            << failure.message << "\n";
-  return AnswerFor(failure.kind).exit_code;
-}
-
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   return {std::istreambuf_iterator<char>(file), {}};
@@ -110,10 +105,10 @@
                             .ready = settings.ready_address,
                             .metrics = settings.metrics_address});
       !listening) {
-    return ReportStartError(listening.error());
+    return ReportStartError(kProgram, listening.error());
   }
   if (const auto started = process.Start(); !started) {
-    return ReportStartError(started.error());
+    return ReportStartError(kProgram, started.error());
   }
   settings_watcher watcher(io, path, process);
   const auto signals =
@@ -127,17 +122,8 @@
 }  // namespace pomelohall
 
 int main(int argc, char** argv) {
-  CLI::App app{
-      "Sidecar of pomelohall: runs beside the backend server of a VM."};
-  std::string settings_path;
-  bool check_only = false;
-  app.add_option("--settings", settings_path, "JSON file with the settings")
-      ->required();
-  app.add_flag("--check", check_only,
-               "Check the settings and exit without starting");
-  CLI11_PARSE(app, argc, argv);
-  const auto settings = pomelohall::LoadSidecarSettings(settings_path);
-  if (!settings) return pomelohall::ReportStartError(settings.error());
-  if (check_only) return 0;
-  return pomelohall::RunSidecar(settings_path, *settings);
+  return pomelohall::RunSettingsProgram(
+      argc, argv, pomelohall::kProgram,
+      "Sidecar of pomelohall: runs beside the backend server of a VM.",
+      pomelohall::LoadSidecarSettings, pomelohall::RunSidecar);
 }
--- a/tools/pomelohalld/main.cc
+++ b/tools/pomelohalld/main.cc
@@ -1,8 +1,6 @@
 #include <sys/resource.h>
 
-#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <iostream>
 #include <memory>
 #include <string>
 
@@ -10,15 +8,12 @@
 #include "http/http_signals.h"
 #include "logging/log_event.h"
 #include "settings/daemon_settings.h"
+#include "settings/settings_program.h"
 
 namespace pomelohall {
 namespace {
 
-int ReportStartError(const error& failure) {
-  std::cerr << "pomelohalld: " << AnswerFor(failure.kind).name << ": "
-            << failure.message << "\n";
-  return AnswerFor(failure.kind).exit_code;
-}
+constexpr const char* kProgram = "pomelohalld";
 
 log_level MinimumLevel(const std::string& name) {
   if (name == "error") return log_level::kError;
@@ -37,13 +32,13 @@
 }
 
 int RunDaemon(const daemon_settings& settings) {
-  StartLogging("pomelohalld", MinimumLevel(settings.log_level));
+  StartLogging(kProgram, MinimumLevel(settings.log_level));
   RaiseDescriptorLimit();
   // One thread runs the I/O context, which lets Asio leave out its locks.
   boost::asio::io_context io(1);
   daemon process(io, settings);
   if (auto started = process.Start(); !started) {
-    return ReportStartError(started.error());
+    return ReportStartError(kProgram, started.error());
   }
   std::shared_ptr<void> signals;
   signals = OnStopSignal(io, [&] { process.Stop([&io] { io.stop(); }); });
@@ -55,16 +50,11 @@
 }  // namespace pomelohall
 
 int main(int argc, char** argv) {
-  CLI::App app{"Daemon of pomelohall: runs beside the backend server of a VM."};
-  std::string settings_path;
-  bool check_only = false;
-  app.add_option("--settings", settings_path, "JSON file with the settings")
-      ->required();
-  app.add_flag("--check", check_only,
-               "Check the settings and exit without starting");
-  CLI11_PARSE(app, argc, argv);
-  const auto settings = pomelohall::LoadDaemonSettings(settings_path);
-  if (!settings) return pomelohall::ReportStartError(settings.error());
-  if (check_only) return 0;
-  return pomelohall::RunDaemon(*settings);
+  return pomelohall::RunSettingsProgram(
+      argc, argv, pomelohall::kProgram,
+      "Daemon of pomelohall: runs beside the backend server of a VM.",
+      pomelohall::LoadDaemonSettings,
+      [](const std::string&, const auto& settings) {
+        return pomelohall::RunDaemon(settings);
+      });
 }
