Read settings files in one place

Cause: LoadSidecarSettings read its file by itself, without the bound and the message of LoadDaemonSettings. Change: both use ReadSettingsFile. The sidecar now refuses a file above 1 MB, and names an unreadable one as pomelohalld does; its settings are about 1 kB.

--- a/libs/settings/src/daemon_settings.cc
+++ b/libs/settings/src/daemon_settings.cc
@@ -4,25 +4,19 @@
 #include <netinet/in.h>
 
 #include <array>
-#include <cerrno>
 #include <charconv>
 #include <cstddef>
-#include <cstring>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "settings/schema_check.h"
+#include "settings/settings_file.h"
 
 namespace pomelohall {
 namespace {
 
 using nlohmann::json;
 
-// Settings are a few KB; a larger file is not a settings file.
-constexpr std::size_t kMaxFileBytes = 1'000'000;
-
 std::string HostOf(const std::string& address) {
   std::string host = address.substr(0, address.rfind(':'));
   if (host.empty() || host.front() != '[') return host;
@@ -151,20 +145,9 @@
 }
 
 result<daemon_settings> LoadDaemonSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return Fail(
-        error_kind::kInvalidSettings,
-        "cannot read settings file \"" + path + "\": " + std::strerror(errno));
-  }
-  std::string text(kMaxFileBytes + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
-  if (text.size() > kMaxFileBytes) {
-    return Fail(error_kind::kInvalidSettings,
-                "settings file \"" + path + "\" is larger than 1 MB");
-  }
-  return ParseDaemonSettings(text);
+  const auto text = ReadSettingsFile(path);
+  if (!text) return tl::unexpected(text.error());
+  return ParseDaemonSettings(*text);
 }
 
 std::vector<std::string> DaemonSettingsFields() {
--- a/libs/sidecar/src/sidecar_settings.cc
+++ b/libs/sidecar/src/sidecar_settings.cc
@@ -1,14 +1,11 @@
 #include "sidecar/sidecar_settings.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "backend/http_message.h"
 #include "settings/schema_check.h"
+#include "settings/settings_file.h"
 
 namespace pomelohall {
 namespace {
@@ -161,13 +158,9 @@
 }
 
 result<sidecar_settings> LoadSidecarSettings(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return Fail(error_kind::kInvalidSettings,
-                path + ": " + std::strerror(errno));
-  }
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
-  return ParseSidecarSettings(text);
+  const auto text = ReadSettingsFile(path);
+  if (!text) return tl::unexpected(text.error());
+  return ParseSidecarSettings(*text);
 }
 
 }  // namespace pomelohall
