Bound the age of the configuration on every daemon

Cause: how old the configuration of a daemon could get depended on two other daemons. These two, fixed by rank among all records of the store, watched the latest data with calls of 2.25 s that were given up after 2.85 s, longer than the delay of 2.0 to 2.5 s. A watch that goes silent, as after a compaction of the store's history, or two readers that are turned away, cut off or gone, left all daemons with data that may be stale, and no daemon knew how old its configuration was.

Change: each daemon knows when its configuration was last the latest one in the store (config_confirmation). Its own reads tell it, and the messages of daemons with the same version, which carry the revision and the age; no clocks are compared. A daemon whose confirmation gets older than 0.4 to 0.5 of the delay reads the store itself (config_reader). Designated daemons still watch, with calls of a quarter of the delay. The configuration is read as latest data only; the watches that may be stale go. config_in_force names its source, config_check the age, and pomelohall_config_confirmation_age_milliseconds exports it.

CollectionWatch_RunOfChanges_FetchesTheLastOneOnly moves to ConfigReader_* with its bounds. CollectionWatch_NewerStateFromElsewhere_PostponesTheListing tested a listing that no longer exists; ConfigReader_ConfirmedByOthers_ReadsNothing asks for no call at all in its place.

--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -35,6 +35,10 @@
     "Pomelohall-Mesh-Max-Wait";
 /// Version of the active configuration of the sender.
 inline constexpr std::string_view kMeshVersionField = "Pomelohall-Mesh-Version";
+/// Last confirmation of that configuration: "REVISION AGE", the revision of the
+/// store and the milliseconds since.
+inline constexpr std::string_view kMeshConfirmedField =
+    "Pomelohall-Mesh-Confirmed";
 /// Address at which the sender serves that configuration.
 inline constexpr std::string_view kMeshSenderField = "Pomelohall-Mesh-Sender";
 /// Marks a fetch of the active configuration. The value is the version that the
@@ -45,11 +49,11 @@
 inline constexpr std::string_view kMeshLoadField = "Pomelohall-Mesh-Load";
 
 /// All header fields between daemons.
-inline constexpr std::array kMeshFields{kMeshInstanceField, kMeshClassField,
-                                        kMeshKindField,     kMeshPriorityField,
-                                        kMeshTargetField,   kMeshMaxWaitField,
-                                        kMeshVersionField,  kMeshSenderField,
-                                        kMeshFetchField,    kMeshLoadField};
+inline constexpr std::array kMeshFields{
+    kMeshConfirmedField, kMeshInstanceField, kMeshClassField,
+    kMeshKindField,      kMeshPriorityField, kMeshTargetField,
+    kMeshMaxWaitField,   kMeshVersionField,  kMeshSenderField,
+    kMeshFetchField,     kMeshLoadField};
 
 }  // namespace pomelohall
 
--- a/libs/sidecar/src/active_config.cc
+++ b/libs/sidecar/src/active_config.cc
@@ -38,14 +38,15 @@
         .With("reason", config.error().message);
     return;
   }
-  Activate(std::move(*config), object.revision);
+  Activate(std::move(*config), object.revision, "store");
 }
 
 void active_config::OnFetched(mesh_config config, std::uint64_t revision) {
-  if (revision > revision_) Activate(std::move(config), revision);
+  if (revision > revision_) Activate(std::move(config), revision, "peer");
 }
 
-void active_config::Activate(mesh_config config, std::uint64_t revision) {
+void active_config::Activate(mesh_config config, std::uint64_t revision,
+                             std::string_view source) {
   revision_ = revision;
   if (config.version < Version()) {
     log_event(log_level::kError, "config_refused")
@@ -57,6 +58,7 @@
   log_event(log_level::kInfo, "config_in_force")
       .With("version", config.version)
       .With("revision", revision)
+      .With("source", source)
       .With("routes", static_cast<std::uint64_t>(config.routes.size()));
   table_ = std::make_shared<route_table>(std::move(config));
   digest_.reset();
--- a/libs/sidecar/src/active_config.h
+++ b/libs/sidecar/src/active_config.h
@@ -6,17 +6,19 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
-#include "collection_watch.h"
 #include "mesh/config_difference.h"
 #include "mesh/route_table.h"
 #include "sidecar/sidecar.h"
+#include "sidecar/watched_store.h"
 
 namespace pomelohall {
 
 // Holds the active configuration. A new version is applied as a whole or not at
 // all, and never replaced by an older one.
-class active_config final : public collection_observer {
+class active_config {
  public:
   using observer = std::function<void(std::shared_ptr<route_table>)>;
 
@@ -24,8 +26,8 @@
                 std::function<result<mesh_config>(const std::string&)> decode,
                 observer on_change);
 
-  void OnListed(const std::vector<watched_object>& objects) override;
-  void OnChanged(const object_change& change) override;
+  void OnListed(const std::vector<watched_object>& objects);
+  void OnChanged(const object_change& change);
   // Activates a configuration that was fetched from another daemon.
   // @param revision Revision of the store object that holds it.
   void OnFetched(mesh_config config, std::uint64_t revision);
@@ -40,7 +42,8 @@
   std::uint64_t Revision() const { return revision_; }
 
  private:
-  void Activate(mesh_config config, std::uint64_t revision);
+  void Activate(mesh_config config, std::uint64_t revision,
+                std::string_view source);
   void ApplyObject(const watched_object& object);
 
   const std::string object_name_;
--- a/libs/sidecar/src/config_codec.cc
+++ b/libs/sidecar/src/config_codec.cc
@@ -1,7 +1,10 @@
 #include "config_codec.h"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "backend/http_message.h"
+
 namespace pomelohall {
 namespace {
 
@@ -104,4 +107,24 @@
   }
 }
 
+std::string EncodeConfirmation(const config_confirmation& confirmation,
+                               instant now) {
+  const auto age =
+      std::chrono::ceil<std::chrono::milliseconds>(now - confirmation.at);
+  return std::to_string(confirmation.revision) + " " +
+         std::to_string(age.count());
+}
+
+std::optional<config_confirmation> DecodeConfirmation(std::string_view text,
+                                                      instant sent_at) {
+  const auto space = text.find(' ');
+  if (space == std::string_view::npos) return std::nullopt;
+  const auto revision = ParseNumber(text.substr(0, space));
+  const auto age = ParseNumber(text.substr(space + 1));
+  constexpr std::uint64_t kMaxAgeMillis = 86'400'000;
+  if (!revision || !age || *age > kMaxAgeMillis) return std::nullopt;
+  return config_confirmation{.revision = *revision,
+                             .at = sent_at - std::chrono::milliseconds(*age)};
+}
+
 }  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/config_reader.cc
@@ -0,0 +1,138 @@
+#include "config_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log_event.h"
+
+namespace pomelohall {
+
+config_reader::config_reader(boost::asio::io_context& io, watched_store& store,
+                             active_config& config,
+                             config_reader_options options, std::uint64_t seed)
+    : store_(store),
+      config_(config),
+      options_(std::move(options)),
+      random_(seed),
+      pacer_(io, store_collection::kConfiguration, options_.backoff, seed) {}
+
+void config_reader::Refresh() {
+  if (call_ == call_kind::kList || pacer_.Stopped()) return;
+  pacer_.Cancel();
+  List();
+}
+
+void config_reader::OnConfirmed(const config_confirmation& confirmation) {
+  confirmation_.revision =
+      std::max(confirmation_.revision, confirmation.revision);
+  confirmation_.at = std::max(confirmation_.at, confirmation.at);
+}
+
+void config_reader::List() {
+  call_ = call_kind::kList;
+  store_.List(store_collection::kConfiguration, read_consistency::kLatest,
+              [this, call = ++calls_, sent_at = MonotonicNow()](
+                  const result<object_listing>& listing) {
+                if (call == calls_ && !pacer_.Stopped()) {
+                  OnListed(listing, sent_at);
+                }
+              });
+}
+
+void config_reader::OnListed(const result<object_listing>& listing,
+                             instant sent_at) {
+  call_ = call_kind::kNone;
+  if (!listing) {
+    OnFailure(listing.error());
+    return;
+  }
+  pacer_.OnListed();
+  const auto revision = config_.Revision();
+  config_.OnListed(listing->objects);
+  OnConfirmed({.revision = listing->revision, .at = sent_at});
+  Continue(revision > 0 && config_.Revision() > revision);
+}
+
+void config_reader::Watch(duration wait) {
+  call_ = call_kind::kWatch;
+  const auto revision = std::max(confirmation_.revision, config_.Revision());
+  store_.Watch(store_collection::kConfiguration, revision, wait,
+               read_consistency::kLatest,
+               [this, call = ++calls_, sent_at = MonotonicNow(),
+                wait](const result<object_changes>& changes) {
+                 if (call == calls_ && !pacer_.Stopped()) {
+                   OnChanges(changes, sent_at, wait);
+                 }
+               });
+}
+
+void config_reader::OnChanges(const result<object_changes>& changes,
+                              instant sent_at, duration wait) {
+  call_ = call_kind::kNone;
+  if (!changes) {
+    if (changes.error().kind == error_kind::kNotFound) {
+      pacer_.RunAfter(pacer_.OnHistoryLost(confirmation_.revision),
+                      [this] { List(); });
+    } else {
+      OnFailure(changes.error());
+    }
+    return;
+  }
+  pacer_.OnWatched();
+  for (const auto& change : changes->changes) config_.OnChanged(change);
+  // The store answers a watch without changes from its state at the end of the
+  // wait. Any other answer is at least as recent as the call.
+  const bool waited =
+      changes->changes.empty() && MonotonicNow() >= sent_at + wait;
+  OnConfirmed(
+      {.revision = changes->revision, .at = waited ? sent_at + wait : sent_at});
+  Continue(!changes->changes.empty());
+}
+
+void config_reader::Continue(bool changed) {
+  if (!options_.is_designated()) {
+    ScheduleCheck();
+  } else if (changed) {
+    pacer_.RunAfter(options_.pause_after_change, [this] { List(); });
+  } else {
+    Watch(options_.watch_wait);
+  }
+}
+
+void config_reader::ScheduleCheck() {
+  constexpr double kMaxAgeSpread = 0.25;
+  const auto max_age = std::chrono::duration_cast<duration>(
+      options_.max_age * (1 + kMaxAgeSpread * random_.NextDouble()));
+  CheckAge(max_age);
+}
+
+void config_reader::CheckAge(duration max_age) {
+  if (options_.is_designated()) {
+    Watch(options_.watch_wait);
+    return;
+  }
+  const auto age = Age();
+  if (age < max_age) {
+    pacer_.RunAfter(max_age - age, [this, max_age] { CheckAge(max_age); });
+    return;
+  }
+  log_event(log_level::kInfo, "config_check")
+      .With("version", config_.Version())
+      .With("age_ms", static_cast<std::uint64_t>(ToMillis(age)));
+  Watch(duration(0));
+}
+
+void config_reader::OnFailure(const error& failure) {
+  pacer_.RunAfter(pacer_.OnFailure(failure, confirmation_.revision),
+                  [this] { ReadAgain(); });
+}
+
+void config_reader::ReadAgain() {
+  if (confirmation_.revision == 0) {
+    List();
+  } else {
+    ScheduleCheck();
+  }
+}
+
+}  // namespace pomelohall
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -76,8 +76,10 @@
                             outgoing_request outgoing) {
   auto& fields = outgoing.head.fields;
   const auto now = request->ReceivedAt();
-  const auto version = TakeField(fields, kMeshVersionField);
-  config_sync_.OnPeerVersion(version, TakeField(fields, kMeshSenderField));
+  // Requests are sent without delay, unlike answers.
+  config_sync_.OnPeerState(fields, TakeField(fields, kMeshSenderField), now);
+  RemoveField(fields, kMeshVersionField);
+  RemoveField(fields, kMeshConfirmedField);
   local_request local;
   local.instance = TakeField(fields, kMeshInstanceField);
   local.work_class = TakeField(fields, kMeshClassField);
@@ -150,8 +152,7 @@
     RemoveField(fields, kErrorField);
   }
   SetField(fields, kMeshLoadField, EncodeLoad(dispatcher_.Load()));
-  SetField(fields, kMeshVersionField,
-           std::to_string(config_sync_.LocalVersion()));
+  config_sync_.AddState(fields);
   sender_.Send(request, std::move(outgoing), target_at);
 }
 
--- a/libs/sidecar/src/peer_config_sync.cc
+++ b/libs/sidecar/src/peer_config_sync.cc
@@ -22,31 +22,57 @@
       std::make_shared<const std::string>(std::move(text)));
 }
 
+std::optional<config_confirmation> FindConfirmation(const http_fields& fields,
+                                                    instant sent_at) {
+  const auto* field = FindField(fields, kMeshConfirmedField);
+  if (field == nullptr) return std::nullopt;
+  return DecodeConfirmation(*field, sent_at);
+}
+
 }  // namespace
 
 peer_config_sync::peer_config_sync(boost::asio::io_context& io,
                                    connection_pool& peers,
-                                   active_config& config,
-                                   collection_watch& watch,
+                                   active_config& config, config_reader& reader,
                                    peer_config_sync_options options)
     : peers_(peers),
       config_(config),
-      watch_(watch),
+      reader_(reader),
       options_(std::move(options)),
       timer_(io) {}
 
-void peer_config_sync::OnPeerVersion(const std::string& version,
-                                     const std::string& address) {
-  const auto newest = ParseNumber(version).value_or(0);
-  const auto now = MonotonicNow();
-  if (newest <= LocalVersion() || fetch_ || now < next_fetch_ ||
-      address.empty()) {
+void peer_config_sync::AddState(http_fields& fields) const {
+  SetField(fields, kMeshVersionField, std::to_string(config_.Version()));
+  const auto& confirmation = reader_.Confirmation();
+  if (confirmation.revision > 0) {
+    SetField(fields, kMeshConfirmedField,
+             EncodeConfirmation(confirmation, MonotonicNow()));
+  }
+}
+
+void peer_config_sync::OnPeerState(const http_fields& fields,
+                                   const std::string& address,
+                                   instant sent_at) {
+  const auto* field = FindField(fields, kMeshVersionField);
+  const auto version = field == nullptr ? 0 : ParseNumber(*field).value_or(0);
+  if (version == 0 || version < config_.Version()) return;
+  if (version > config_.Version()) {
+    OnNewerVersion(version, address);
     return;
   }
+  if (const auto confirmation = FindConfirmation(fields, sent_at)) {
+    reader_.OnConfirmed(*confirmation);
+  }
+}
+
+void peer_config_sync::OnNewerVersion(std::uint64_t version,
+                                      const std::string& address) {
+  const auto now = MonotonicNow();
+  if (fetch_ || now < next_fetch_ || address.empty()) return;
   next_fetch_ = now + options_.min_fetch_interval;
   log_event(log_level::kInfo, "config_outdated")
-      .With("version", LocalVersion())
-      .With("peer_version", newest)
+      .With("version", config_.Version())
+      .With("peer_version", version)
       .With("peer", address);
   Fetch(address);
 }
@@ -58,17 +84,17 @@
   request.head.target = "/";
   request.head.fields = {
       {"Host", address},
-      {std::string(kMeshFetchField), std::to_string(LocalVersion())},
+      {std::string(kMeshFetchField), std::to_string(config_.Version())},
       {options_.attempt_id_field, "config-" + std::to_string(++fetches_)}};
   request.head.framing = body_framing::kLength;
   request.head.length = digest.size();
   request.body = ToBody(std::move(digest));
-  fetch_ =
-      peers_.Start(address, std::move(request),
-                   {.on_sent = nullptr,
-                    .on_response = [this](result<incoming_response> answer) {
-                      OnResponse(std::move(answer));
-                    }});
+  fetch_ = peers_.Start(address, std::move(request),
+                        {.on_sent = nullptr,
+                         .on_response = [this, sent_at = MonotonicNow()](
+                                            result<incoming_response> answer) {
+                           OnResponse(std::move(answer), sent_at);
+                         }});
   timer_.expires_after(options_.timeout);
   timer_.async_wait([this](boost::system::error_code cancelled) {
     if (!cancelled) OnFailure("the peer did not answer in time");
@@ -82,7 +108,8 @@
 
 void peer_config_sync::Stop() { EndFetch(); }
 
-void peer_config_sync::OnResponse(result<incoming_response> answer) {
+void peer_config_sync::OnResponse(result<incoming_response> answer,
+                                  instant sent_at) {
   if (!answer) {
     OnFailure(answer.error().message);
     return;
@@ -92,9 +119,10 @@
     return;
   }
   const int status = answer->head.status;
+  const auto confirmation = FindConfirmation(answer->head.fields, sent_at);
   ReadBodyPrefix(
       answer->body, kMaxDifferenceBytes,
-      [this, status](const result<body_prefix>& start) {
+      [this, status, confirmation](const result<body_prefix>& start) {
         if (!start) {
           OnFailure(start.error().message);
         } else if (status != 200 || !start->complete) {
@@ -102,17 +130,23 @@
               "the peer's answer is an error or too large; its status is " +
               std::to_string(status));
         } else {
-          OnDifference(*start->bytes);
+          OnDifference(*start->bytes, confirmation);
         }
       });
 }
 
-void peer_config_sync::OnDifference(const std::string& text) {
+void peer_config_sync::OnDifference(
+    const std::string& text,
+    const std::optional<config_confirmation>& confirmation) {
   const auto message = DecodeUpdate(text);
   if (!message) {
     OnFailure("the answer of the peer is malformed");
     return;
   }
+  if (message->revision <= config_.Revision()) {
+    EndFetch();  // The store was faster.
+    return;
+  }
   auto config = ApplyDifference(config_.Config(), message->difference);
   if (!config) {
     OnFailure("the peer's difference does not fit the active configuration");
@@ -125,13 +159,13 @@
       .With("changed_routes",
             static_cast<std::uint64_t>(message->difference.routes.size()));
   config_.OnFetched(std::move(*config), message->revision);
-  watch_.PostponeList();
+  if (confirmation) reader_.OnConfirmed(*confirmation);
 }
 
 void peer_config_sync::OnFailure(const std::string& reason) {
   EndFetch();
   log_event(log_level::kInfo, "config_fetch_failed").With("reason", reason);
-  watch_.Refresh();
+  reader_.Refresh();
 }
 
 void peer_config_sync::Serve(const std::shared_ptr<incoming_request>& request) {
@@ -164,6 +198,7 @@
           FindField(request.Head().fields, options_.attempt_id_field)) {
     answer.head.fields.push_back({options_.attempt_id_field, *id});
   }
+  AddState(answer.head.fields);
   answer.head.framing = body_framing::kLength;
   answer.head.length = text.size();
   answer.body = ToBody(std::move(text));
--- a/libs/sidecar/src/peer_config_sync.h
+++ b/libs/sidecar/src/peer_config_sync.h
@@ -11,23 +11,28 @@
 #include "active_config.h"
 #include "backend/connection_pool.h"
 #include "caller/incoming_request.h"
-#include "collection_watch.h"
+#include "config_reader.h"
 #include "mesh/config_difference.h"
 #include "sidecar/header_field_names.h"
 
 namespace pomelohall {
 
-// Spreads the version of the active configuration by attaching it to requests
-// and answers between daemons. A daemon that sees a newer version fetches it.
+// Spreads the version of the active configuration, and its last confirmation,
+// by attaching them to requests and answers between daemons. A daemon that sees
+// a newer version fetches it.
 class config_version_gossip {
  public:
   virtual ~config_version_gossip() = default;
-  // Version of the active configuration; 0 if there is none.
-  virtual std::uint64_t LocalVersion() const = 0;
+  // Sets the fields of a message to another daemon that say which configuration
+  // is active here.
+  virtual void AddState(http_fields& fields) const = 0;
   // Address at which other daemons can fetch the active configuration.
   virtual const std::string& LocalAddress() const = 0;
-  virtual void OnPeerVersion(const std::string& version,
-                             const std::string& address) = 0;
+  // Handles these fields of a message from another daemon.
+  // @param address Address at which that daemon serves its configuration.
+  // @param sent_at When the message was sent, or earlier.
+  virtual void OnPeerState(const http_fields& fields,
+                           const std::string& address, instant sent_at) = 0;
 };
 
 struct peer_config_sync_options {
@@ -47,16 +52,16 @@
  public:
   // References must outlive this object.
   peer_config_sync(boost::asio::io_context& io, connection_pool& peers,
-                   active_config& config, collection_watch& watch,
+                   active_config& config, config_reader& reader,
                    peer_config_sync_options options);
 
   void SetAddress(std::string address) { address_ = std::move(address); }
 
   // config_version_gossip
-  std::uint64_t LocalVersion() const override { return config_.Version(); }
+  void AddState(http_fields& fields) const override;
   const std::string& LocalAddress() const override { return address_; }
-  void OnPeerVersion(const std::string& version,
-                     const std::string& address) override;
+  void OnPeerState(const http_fields& fields, const std::string& address,
+                   instant sent_at) override;
 
   void Stop();
 
@@ -64,9 +69,11 @@
   void Serve(const std::shared_ptr<incoming_request>& request);
 
  private:
+  void OnNewerVersion(std::uint64_t version, const std::string& address);
   void Fetch(const std::string& address);
-  void OnResponse(result<incoming_response> answer);
-  void OnDifference(const std::string& text);
+  void OnResponse(result<incoming_response> answer, instant sent_at);
+  void OnDifference(const std::string& text,
+                    const std::optional<config_confirmation>& confirmation);
   void EndFetch();
   void Answer(incoming_request& request,
               const std::optional<config_digest>& digest);
@@ -75,7 +82,7 @@
 
   connection_pool& peers_;
   active_config& config_;
-  collection_watch& watch_;
+  config_reader& reader_;
   const peer_config_sync_options options_;
   std::string address_;
   std::shared_ptr<exchange> fetch_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -169,6 +169,7 @@
 void routed_request::Offer(const server_choice& choice) {
   ++offers_;
   offer_ = choice;
+  offered_at_ = MonotonicNow();
   demand_.excluded.insert(choice.member.name);
   router_.directory_.OnSent(choice.member.name);
   if (choice.member.name == router_.options_.member) {
@@ -224,8 +225,7 @@
   SetField(fields, kMeshTargetField, FormatMillis(target_at_ - now));
   if (IsShortWait())
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
-  SetField(fields, kMeshVersionField,
-           std::to_string(router_.versions_.LocalVersion()));
+  router_.versions_.AddState(fields);
   SetField(fields, kMeshSenderField, router_.versions_.LocalAddress());
   sent_ = router_.peers_.Start(
       choice.member.address, std::move(request),
@@ -249,10 +249,10 @@
                                       MonotonicNow());
     }
   }
-  if (const auto* version = FindField(head.fields, kMeshVersionField)) {
-    router_.versions_.OnPeerVersion(*version, offer_->member.address);
-  }
+  router_.versions_.OnPeerState(head.fields, offer_->member.address,
+                                offered_at_);
   RemoveField(head.fields, kMeshVersionField);
+  RemoveField(head.fields, kMeshConfirmedField);
   auto failure = ErrorFromResponse(head);
   RemoveField(head.fields, kMeshLoadField);
   RemoveHopByHopFields(head.fields);
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -76,6 +76,7 @@
 
   server_demand demand_;
   std::optional<server_choice> offer_;
+  instant offered_at_;
   std::shared_ptr<exchange> sent_;
   std::size_t offers_ = 0;
   std::uint32_t sends_ = 0;  // Offers that reached a backend server.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -11,6 +11,7 @@
 #include "backend/connection_pool.h"
 #include "caller/call_server.h"
 #include "collection_watch.h"
+#include "config_reader.h"
 #include "local_dispatcher.h"
 #include "logging/log_event.h"
 #include "member_observer.h"
@@ -44,9 +45,9 @@
 // Coalesces records that change together, as after the start of many daemons,
 // into one call.
 constexpr duration kMemberWatchPause = std::chrono::milliseconds(500);
-// Number of daemons that read the latest configuration. More than one, because
-// one may be disconnected from the store.
-constexpr std::size_t kLatestConfigReaders = 2;
+// Number of daemons that watch the configuration on behalf of all. More than
+// one, because one may be disconnected from the store.
+constexpr std::size_t kDesignatedConfigReaders = 2;
 // Announcements that a backend server may miss before it is considered
 // unreachable; they can be seconds late.
 constexpr std::int64_t kMaxMissedAnnouncements = 6;
@@ -106,13 +107,17 @@
                        [this](std::shared_ptr<route_table> table) {
                          OnConfigActivated(std::move(table));
                        }),
-        config_watch_(io, *platform.store, active_config_,
-                      {.collection = store_collection::kConfiguration,
-                       .mode = [this] { return ConfigWatchMode(); },
-                       .pause_after_change = settings_.max_config_delay / 4,
-                       .list_after_change = true},
-                      RandomSeed()),
-        config_sync_(io, peers_, active_config_, config_watch_,
+        // A daemon that gets no confirmations reads the store after half of
+        // the delay at the latest. The rest is for a call that stays without an
+        // answer, its repetition and the transfer.
+        config_reader_(
+            io, *platform.store, active_config_,
+            {.is_designated = [this] { return IsDesignatedConfigReader(); },
+             .watch_wait = settings_.max_config_delay / 4,
+             .max_age = settings_.max_config_delay * 2 / 5,
+             .pause_after_change = settings_.max_config_delay / 4},
+            RandomSeed()),
+        config_sync_(io, peers_, active_config_, config_reader_,
                      {.attempt_id_field = platform.fields.attempt_id,
                       .min_fetch_interval = settings_.max_config_delay / 8,
                       .timeout = settings_.max_config_delay / 4}),
@@ -130,13 +135,9 @@
         member_observer_(settings_.name, directory_, budget_, publisher_),
         member_watch_(io, *platform.store, member_observer_,
                       {.collection = store_collection::kMembers,
-                       .mode =
-                           [] {
-                             // A stale record costs only a refused offer.
-                             return watch_mode{
-                                 .consistency = read_consistency::kMayBeStale,
-                                 .wait = kMemberWatchWait};
-                           },
+                       // A stale record costs only a refused offer.
+                       .consistency = read_consistency::kMayBeStale,
+                       .wait = kMemberWatchWait,
                        .pause_after_change = kMemberWatchPause},
                       RandomSeed()),
         tick_timer_(io),
@@ -161,7 +162,7 @@
         .With("forward", settings_.forward_address)
         .With("backend_server", settings_.server_address);
     OnOfferedServerChanged();
-    config_watch_.Start();
+    config_reader_.Start();
     member_watch_.Start();
     ScheduleTick();
     return {};
@@ -203,7 +204,13 @@
     return dispatcher_.OnWithdrawn(instance, MonotonicNow());
   }
 
-  std::string RenderMetrics() { return metrics_.Render(); }
+  std::string RenderMetrics() {
+    const auto& confirmation = config_reader_.Confirmation();
+    if (confirmation.revision > 0) {
+      metrics_.SetConfirmationAge(MonotonicNow() - confirmation.at);
+    }
+    return metrics_.Render();
+  }
 
   const std::string& CallerAddress() const { return settings_.caller_address; }
 
@@ -212,17 +219,11 @@
   // the load.
   static constexpr std::size_t kMaxPeerConnections = 200;
 
-  // Only a few daemons read the latest configuration, so that the cost of store
-  // reads does not grow with the number of daemons. The others accept stale
-  // data and fetch newer versions from the daemons that they exchange requests
-  // with.
-  watch_mode ConfigWatchMode() const {
-    const bool reads_latest =
-        directory_.Rank(settings_.name) < kLatestConfigReaders;
-    // A silent watch connection is detected within the recovery time.
-    return {.consistency = reads_latest ? read_consistency::kLatest
-                                        : read_consistency::kMayBeStale,
-            .wait = settings_.max_recovery_time * 3 / 4};
+  // Only a few daemons watch the configuration, so that the cost of store reads
+  // does not grow with the number of daemons. The others fetch newer versions
+  // from the daemons that they exchange requests with.
+  bool IsDesignatedConfigReader() const {
+    return directory_.Rank(settings_.name) < kDesignatedConfigReaders;
   }
 
   void OnConfigActivated(std::shared_ptr<route_table> table) {
@@ -294,7 +295,7 @@
 
   void OnStopped(const char* reason) {
     config_sync_.Stop();
-    config_watch_.Stop();
+    config_reader_.Stop();
     member_watch_.Stop();
     publisher_.Stop();
     sender_.Stop();
@@ -318,7 +319,7 @@
   retry_budget budget_;
   connection_pool peers_;
   active_config active_config_;
-  collection_watch config_watch_;
+  config_reader config_reader_;
   peer_config_sync config_sync_;
   request_router router_;
   mesh_endpoint mesh_endpoint_;
--- a/libs/sidecar/src/sidecar_metrics.cc
+++ b/libs/sidecar/src/sidecar_metrics.cc
@@ -15,6 +15,10 @@
 sidecar_metrics::sidecar_metrics()
     : version_(registry_.Gauge("pomelohall_config_version",
                                "Version of the configuration in force.")),
+      confirmation_age_(registry_.Gauge(
+          "pomelohall_config_confirmation_age_milliseconds",
+          "Time since the configuration in force was last known to be the "
+          "latest in the store.")),
       dropped_lines_(registry_.Counter("pomelohall_log_lines_dropped_total",
                                        "Log lines above the rate limit.")) {}
 
@@ -43,6 +47,10 @@
   version_.Set(static_cast<std::int64_t>(version));
 }
 
+void sidecar_metrics::SetConfirmationAge(duration age) {
+  confirmation_age_.Set(static_cast<std::int64_t>(ToMillis(age)));
+}
+
 std::string sidecar_metrics::Render() {
   dropped_lines_.SetTotal(DroppedLogLines());
   return registry_.Render();
--- a/libs/sidecar/src/sidecar_metrics.h
+++ b/libs/sidecar/src/sidecar_metrics.h
@@ -19,12 +19,15 @@
   // Counts an offer to a backend server by outcome.
   void OnOffer(std::string_view outcome);
   void SetVersion(std::uint64_t version);
+  // Time since the active configuration was last known to be the latest.
+  void SetConfirmationAge(duration age);
 
   std::string Render();
 
  private:
   metric_registry registry_;
   gauge& version_;
+  gauge& confirmation_age_;
   counter& dropped_lines_;
 };
 
--- /dev/null
+++ b/libs/sidecar/src/store_call_pacer.cc
@@ -0,0 +1,70 @@
+#include "store_call_pacer.h"
+
+#include <utility>
+
+#include "base/backoff.h"
+#include "logging/log_event.h"
+
+namespace pomelohall {
+
+store_call_pacer::store_call_pacer(boost::asio::io_context& io,
+                                   store_collection collection,
+                                   store_backoff backoff, std::uint64_t seed)
+    : collection_(collection), backoff_(backoff), random_(seed), timer_(io) {}
+
+void store_call_pacer::RunAfter(duration pause, std::function<void()> next) {
+  timer_.cancel();
+  if (pause.count() == 0) {
+    next();
+    return;
+  }
+  timer_.expires_after(pause);
+  timer_.async_wait(
+      [this, next = std::move(next)](boost::system::error_code cancelled) {
+        if (!cancelled && !stopped_) next();
+      });
+}
+
+void store_call_pacer::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+duration store_call_pacer::OnFailure(const error& failure,
+                                     std::uint64_t revision) {
+  if (failures_ == 0) {
+    log_event(log_level::kWarning, "dependency_lost")
+        .With("dependency", "store")
+        .With("collection", kStoreCollectionNames.Name(collection_))
+        .With("revision", revision)
+        .With("reason", failure.message);
+  }
+  return JitteredBackoff(backoff_.initial, backoff_.max, failures_++, random_);
+}
+
+duration store_call_pacer::OnHistoryLost(std::uint64_t revision) {
+  log_event(log_level::kInfo, "store_history_lost")
+      .With("collection", kStoreCollectionNames.Name(collection_))
+      .With("revision", revision);
+  const auto previous_losses = history_losses_++;
+  if (previous_losses == 0) return duration(0);
+  return JitteredBackoff(backoff_.initial, backoff_.max, previous_losses - 1,
+                         random_);
+}
+
+void store_call_pacer::OnWatched() {
+  history_losses_ = 0;
+  OnSuccess();
+}
+
+void store_call_pacer::OnSuccess() {
+  if (failures_ > 0) {
+    log_event(log_level::kInfo, "dependency_regained")
+        .With("dependency", "store")
+        .With("collection", kStoreCollectionNames.Name(collection_))
+        .With("failures", static_cast<std::uint64_t>(failures_));
+  }
+  failures_ = 0;
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/tests/config_reader_test.cc
@@ -0,0 +1,210 @@
+#include "config_reader.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "config_codec.h"
+#include "fake_watched_store.h"
+
+namespace pomelohall {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A reader of a configuration whose spec is its version number.
+class config_reader_fixture {
+ protected:
+  static constexpr duration kMaxAge = milliseconds(80);
+
+  config_reader_fixture()
+      : config_(
+            "main",
+            [](const std::string& spec) -> result<mesh_config> {
+              return mesh_config{.version = std::stoull(spec),
+                                 .routes = {},
+                                 .services = {},
+                                 .limits = {}};
+            },
+            [](const std::shared_ptr<route_table>&) {}),
+        reader_(
+            io_, store_, config_,
+            {.is_designated = [this] { return designated_; },
+             .watch_wait = milliseconds(60),
+             .max_age = kMaxAge,
+             .pause_after_change = milliseconds(300),
+             .backoff = {.initial = milliseconds(1), .max = milliseconds(5)}},
+            1) {
+    Publish(3);
+  }
+
+  ~config_reader_fixture() { reader_.Stop(); }
+
+  config_reader_options Options(duration watch_wait) {
+    return {.is_designated = [this] { return designated_; },
+            .watch_wait = watch_wait,
+            .max_age = kMaxAge,
+            .pause_after_change = milliseconds(300),
+            .backoff = {.initial = milliseconds(1), .max = milliseconds(5)}};
+  }
+
+  void Publish(int version) {
+    store_.Put(store_collection::kConfiguration, "main",
+               std::to_string(version));
+  }
+
+  void RunFor(duration time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  /// Confirms the active configuration every few milliseconds, as other daemons
+  /// do with their messages.
+  void ConfirmFor(duration time) {
+    const auto end = MonotonicNow() + time;
+    while (MonotonicNow() < end) {
+      reader_.OnConfirmed({.revision = 11, .at = MonotonicNow()});
+      RunFor(milliseconds(5));
+    }
+  }
+
+  boost::asio::io_context io_;
+  fake_watched_store store_{io_};
+  bool designated_ = false;
+  active_config config_;
+  config_reader reader_;
+};
+
+// Guards against a daemon whose version depends on messages of others: without
+// any, it must read the store itself.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_NoConfirmations_ChangeIsReadInTime",
+                 "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  CHECK(config_.Version() == 3);
+  Publish(5);
+  RunFor(2 * kMaxAge);
+  CHECK(config_.Version() == 5);
+}
+
+// Guards against store calls that grow with the number of daemons: a daemon
+// whose configuration others confirm reads nothing, above all no large object.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_ConfirmedByOthers_ReadsNothing", "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  ConfirmFor(4 * kMaxAge);
+  CHECK(store_.lists == 1);
+  CHECK(store_.watches == 0);
+}
+
+// Guards against a daemon that does not notice that confirmations stop.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_ConfirmationsStop_ChangeIsReadInTime",
+                 "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  ConfirmFor(2 * kMaxAge);
+  Publish(5);
+  RunFor(2 * kMaxAge);
+  CHECK(config_.Version() == 5);
+}
+
+// Guards against a designated daemon that leaves a silent watch only long after
+// the change.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_SilentWatch_ChangeIsReadInTime", "[sidecar]") {
+  designated_ = true;
+  reader_.Start();
+  RunFor(milliseconds(5));
+  store_.silent_watches = true;
+  Publish(5);
+  CHECK(config_.Version() == 3);
+  RunFor(milliseconds(60 + 60) + kMaxAge);
+  CHECK(config_.Version() == 5);
+}
+
+// Guards against a watch without changes that confirms only its start: the age
+// of the designated daemons is the least age of all.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_WatchWithoutChanges_ConfirmsItsEnd",
+                 "[sidecar]") {
+  designated_ = true;
+  reader_.Start();
+  const auto started = MonotonicNow();
+  while (store_.watches < 3) RunFor(milliseconds(1));
+  CHECK(reader_.Confirmation().at >= started + milliseconds(2 * 60));
+}
+
+// Guards against a watch that fails and is taken for a confirmation.
+TEST_CASE_METHOD(config_reader_fixture, "ConfigReader_StoreDown_AgeGrows",
+                 "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  const auto confirmed = reader_.Confirmation().at;
+  store_.down = true;
+  RunFor(3 * kMaxAge);
+  CHECK(reader_.Confirmation().at == confirmed);
+  CHECK(config_.Version() == 3);
+}
+
+// Guards against a watch that continues from a revision the store no longer
+// has, and misses the change.
+TEST_CASE_METHOD(config_reader_fixture, "ConfigReader_HistoryGone_ListsAgain",
+                 "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  store_.history_expired = true;
+  Publish(5);
+  RunFor(2 * kMaxAge);
+  CHECK(store_.lists == 2);
+  CHECK(config_.Version() == 5);
+}
+
+// Guards against fetching every version of a large object during a burst of
+// changes. On a VM with a slow link, the last version then became active too
+// late.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_RunOfChanges_FetchesTheLastOneOnly",
+                 "[sidecar]") {
+  designated_ = true;
+  config_reader reader(io_, store_, config_, Options(std::chrono::seconds(10)),
+                       1);
+  reader.Start();
+  RunFor(milliseconds(5));
+  // Without waiting between the changes, the burst is shorter than the pause
+  // even on a busy machine. One that lasts longer causes more listings.
+  for (int version = 10; version < 20; ++version) {
+    Publish(version);
+    io_.restart();
+    io_.poll();
+  }
+  RunFor(milliseconds(700));
+  CHECK(config_.Version() == 19);
+  CHECK(store_.lists <= 3);
+  CHECK(store_.watches <= 3);
+  reader.Stop();
+}
+
+// Guards against a confirmation that is read as newer than it was, and against
+// malformed ones.
+TEST_CASE("ConfigCodec_Confirmation_KeepsItsAge", "[sidecar]") {
+  const instant now = MonotonicNow();
+  const config_confirmation confirmation{.revision = 12,
+                                         .at = now - milliseconds(340)};
+  const auto text = EncodeConfirmation(confirmation, now);
+  const auto decoded = DecodeConfirmation(text, now);
+  REQUIRE(decoded);
+  CHECK(decoded->revision == 12);
+  CHECK(decoded->at == confirmation.at);
+  for (const char* malformed :
+       {"", "12", "12 ", " 5", "x 5", "12 -5", "12 99999999999999999999"}) {
+    INFO(malformed);
+    CHECK_FALSE(DecodeConfirmation(malformed, now));
+  }
+}
+
+}  // namespace
+}  // namespace pomelohall
