List the latest members after the history of a stale listing is lost

Cause: a replica with stale data lists a revision from before the compaction, the store answers the watch from it with "history lost", and the daemon lists the same revision again, without a pause.

Change: the listing after a lost history reads the latest data, whose revision the store can watch from. A second loss in a row is paused like a failure.

Tests: CollectionWatch_StaleListingBeforeTheHistory_ReadsTheLatest and CollectionWatch_HistoryLostEachTime_IsPaced failed before with 10,741 and 14,036 listings in 100 ms; now 2, and at most 45.

--- a/libs/sidecar/src/collection_watch.cc
+++ b/libs/sidecar/src/collection_watch.cc
@@ -14,8 +14,8 @@
       options_(options),
       pacer_(io, options.collection, options.backoff, seed) {}
 
-void collection_watch::List() {
-  store_.List(options_.collection, options_.consistency,
+void collection_watch::List(read_consistency consistency) {
+  store_.List(options_.collection, consistency,
               [this](const result<object_listing>& listing) {
                 if (!pacer_.Stopped()) OnListed(listing);
               });
@@ -24,7 +24,7 @@
 void collection_watch::OnListed(const result<object_listing>& listing) {
   if (!listing) {
     pacer_.RunAfter(pacer_.OnFailure(listing.error(), revision_),
-                    [this] { List(); });
+                    [this] { List(options_.consistency); });
     return;
   }
   pacer_.OnListed();
@@ -46,8 +46,9 @@
                                  instant earliest_end) {
   if (!changes) {
     if (changes.error().kind == error_kind::kNotFound) {
-      pacer_.OnHistoryLost(revision_);
-      List();
+      // A replica with stale data may list a revision whose history is lost.
+      pacer_.RunAfter(pacer_.OnHistoryLost(revision_),
+                      [this] { List(read_consistency::kLatest); });
     } else {
       pacer_.RunAfter(pacer_.OnFailure(changes.error(), revision_),
                       [this] { Watch(); });
--- a/libs/sidecar/src/collection_watch.h
+++ b/libs/sidecar/src/collection_watch.h
@@ -44,11 +44,11 @@
                    collection_observer& observer,
                    collection_watch_options options, std::uint64_t seed);
 
-  void Start() { List(); }
+  void Start() { List(options_.consistency); }
   void Stop() { pacer_.Stop(); }
 
  private:
-  void List();
+  void List(read_consistency consistency);
   void Watch();
   void OnListed(const result<object_listing>& listing);
   void OnChanges(const result<object_changes>& changes, instant earliest_end);
--- a/libs/sidecar/tests/fake_watched_store.h
+++ b/libs/sidecar/tests/fake_watched_store.h
@@ -28,6 +28,10 @@
   bool lose_answers = false;
   /// The next watch fails because the history is no longer available.
   bool history_expired = false;
+  /// Watches from an earlier revision fail for the same reason.
+  std::uint64_t history_start = 0;
+  /// Revision that listings return that may be stale; the latest one if 0.
+  std::uint64_t stale_revision = 0;
   /// Waiting watches hear of no change and fail some time after their wait.
   bool silent_watches = false;
   /// Watches return immediately without changes, like those of a stale replica.
@@ -58,10 +62,13 @@
     }
   }
 
-  void List(store_collection collection, read_consistency,
+  void List(store_collection collection, read_consistency consistency,
             list_callback done) override {
     ++lists;
     object_listing listing{.objects = {}, .revision = revision_};
+    if (consistency == read_consistency::kMayBeStale && stale_revision > 0) {
+      listing.revision = stale_revision;
+    }
     for (const auto& [name, object] : objects_[collection]) {
       listing.objects.push_back(object);
     }
@@ -71,7 +78,7 @@
   void Watch(store_collection collection, std::uint64_t revision, duration wait,
              read_consistency, watch_callback done) override {
     ++watches;
-    if (std::exchange(history_expired, false)) {
+    if (std::exchange(history_expired, false) || revision < history_start) {
       boost::asio::post(io_, [done] {
         done(Fail(error_kind::kNotFound, "the history is no longer available"));
       });
--- a/libs/sidecar/tests/store_sync_test.cc
+++ b/libs/sidecar/tests/store_sync_test.cc
@@ -42,6 +42,7 @@
       : watch_(
             io_, store_, observer_,
             {.collection = store_collection::kMembers,
+             .consistency = read_consistency::kMayBeStale,
              .backoff = {.initial = milliseconds(1), .max = milliseconds(5)}},
             1) {}
 
@@ -79,6 +80,29 @@
   CHECK(observer_.names.contains("a"));
 }
 
+// Guards against a loop of listings and watches: a replica with stale data
+// lists a revision whose history is already lost, until it has caught up.
+TEST_CASE_METHOD(collection_watch_fixture,
+                 "CollectionWatch_StaleListingBeforeTheHistory_ReadsTheLatest",
+                 "[sidecar]") {
+  store_.stale_revision = 5;
+  store_.history_start = 8;
+  watch_.Start();
+  RunFor(milliseconds(100));
+  CHECK(store_.lists == 2);
+  CHECK(store_.watches == 2);
+}
+
+// Guards against a loop without pauses if the store rejects each revision that
+// it has just listed.
+TEST_CASE_METHOD(collection_watch_fixture,
+                 "CollectionWatch_HistoryLostEachTime_IsPaced", "[sidecar]") {
+  store_.history_start = 1000;
+  watch_.Start();
+  RunFor(milliseconds(100));
+  CHECK(store_.lists <= 45);
+}
+
 // Guards against a watch that stops retrying during an outage of the store.
 TEST_CASE_METHOD(collection_watch_fixture,
                  "CollectionWatch_StoreReturns_IsFollowedAgain", "[sidecar]") {
