Designate one configuration reader in each data centre

Change: in each data centre the member with the fastest link reads, as its record now tells; suspended members are passed over. A daemon whose confirmation gets old asks this member before it reads the store.

Tests: ConfigReader_PeerConfirmsWhenAsked_ReadsNothing, Directory_FastestMember_IsOfTheDataCentre.

--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -23,6 +23,7 @@
   std::string name;               ///< Unique; from the settings.
   std::string data_centre;        ///< From the settings.
   std::string address;            ///< "ip:port" for requests of other daemons.
+  double link_mbps = 0;           ///< Bandwidth of its VM; 0 if unknown.
   std::uint64_t incarnation = 0;  ///< Differs for each start of the daemon.
   std::optional<offered_server> server;  ///< Nothing while it is not serving.
 
--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -109,9 +109,10 @@
   /// serving.
   void OnNotServing(const std::string& name, instant now);
 
-  /// Returns the index of a member in an order that is the same on all daemons
-  /// with the same members. Unreachable members keep their index.
-  std::size_t Rank(const std::string& name) const;
+  /// Returns the member with the fastest link in the data centre of this
+  /// daemon, a random one among equals. All daemons with the same members
+  /// choose the same one. Suspended members are left out.
+  std::optional<mesh_member> FastestMember(instant now) const;
 
   /// Returns whether the member currently receives no requests because it was
   /// unreachable or not serving.
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -62,13 +62,22 @@
   return found == members_.end() ? nullptr : &found->second;
 }
 
-std::size_t server_directory::Rank(const std::string& name) const {
-  // VM names sort by data centre; hashing spreads neighbouring ranks over the
-  // data centres.
-  const auto own = FastHash(name);
-  return static_cast<std::size_t>(std::count_if(
-      members_.begin(), members_.end(),
-      [&](const auto& entry) { return FastHash(entry.first) < own; }));
+std::optional<mesh_member> server_directory::FastestMember(instant now) const {
+  const mesh_member* fastest = nullptr;
+  for (const auto& [name, state] : members_) {
+    const auto& member = state.member;
+    if (member.data_centre != options_.data_centre ||
+        now < state.suspended_until) {
+      continue;
+    }
+    if (fastest == nullptr || member.link_mbps > fastest->link_mbps ||
+        (member.link_mbps == fastest->link_mbps &&
+         FastHash(name) < FastHash(fastest->name))) {
+      fastest = &member;
+    }
+  }
+  if (fastest == nullptr) return std::nullopt;
+  return *fastest;
 }
 
 duration server_directory::TypicalTime(
--- a/libs/mesh/tests/server_directory_test.cc
+++ b/libs/mesh/tests/server_directory_test.cc
@@ -16,10 +16,11 @@
       : directory_({.member = "own", .data_centre = "near"}, 7) {}
 
   void Add(const std::string& name, const std::string& data_centre,
-           const std::string& instance = "i-1") {
+           const std::string& instance = "i-1", double link_mbps = 0) {
     directory_.Put({.name = name,
                     .data_centre = data_centre,
                     .address = "127.0.0.1:1",
+                    .link_mbps = link_mbps,
                     .incarnation = 1,
                     .server = offered_server{.instance = instance,
                                              .service = "shop",
@@ -162,5 +163,33 @@
   CHECK_FALSE(directory_.IsSuspended("a", now_));
 }
 
+// Guards against daemons that disagree on the one that reads for their data
+// centre, and against a slow or unreachable one while there is a better one.
+TEST_CASE_METHOD(directory_fixture, "Directory_FastestMember_IsOfTheDataCentre",
+                 "[mesh]") {
+  CHECK_FALSE(directory_.FastestMember(now_));
+  Add("a", "near", "i-1", 10);
+  Add("b", "near", "i-1", 100);
+  Add("c", "near", "i-1", 100);
+  Add("d", "far", "i-1", 1000);
+  const auto fastest = directory_.FastestMember(now_);
+  REQUIRE(fastest);
+  CHECK(fastest->link_mbps == 100);
+  server_directory other({.member = "c", .data_centre = "near"}, 8);
+  for (const char* name : {"c", "b"}) {
+    other.Put({.name = name,
+               .data_centre = "near",
+               .address = "127.0.0.1:1",
+               .link_mbps = 100,
+               .incarnation = 1,
+               .server = std::nullopt},
+              now_);
+  }
+  CHECK(other.FastestMember(now_)->name == fastest->name);
+  directory_.OnNotServing(fastest->name, now_);
+  CHECK(directory_.FastestMember(now_)->name != fastest->name);
+  CHECK(directory_.FastestMember(now_)->link_mbps == 100);
+}
+
 }  // namespace
 }  // namespace pomelohall
--- a/libs/sidecar/src/collection_watch.h
+++ b/libs/sidecar/src/collection_watch.h
@@ -32,7 +32,7 @@
   // Pause before the next watch if one ended early without changes. A store
   // replica with stale data may return immediately each time.
   duration pause_after_early_end = std::chrono::milliseconds(500);
-  store_backoff backoff;
+  store_backoff backoff = {};
 };
 
 // Keeps an observer up to date: lists a collection, then watches it. Lists
--- a/libs/sidecar/src/config_reader.cc
+++ b/libs/sidecar/src/config_reader.cc
@@ -100,7 +100,7 @@
 }
 
 void config_reader::ScheduleCheck() {
-  constexpr double kMaxAgeSpread = 0.25;
+  constexpr double kMaxAgeSpread = 0.1;
   const auto max_age = std::chrono::duration_cast<duration>(
       options_.max_age * (1 + kMaxAgeSpread * random_.NextDouble()));
   CheckAge(max_age);
@@ -113,7 +113,13 @@
   }
   const auto age = Age();
   if (age < max_age) {
-    pacer_.RunAfter(max_age - age, [this, max_age] { CheckAge(max_age); });
+    const bool ask = age >= options_.ask_age;
+    if (ask && asked_after_ != confirmation_.at) {
+      asked_after_ = confirmation_.at;
+      options_.ask_peer();
+    }
+    pacer_.RunAfter((ask ? max_age : options_.ask_age) - age,
+                    [this, max_age] { CheckAge(max_age); });
     return;
   }
   log_event(log_level::kInfo, "config_check")
--- a/libs/sidecar/src/config_reader.h
+++ b/libs/sidecar/src/config_reader.h
@@ -20,16 +20,19 @@
   std::function<bool()> is_designated;
   // Maximum duration of a watch call of a designated daemon.
   duration watch_wait{0};
-  // Age of the last confirmation from which on a daemon reads the store itself.
-  // A random 0% to 25% is added, so that daemons that lost their source at the
-  // same time do not all read at the same time: the first to read confirms the
-  // configuration to others.
+  // Asks a designated daemon for its configuration and confirmation.
+  std::function<void()> ask_peer;
+  // Age of the last confirmation from which on a daemon asks another one.
+  duration ask_age{0};
+  // Age from which on it reads the store itself. A random 0% to 10% is added,
+  // so that daemons that lost their source at the same time do not all read at
+  // the same time: the first to read confirms the configuration to others.
   duration max_age{0};
   // Pause after a change before a designated daemon lists again, until a
   // listing shows no change. A watch returns the whole object with every
   // change, a listing only its latest state.
   duration pause_after_change{0};
-  store_backoff backoff;
+  store_backoff backoff = {};
 };
 
 // Bounds the age of the active configuration. Each daemon knows when its
@@ -75,6 +78,7 @@
   random_source random_;
   store_call_pacer pacer_;
   config_confirmation confirmation_;
+  instant asked_after_;  // Last confirmation when another daemon was asked.
   call_kind call_ = call_kind::kNone;
   std::uint64_t calls_ = 0;  // Answers to superseded calls are ignored.
 };
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -9,6 +9,7 @@
 std::string EncodeMember(const mesh_member& member) {
   json spec{{"address", member.address},
             {"data_centre", member.data_centre},
+            {"link_mbps", member.link_mbps},
             {"incarnation", member.incarnation}};
   if (member.server) {
     spec["server"] = {{"instance", member.server->instance},
@@ -38,9 +39,13 @@
                ? found->get<std::uint64_t>()
                : 0;
   };
+  const auto link = document.find("link_mbps");
+  const double link_mbps =
+      link != document.end() && link->is_number() ? link->get<double>() : 0;
   mesh_member member{.name = name,
                      .data_centre = text(document, "data_centre"),
                      .address = text(document, "address"),
+                     .link_mbps = link_mbps,
                      .incarnation = number(document, "incarnation"),
                      .server = std::nullopt};
   if (member.address.empty())
--- a/libs/sidecar/src/peer_config_sync.cc
+++ b/libs/sidecar/src/peer_config_sync.cc
@@ -74,10 +74,16 @@
       .With("version", config_.Version())
       .With("peer_version", version)
       .With("peer", address);
-  Fetch(address);
+  Fetch(address, version);
 }
 
-void peer_config_sync::Fetch(const std::string& address) {
+void peer_config_sync::Ask(const std::string& address) {
+  if (!fetch_) Fetch(address, config_.Version());
+}
+
+void peer_config_sync::Fetch(const std::string& address,
+                             std::uint64_t version) {
+  expected_version_ = version;
   auto digest = EncodeDigest(config_.Digest());
   outgoing_request request;
   request.head.method = "POST";
@@ -144,7 +150,10 @@
     return;
   }
   if (message->revision <= config_.Revision()) {
-    EndFetch();  // The store was faster.
+    EndFetch();
+    if (confirmation && message->difference.version == config_.Version()) {
+      reader_.OnConfirmed(*confirmation);
+    }
     return;
   }
   auto config = ApplyDifference(config_.Config(), message->difference);
@@ -165,7 +174,7 @@
 void peer_config_sync::OnFailure(const std::string& reason) {
   EndFetch();
   log_event(log_level::kInfo, "config_fetch_failed").With("reason", reason);
-  reader_.Refresh();
+  if (expected_version_ > config_.Version()) reader_.Refresh();
 }
 
 void peer_config_sync::Serve(const std::shared_ptr<incoming_request>& request) {
--- a/libs/sidecar/src/peer_config_sync.h
+++ b/libs/sidecar/src/peer_config_sync.h
@@ -63,6 +63,9 @@
   void OnPeerState(const http_fields& fields, const std::string& address,
                    instant sent_at) override;
 
+  // Asks another daemon for its configuration and confirmation.
+  void Ask(const std::string& address);
+
   void Stop();
 
   // Answers a fetch of another daemon.
@@ -70,14 +73,15 @@
 
  private:
   void OnNewerVersion(std::uint64_t version, const std::string& address);
-  void Fetch(const std::string& address);
+  // @param version Version expected there.
+  void Fetch(const std::string& address, std::uint64_t version);
   void OnResponse(result<incoming_response> answer, instant sent_at);
   void OnDifference(const std::string& text,
                     const std::optional<config_confirmation>& confirmation);
   void EndFetch();
   void Answer(incoming_request& request,
               const std::optional<config_digest>& digest);
-  // Ends the fetch and reads the store instead.
+  // Ends the fetch. Reads the store instead if a newer version was expected.
   void OnFailure(const std::string& reason);
 
   connection_pool& peers_;
@@ -86,6 +90,7 @@
   const peer_config_sync_options options_;
   std::string address_;
   std::shared_ptr<exchange> fetch_;
+  std::uint64_t expected_version_ = 0;
   std::uint64_t fetches_ = 0;
   instant next_fetch_;
   boost::asio::steady_timer timer_;
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -45,9 +45,6 @@
 // Coalesces records that change together, as after the start of many daemons,
 // into one call.
 constexpr duration kMemberWatchPause = std::chrono::milliseconds(500);
-// Number of daemons that watch the configuration on behalf of all. More than
-// one, because one may be disconnected from the store.
-constexpr std::size_t kDesignatedConfigReaders = 2;
 // Announcements that a backend server may miss before it is considered
 // unreachable; they can be seconds late.
 constexpr std::int64_t kMaxMissedAnnouncements = 6;
@@ -107,13 +104,14 @@
                        [this](std::shared_ptr<route_table> table) {
                          OnConfigActivated(std::move(table));
                        }),
-        // A daemon that gets no confirmations reads the store after half of
-        // the delay at the latest. The rest is for a call that stays without an
-        // answer, its repetition and the transfer.
+        // The time that max_age leaves is for a call that gets no answer, its
+        // repetition and the transfer.
         config_reader_(
             io, *platform.store, active_config_,
             {.is_designated = [this] { return IsDesignatedConfigReader(); },
              .watch_wait = settings_.max_config_delay / 4,
+             .ask_peer = [this] { AskDesignatedConfigReader(); },
+             .ask_age = settings_.max_config_delay * 7 / 20,
              .max_age = settings_.max_config_delay * 2 / 5,
              .pause_after_change = settings_.max_config_delay / 4},
             RandomSeed()),
@@ -219,11 +217,18 @@
   // the load.
   static constexpr std::size_t kMaxPeerConnections = 200;
 
-  // Only a few daemons watch the configuration, so that the cost of store reads
-  // does not grow with the number of daemons. The others fetch newer versions
-  // from the daemons that they exchange requests with.
+  // One daemon of each data centre watches the configuration, so that the cost
+  // of store reads does not grow with the number of daemons. The others fetch
+  // newer versions from the daemons that they exchange requests with, most of
+  // them in their own data centre.
   bool IsDesignatedConfigReader() const {
-    return directory_.Rank(settings_.name) < kDesignatedConfigReaders;
+    const auto reader = directory_.FastestMember(MonotonicNow());
+    return reader && reader->name == settings_.name;
+  }
+
+  void AskDesignatedConfigReader() {
+    const auto reader = directory_.FastestMember(MonotonicNow());
+    if (reader) config_sync_.Ask(reader->address);
   }
 
   void OnConfigActivated(std::shared_ptr<route_table> table) {
@@ -240,6 +245,7 @@
     const mesh_member published_member{.name = settings_.name,
                                        .data_centre = settings_.data_centre,
                                        .address = settings_.advertised_address,
+                                       .link_mbps = settings_.link_mbps,
                                        .incarnation = incarnation_,
                                        .server = offer};
     // Requests of this VM may use the local backend server until the dispatcher
--- a/libs/sidecar/tests/config_reader_test.cc
+++ b/libs/sidecar/tests/config_reader_test.cc
@@ -28,14 +28,7 @@
                                  .limits = {}};
             },
             [](const std::shared_ptr<route_table>&) {}),
-        reader_(
-            io_, store_, config_,
-            {.is_designated = [this] { return designated_; },
-             .watch_wait = milliseconds(60),
-             .max_age = kMaxAge,
-             .pause_after_change = milliseconds(300),
-             .backoff = {.initial = milliseconds(1), .max = milliseconds(5)}},
-            1) {
+        reader_(io_, store_, config_, Options(milliseconds(60)), 1) {
     Publish(3);
   }
 
@@ -44,6 +37,8 @@
   config_reader_options Options(duration watch_wait) {
     return {.is_designated = [this] { return designated_; },
             .watch_wait = watch_wait,
+            .ask_peer = [this] { ++asked_; },
+            .ask_age = kMaxAge / 2,
             .max_age = kMaxAge,
             .pause_after_change = milliseconds(300),
             .backoff = {.initial = milliseconds(1), .max = milliseconds(5)}};
@@ -72,6 +67,7 @@
   boost::asio::io_context io_;
   fake_watched_store store_{io_};
   bool designated_ = false;
+  int asked_ = 0;
   active_config config_;
   config_reader reader_;
 };
@@ -98,6 +94,21 @@
   ConfirmFor(4 * kMaxAge);
   CHECK(store_.lists == 1);
   CHECK(store_.watches == 0);
+  CHECK(asked_ == 0);
+}
+
+// Guards against store calls of daemons without traffic: they ask another
+// daemon first.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_PeerConfirmsWhenAsked_ReadsNothing",
+                 "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  for (int i = 0; i < 3; ++i) {
+    while (asked_ == i) RunFor(milliseconds(1));
+    reader_.OnConfirmed({.revision = 11, .at = MonotonicNow()});
+  }
+  CHECK(store_.watches == 0);
 }
 
 // Guards against a daemon that does not notice that confirmations stop.
