Keep the signal handlers until the process has ended

Cause: the signal_set is destroyed before the rest of the program, and the last signal_set that is destroyed restores the default action, which kills the process. The test program of the backend server had the same fault in a signal set of its own.

Change: OnStopSignal keeps the signals registered until the process ends, and the backend server uses it.

--- a/libs/http/src/http_signals.cc
+++ b/libs/http/src/http_signals.cc
@@ -5,10 +5,20 @@
 #include <utility>
 
 namespace pomelohall {
+namespace asio = boost::asio;
 
-std::shared_ptr<void> OnStopSignal(boost::asio::io_context& io,
+void KeepSignalHandled(int signal_number) {
+  // Never destroyed.
+  static auto* const io = new asio::io_context;
+  static auto* const signals = new asio::signal_set(*io);
+  signals->add(signal_number);
+}
+
+std::shared_ptr<void> OnStopSignal(asio::io_context& io,
                                    std::function<void()> stop) {
-  auto signals = std::make_shared<boost::asio::signal_set>(io, SIGTERM, SIGINT);
+  KeepSignalHandled(SIGTERM);
+  KeepSignalHandled(SIGINT);
+  auto signals = std::make_shared<asio::signal_set>(io, SIGTERM, SIGINT);
   signals->async_wait(
       [stop = std::move(stop)](const boost::system::error_code& error, int) {
         if (!error) stop();
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -4,15 +4,17 @@
 They check guarantees, not latencies. Usage: process_test.py BIN_DIR [NAME...]
 """
 
+import itertools
 import json
 import os
 import signal
 import sys
 import threading
+import time
 import urllib.request
 
 sys.path.insert(0, os.path.dirname(__file__))
-from fleet_control import make_config, send_http  # noqa: E402
+from fleet_control import make_config, send_http, wait_until  # noqa: E402
 from test_runner import main  # noqa: E402
 
 SERVICES = {
@@ -248,6 +250,40 @@
     assert owner.program.stop() == 0
 
 
+def start_sidecar(fleet):
+    """Starts a sidecar whose platform is not reachable."""
+    addresses = [f"127.0.0.1:{port}" for port in fleet.port_block.allocate(7)]
+    settings = {
+        "name": "vm-1", "data_centre": "dc1",
+        "backend_server": {"address": addresses[0], "service": "orders"},
+        "listeners": dict(zip(("caller", "forward", "local", "ready",
+                               "metrics"), addresses[1:6])),
+        "store": {"address": addresses[6]}}
+    path = fleet.write_config(settings, "sidecar.json")
+    sidecar = fleet.start_program("sidecar", "pomelohall-sidecar",
+                                  "--settings", path)
+    wait_until(lambda: send_http("GET", addresses[5], "/metrics"),
+               "the sidecar serves its metrics")
+    return sidecar
+
+
+def sigterm_repeated_until_the_end_exit_code_0(fleet):
+    """Guards against a second signal that kills a process while it stops."""
+    for index in range(3):
+        fleet.add(f"dc1-{index}", "dc1", service="orders")
+    fleet.start_all()
+    fleet.wait_members(len(fleet.daemons))
+    for program in [start_sidecar(fleet), *fleet.programs()]:
+        signals = itertools.cycle((signal.SIGTERM, signal.SIGHUP))
+        if program.name != "sidecar":  # Others do not reload settings.
+            signals = itertools.repeat(signal.SIGTERM)
+        while program.running():
+            program.send_signal(next(signals))
+            time.sleep(0.0005)
+        code = program.stop()
+        assert code == 0, f"{program.name} ended with {code}"
+
+
 def invalid_settings_rejected_with_path_of_field(fleet):
     """Guards against silently ignoring a misspelt setting."""
     daemon = fleet.add("dc1-0", "dc1")
@@ -277,6 +313,7 @@
     concurrent_applies_one_accepted_and_other_reported_as_conflict,
     partition_between_data_centres_each_serves,
     sigterm_during_large_download_completes_it_with_exit_code_0,
+    sigterm_repeated_until_the_end_exit_code_0,
     invalid_settings_rejected_with_path_of_field,
 ]
 
--- a/tools/backend_stub/src/main.cc
+++ b/tools/backend_stub/src/main.cc
@@ -1,10 +1,8 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/error_code.hpp>
 #include <chrono>
-#include <csignal>
 #include <cstdint>
 #include <cstdlib>
 #include <functional>
@@ -14,6 +12,7 @@
 
 #include "backend_stub/announcer.h"
 #include "backend_stub/stub_server.h"
+#include "http/http_signals.h"
 
 namespace pomelohall {
 namespace {
@@ -77,16 +76,13 @@
       : io_(io),
         settings_(settings),
         server_(io, settings.server),
-        signals_(io, SIGTERM, SIGINT),
         cold_start_timer_(io),
         idle_timer_(io) {}
 
   result<void> Start() {
     if (auto listening = server_.Listen(); !listening) return listening;
     std::cout << "listening on " << server_.Address() << std::endl;
-    signals_.async_wait([this](boost::system::error_code failure, int) {
-      if (!failure) Stop();
-    });
+    signals_ = OnStopSignal(io_, [this] { Stop(); });
     if (!settings_.daemon.empty()) Announce();
     return {};
   }
@@ -135,7 +131,7 @@
   const stub_settings settings_;
   stub_server server_;
   std::unique_ptr<announcer> announcer_;
-  boost::asio::signal_set signals_;
+  std::shared_ptr<void> signals_;
   boost::asio::steady_timer cold_start_timer_;
   boost::asio::steady_timer idle_timer_;
 };
--- a/tools/pomelohall_sidecar/main.cc
+++ b/tools/pomelohall_sidecar/main.cc
@@ -41,6 +41,7 @@
         signals_(io, SIGHUP),
         timer_(io),
         settings_text_(ReadFile(path_)) {
+    KeepSignalHandled(SIGHUP);
     WaitForSignal();
     WaitForTimer();
   }
