Write a part of a response only after the previous write

Callers and daemons could get a response with repeated or mixed-up bytes, and a daemon built with assertions aborted, when the header of a streamed response was still being written while the first part of its body arrived.

Cause: the session writes the header alone if the first part is late, but the part started a second write on the same serializer, and the end of the first write a second read of the body.

A part that arrives during a write now waits for its end, and a body has one read at a time.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -427,14 +427,24 @@
     Write({}, false);
     return;
   }
-  const auto waiting = std::make_shared<bool>(true);
-  body->Read([self = shared_from_this(), waiting](result<body_part> part) {
-    *waiting = false;
+  if (reading_part_) return;
+  if (next_part_) {
+    OnResponsePart(*std::exchange(next_part_, std::nullopt));
+    return;
+  }
+  reading_part_ = true;
+  body->Read([self = shared_from_this()](result<body_part> part) {
+    self->reading_part_ = false;
     if (self->closed_ || !self->writing_response_) return;
-    self->OnResponsePart(std::move(part));
+    if (self->writing_) {
+      self->next_part_ = std::move(part);
+    } else {
+      self->OnResponsePart(std::move(part));
+    }
   });
   // Do not delay the header until the first part of a slow body arrives.
-  if (*waiting && !closed_ && !serializer_->is_header_done() && !writing_) {
+  if (reading_part_ && !closed_ && !serializer_->is_header_done() &&
+      !writing_) {
     Write({}, true);
   }
 }
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -134,6 +134,9 @@
   std::uint64_t response_bytes_ = 0;
   bool writing_response_ = false;
   bool writing_ = false;
+  bool reading_part_ = false;  // A read of the response body is pending.
+  // A part of the response body that arrived during a write.
+  std::optional<result<body_part>> next_part_;
   bool close_after_write_ = false;  // The current response is the last one.
   int unsent_bytes_ = 0;
   std::optional<instant> linger_until_;
