Bound the bytes of a chunk header and parse them once

A backend server that sends a chunk extension or trailers without an end made the daemon buffer them all until the deadline, and an empty chunked body whose last chunk came in two packets aborted a daemon built with assertions.

Cause: Beast's read operation parses what is buffered before it reads, without a limit on chunk headers; its parser of the last chunk asserts five bytes on the second call. The exchange now reads by itself, parses only bytes that can make progress and fails above 16 KiB without a whole chunk header.

--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -26,6 +26,10 @@
 // yields more unexpected responses than this, the server no longer matches
 // responses to requests, and the call fails.
 constexpr std::size_t kMaxSkippedResponses = 4;
+// Beast's parser of the last chunk fails an assertion if it is called again
+// with fewer bytes. A body needs at least as many from the start of any chunk
+// on.
+constexpr std::size_t kMinRepeatedParseBytes = 5;
 // Fraction of the peer's announced idle timeout after which a connection is no
 // longer reused: the peer measures from its own last byte, and the announced
 // value is rounded to seconds.
@@ -207,11 +211,7 @@
     return;
   }
   PreparePart();
-  http::async_read_some(connection_->socket, connection_->buffer, *parser_,
-                        [self = shared_from_this(), connection = connection_](
-                            error_code error, std::size_t) {
-                          if (!self->done_) self->OnSkipped(error);
-                        });
+  ReadMore(&client_exchange::OnSkipped);
 }
 
 // Returns whether the connection can carry another request. Not if the request
@@ -296,19 +296,33 @@
 error_code client_exchange::ParseBuffered() {
   error_code failure;
   auto& buffer = connection_->buffer;
-  while (buffer.size() > 0 && !parser_->is_done() && !failure) {
-    buffer.consume(parser_->put(buffer.data(), failure));
+  while (buffer.size() >= min_parsed_bytes_ && !parser_->is_done() &&
+         !failure) {
+    const auto parsed = parser_->put(buffer.data(), failure);
+    buffer.consume(parsed);
+    min_parsed_bytes_ = 1;
   }
-  if (failure == http::error::need_more) failure = {};
-  return failure;
+  if (failure != http::error::need_more) return failure;
+  min_parsed_bytes_ = kMinRepeatedParseBytes;
+  if (buffer.size() < kMaxHeaderBytes) return {};
+  return http::error::header_limit;
 }
 
-void client_exchange::ReadPart() {
-  http::async_read_some(connection_->socket, connection_->buffer, *parser_,
-                        [self = shared_from_this(), connection = connection_](
-                            error_code failure, std::size_t) {
-                          if (!self->done_) self->OnPart(failure);
-                        });
+void client_exchange::ReadMore(void (client_exchange::*next)(error_code)) {
+  connection_->socket.async_read_some(
+      connection_->buffer.prepare(kMaxHeaderBytes),
+      [self = shared_from_this(), connection = connection_, next](
+          error_code failure, std::size_t bytes) {
+        if (self->done_) return;
+        connection->buffer.commit(bytes);
+        if (failure == boost::asio::error::eof) {
+          failure = {};
+          self->parser_->put_eof(failure);
+        } else if (!failure) {
+          failure = self->ParseBuffered();
+        }
+        (self.get()->*next)(failure);
+      });
 }
 
 void client_exchange::OnPart(error_code failure) {
@@ -318,7 +332,7 @@
   }
   const body_part part{{part_.get(), PartSize()}, parser_->is_done()};
   if (part.bytes.empty() && !part.last) {
-    ReadPart();
+    ReadMore(&client_exchange::OnPart);
     return;
   }
   last_progress_ = MonotonicNow();
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -67,7 +67,8 @@
   void OnSkipped(boost::system::error_code failure);
   bool IsReusable() const;
   void DeliverResponse(response_head head);
-  void ReadPart();
+  // Reads from the connection, parses and calls `next`.
+  void ReadMore(void (client_exchange::*next)(boost::system::error_code));
   boost::system::error_code ParseBuffered();
   void OnPart(boost::system::error_code failure);
   void PreparePart();
@@ -96,6 +97,8 @@
   bool request_written_ = false;
   bool response_started_ = false;
   std::size_t skipped_responses_ = 0;
+  // Buffered bytes from which on parsing can make progress.
+  std::size_t min_parsed_bytes_ = 1;
   bool done_ = false;
 };
 
