Answer 503 when the only backend server has refused a request

Callers got 502 for an order that the backend server had refused to run, without another server to offer it to. 502 promises nothing, so they could not send the order again, although it had not run.

Cause: the refusal was reported with the kind of a failed backend server when no other server was left; it had its own kind only when the retries were used up.

Test: Sidecar_RefusedByTheOnlyServer_SaysNotRun failed before (502).

--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -303,9 +303,12 @@
   switch (failure.kind) {
     case error_kind::kBackendFailed:  // Refused by the backend server.
       ++sends_;
+      // The caller is told that the request did not run.
+      last_failure_ =
+          error(error_kind::kOverloaded, failure.message, run_state::kNotRun);
       EndOffer(send_outcome::kFailed);
       if (!MayOffer() || !AcquireRetry(run_state::kNotRun)) {
-        Fail({error_kind::kOverloaded, failure.message, run_state::kNotRun});
+        Fail(*last_failure_);
         return;
       }
       break;
--- a/tests/sidecar/sidecar_calls_test.cc
+++ b/tests/sidecar/sidecar_calls_test.cc
@@ -290,5 +290,19 @@
   CHECK(stopped.wait_for(seconds(6)) == std::future_status::ready);
 }
 
+// Guards against a refused request whose caller is not told that it did not
+// run: without a promise, an order cannot be sent again.
+TEST_CASE_METHOD(sidecar_fleet, "Sidecar_RefusedByTheOnlyServer_SaysNotRun",
+                 "[sidecar]") {
+  scripted_server server(
+      [](const std::string&) { return NotExecutedResponse(); });
+  AddSidecar(&server);
+  PublishConfig(3);
+  WaitUntilOffered(1);
+  const auto response = Call(0, "POST", "/order/1", "", "x");
+  CHECK(response.status == 503);
+  CHECK_FALSE(response.Field("Retry-After").empty());
+}
+
 }  // namespace
 }  // namespace pomelohall
