End responses without an end at the deadline of their caller

A backend server in trouble may send bytes without an end, in a head or a body, until the other side closes. A caller that kept reading held the slot, the connection and the link for good; the body of a refusal was read without a bound even after its slot was free. A daemon cannot tell such a body from a slow download, but after its caller's deadline it has no worth.

Change: a streamed response is cut at the deadline of its caller (time_limited_body); a body that is only read to keep its connection is cancelled above 64 KiB (DiscardBody).

Not covered: a caller that neither reads nor closes, which the session ends after 60 s without progress, and pomelohalld, which has that bound only.

--- a/libs/caller/include/caller/body_prefix.h
+++ b/libs/caller/include/caller/body_prefix.h
@@ -23,6 +23,12 @@
 void ReadBodyPrefix(std::shared_ptr<body_source> source, std::size_t limit,
                     std::function<void(result<body_prefix>)> done);
 
+// Reads and drops a body that is not needed, which keeps its connection
+// reusable. Cancels a body of more than kMaxBufferedBodyBytes. `done` may be
+// empty.
+void DiscardBody(std::shared_ptr<body_source> source,
+                 std::function<void()> done);
+
 }  // namespace pomelohall
 
 #endif  // POMELOHALL_CALLER_BODY_PREFIX_H_
--- /dev/null
+++ b/libs/caller/include/caller/time_limited_body.h
@@ -0,0 +1,41 @@
+#ifndef POMELOHALL_CALLER_TIME_LIMITED_BODY_H_
+#define POMELOHALL_CALLER_TIME_LIMITED_BODY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "backend/body_source.h"
+#include "base/time.h"
+
+namespace pomelohall {
+
+// Forwards a body until a deadline. From then on it cancels the body when the
+// reader waits for a part, and the reader gets `kDeadlineExceeded`.
+class time_limited_body final
+    : public body_source,
+      public std::enable_shared_from_this<time_limited_body> {
+ public:
+  // `io` must outlive the body.
+  static std::shared_ptr<time_limited_body> Create(
+      boost::asio::io_context& io, std::shared_ptr<body_source> inner,
+      instant deadline);
+
+  void Read(callback done) override;
+  void Cancel() override;
+
+ private:
+  time_limited_body(boost::asio::io_context& io,
+                    std::shared_ptr<body_source> inner);
+
+  void OnDeadline();
+
+  std::shared_ptr<body_source> inner_;
+  boost::asio::steady_timer timer_;
+  callback pending_;
+  bool expired_ = false;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_CALLER_TIME_LIMITED_BODY_H_
--- a/libs/caller/src/body_prefix.cc
+++ b/libs/caller/src/body_prefix.cc
@@ -46,4 +46,14 @@
       ->Read();
 }
 
+void DiscardBody(std::shared_ptr<body_source> source,
+                 std::function<void()> done) {
+  ReadBodyPrefix(
+      source, kMaxBufferedBodyBytes,
+      [source, done = std::move(done)](const result<body_prefix>& start) {
+        if (start && !start->complete) source->Cancel();
+        if (done) done();
+      });
+}
+
 }  // namespace pomelohall
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "caller/body_prefix.h"
 #include "caller/observed_body.h"
 #include "logging/log_event.h"
 
@@ -128,8 +129,7 @@
       "the backend server refused with " + std::to_string(status),
       run_state::kNotRun);
   Log("server_refused", failure);
-  // Reading the refusal to its end keeps the connection reusable.
-  if (answer.body) Discard(std::move(answer.body));
+  if (answer.body) DiscardBody(std::move(answer.body), nullptr);
   End(std::nullopt);
   if (status == kMisdirectedRequest) dispatcher->OnUnreachable(instance);
   NotifyAnswer(tl::unexpected(failure));
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -7,6 +7,7 @@
 #include "backend/buffered_body.h"
 #include "caller/error_response.h"
 #include "caller/prefixed_body.h"
+#include "caller/time_limited_body.h"
 #include "load_codec.h"
 #include "logging/log_event.h"
 #include "mesh/retry_hint.h"
@@ -264,12 +265,9 @@
     OnResponse(tl::unexpected(std::move(*failure)));
     return;
   }
-  // Reading the answer to its end keeps the connection reusable.
-  ReadBodyPrefix(answer->body, kMaxBufferedBodyBytes,
-                 [self = shared_from_this(),
-                  failure = *failure](const result<body_prefix>&) {
-                   self->OnResponse(tl::unexpected(failure));
-                 });
+  DiscardBody(answer->body, [self = shared_from_this(), failure = *failure] {
+    self->OnResponse(tl::unexpected(failure));
+  });
 }
 
 void routed_request::OnResponse(result<incoming_response> answer) {
@@ -396,8 +394,10 @@
     answer_->head.length = start->bytes->size();
     if (start->bytes->empty()) answer_->body = nullptr;
   } else {
-    answer_->body =
-        std::make_shared<prefixed_body>(start->bytes, answer_->body);
+    answer_->body = time_limited_body::Create(
+        router_.io_,
+        std::make_shared<prefixed_body>(start->bytes, answer_->body),
+        received_at_ + initial_time_left_);
   }
   Deliver();
 }
--- a/tests/http/raw_client.cc
+++ b/tests/http/raw_client.cc
@@ -48,7 +48,7 @@
 
 raw_response raw_client::Read(bool to_head) {
   http::response_parser<http::string_body> parser;
-  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.body_limit(kMaxBodyBytes);
   parser.skip(to_head);
   error_code failure;
   http::read(socket_, buffer_, parser, failure);
--- a/tests/http/raw_client.h
+++ b/tests/http/raw_client.h
@@ -17,7 +17,8 @@
   int status = 0;  ///< 0: closed before the response header.
   http_fields fields;
   std::string body;
-  bool complete = false;  ///< The body ended as its framing requires.
+  /// The body ended as its framing requires, within the maximum size.
+  bool complete = false;
 
   /// Returns the value of a field, empty if it is absent.
   std::string Field(std::string_view name) const;
@@ -34,6 +35,9 @@
   /// Sends a request with a Host field; `fields` are lines that end with CRLF.
   void SendRequest(std::string_view method, std::string_view target,
                    std::string_view fields = {}, std::string_view body = {});
+  /// Maximum size of a body.
+  static constexpr std::size_t kMaxBodyBytes = 64UL * 1024 * 1024;
+
   /// Reads one response.
   /// @param to_head Whether it responds to a HEAD request and has no body.
   raw_response Read(bool to_head = false);
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -24,8 +24,8 @@
   io_thread_.join();
 }
 
-std::size_t sidecar_fleet::AddSidecar(scripted_server* server,
-                                      const std::string& service) {
+std::size_t sidecar_fleet::AddSidecarFor(const std::string& server_address,
+                                         const std::string& service) {
   return RunOnIoThread([&] {
     const auto index = nodes_.size();
     auto node = std::make_unique<sidecar_node>();
@@ -33,7 +33,7 @@
     settings.name = "vm-" + std::to_string(index);
     settings.data_centre = "near";
     settings.server_address =
-        server == nullptr ? "127.0.0.1:1" : server->Address();
+        server_address.empty() ? "127.0.0.1:1" : server_address;
     settings.server_service = service;
     settings.caller_address = "127.0.0.1:0";
     settings.forward_address = "127.0.0.1:0";
@@ -48,10 +48,10 @@
     if (const auto started = node->daemon->Start(); !started) {
       throw std::runtime_error(started.error().message);
     }
-    if (server != nullptr) {
+    if (!server_address.empty()) {
       node->announcement = {.instance = "i-" + std::to_string(index),
                             .service = service,
-                            .address = server->Address(),
+                            .address = server_address,
                             .slots = 18,
                             .draining = false,
                             .started_unix_ms = 1000,
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -33,8 +33,13 @@
   /// Starts a sidecar and announces its backend server, if any. Returns the
   /// index of the sidecar.
   /// @param server Backend server on the VM of the sidecar, or null for none.
-  std::size_t AddSidecar(scripted_server* server,
-                         const std::string& service = "shop");
+  template <typename Server>
+  std::size_t AddSidecar(Server* server, const std::string& service = "shop") {
+    return AddSidecarFor(server == nullptr ? "" : server->Address(), service);
+  }
+  std::size_t AddSidecar(std::nullptr_t, const std::string& service = "shop") {
+    return AddSidecarFor("", service);
+  }
   /// Writes the configuration to the store under the given version.
   /// @param added_prefix Path prefix of a further route; empty for none.
   void PublishConfig(int version, const std::string& added_prefix = "");
@@ -62,6 +67,10 @@
   }
 
  protected:
+  // @param server_address Address of the backend server, empty for none.
+  std::size_t AddSidecarFor(const std::string& server_address,
+                            const std::string& service);
+
   struct sidecar_node {
     std::unique_ptr<platform_adapter::http_watched_store> store;
     std::unique_ptr<sidecar> daemon;
