Drop the sidecar setting contact_ms, which has no effect any more

It bounded the watch of the configuration before the reader's age did. The state of a configuration reader's call becomes a flag, as only a listing is told apart.

--- a/libs/sidecar/include/sidecar/sidecar_settings.h
+++ b/libs/sidecar/include/sidecar/sidecar_settings.h
@@ -39,8 +39,6 @@
   duration stop_grace = std::chrono::seconds(6);
   /// Time within which a new configuration has to be active on all daemons.
   duration max_config_delay = std::chrono::seconds(2);
-  /// Time within which connections have to work again after a fault.
-  duration max_recovery_time = std::chrono::seconds(3);
   double retry_ratio = 0.2;  ///< Retries per request, over all daemons.
   duration retry_window = std::chrono::seconds(10);
   /// Retries allowed beyond the ratio in one window.
--- a/libs/sidecar/src/config_reader.cc
+++ b/libs/sidecar/src/config_reader.cc
@@ -17,7 +17,7 @@
       pacer_(io, store_collection::kConfiguration, options_.backoff, seed) {}
 
 void config_reader::Refresh() {
-  if (call_ == call_kind::kList || pacer_.Stopped()) return;
+  if (listing_ || pacer_.Stopped()) return;
   pacer_.Cancel();
   List();
 }
@@ -29,7 +29,7 @@
 }
 
 void config_reader::List() {
-  call_ = call_kind::kList;
+  listing_ = true;
   store_.List(store_collection::kConfiguration, read_consistency::kLatest,
               [this, call = ++calls_, sent_at = MonotonicNow()](
                   const result<object_listing>& listing) {
@@ -41,7 +41,7 @@
 
 void config_reader::OnListed(const result<object_listing>& listing,
                              instant sent_at) {
-  call_ = call_kind::kNone;
+  listing_ = false;
   if (!listing) {
     OnFailure(listing.error());
     return;
@@ -54,7 +54,6 @@
 }
 
 void config_reader::Watch(duration wait) {
-  call_ = call_kind::kWatch;
   const auto revision = std::max(confirmation_.revision, config_.Revision());
   store_.Watch(store_collection::kConfiguration, revision, wait,
                read_consistency::kLatest,
@@ -68,7 +67,6 @@
 
 void config_reader::OnChanges(const result<object_changes>& changes,
                               instant sent_at, duration wait) {
-  call_ = call_kind::kNone;
   if (!changes) {
     if (changes.error().kind == error_kind::kNotFound) {
       pacer_.RunAfter(pacer_.OnHistoryLost(confirmation_.revision),
--- a/libs/sidecar/src/config_reader.h
+++ b/libs/sidecar/src/config_reader.h
@@ -57,8 +57,6 @@
   const config_confirmation& Confirmation() const { return confirmation_; }
 
  private:
-  enum class call_kind { kNone, kList, kWatch };
-
   void List();
   void Watch(duration wait);
   void OnListed(const result<object_listing>& listing, instant sent_at);
@@ -79,7 +77,7 @@
   store_call_pacer pacer_;
   config_confirmation confirmation_;
   instant asked_after_;  // Last confirmation when another daemon was asked.
-  call_kind call_ = call_kind::kNone;
+  bool listing_ = false;
   std::uint64_t calls_ = 0;  // Answers to superseded calls are ignored.
 };
 
--- a/libs/sidecar/src/sidecar_settings.cc
+++ b/libs/sidecar/src/sidecar_settings.cc
@@ -68,7 +68,6 @@
     },
     "stop_grace_ms": {"$ref": "#/definitions/millis"},
     "apply_ms": {"$ref": "#/definitions/millis"},
-    "contact_ms": {"$ref": "#/definitions/millis"},
     "retries": {
       "type": "object",
       "additionalProperties": false,
@@ -144,7 +143,6 @@
   }
   ReadMillis(*document, "stop_grace_ms", settings.stop_grace);
   ReadMillis(*document, "apply_ms", settings.max_config_delay);
-  ReadMillis(*document, "contact_ms", settings.max_recovery_time);
   if (document->contains("retries")) {
     ReadRetries(document->at("retries"), settings);
   }
