--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -74,8 +74,7 @@
             "listeners": {name: f"127.0.0.1:{port}"
                           for name, port in listeners.items()},
             "store": {"address": f"127.0.0.1:{self.store_port}"},
-            "stop_grace_ms": STOP_GRACE_S * 1000,
-            "contact_ms": CONTACT_S * 1000}
+            "stop_grace_ms": STOP_GRACE_S * 1000}
         self.settings = os.path.join(work_dir, self.name + ".json")
         with open(self.settings, "w", encoding="utf-8") as file:
             json.dump(settings, file)
