--- a/libs/caller/include/caller/body_prefix.h
+++ b/libs/caller/include/caller/body_prefix.h
@@ -26,7 +26,7 @@
 // Reads and drops a body that is not needed, which keeps its connection
 // reusable. Cancels a body of more than kMaxBufferedBodyBytes. `done` may be
 // empty.
-void DiscardBody(std::shared_ptr<body_source> source,
+void DiscardBody(const std::shared_ptr<body_source>& source,
                  std::function<void()> done);
 
 }  // namespace pomelohall
--- a/libs/caller/src/body_prefix.cc
+++ b/libs/caller/src/body_prefix.cc
@@ -46,7 +46,7 @@
       ->Read();
 }
 
-void DiscardBody(std::shared_ptr<body_source> source,
+void DiscardBody(const std::shared_ptr<body_source>& source,
                  std::function<void()> done) {
   ReadBodyPrefix(
       source, kMaxBufferedBodyBytes,
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -57,7 +57,7 @@
   if (!answer) {
     OnFailure(answer.error());
   } else if (IsRefusal(answer->head)) {
-    RefusedByServer(std::move(*answer));
+    RefusedByServer(*answer);
   } else if (const auto signature_error = SignatureError(answer->head)) {
     sent_->Cancel();
     OnFailure(*signature_error);
@@ -120,7 +120,7 @@
                run_state::kUnknown);
 }
 
-void local_exchange::RefusedByServer(incoming_response answer) {
+void local_exchange::RefusedByServer(const incoming_response& answer) {
   auto* const dispatcher = dispatcher_;
   const auto status = answer.head.status;
   const auto instance = request_.instance;
@@ -129,7 +129,7 @@
       "the backend server refused with " + std::to_string(status),
       run_state::kNotRun);
   Log("server_refused", failure);
-  if (answer.body) DiscardBody(std::move(answer.body), nullptr);
+  if (answer.body) DiscardBody(answer.body, nullptr);
   End(std::nullopt);
   if (status == kMisdirectedRequest) dispatcher->OnUnreachable(instance);
   NotifyAnswer(tl::unexpected(failure));
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -36,7 +36,7 @@
   bool IsRefusal(const response_head& head) const;
   std::optional<error> SignatureError(const response_head& head) const;
   void Log(const char* event, const error& failure) const;
-  void RefusedByServer(incoming_response answer);
+  void RefusedByServer(const incoming_response& answer);
   void ForwardAnswer(incoming_response answer);
   void OnBodyPart(result<body_part> part, const body_source::callback& forward);
   void Discard(std::shared_ptr<body_source> body);
--- a/tests/sidecar/endless_server.cc
+++ b/tests/sidecar/endless_server.cc
@@ -31,7 +31,7 @@
   std::string header;
 };
 
-endless_server::endless_server(std::string start, std::string repeated)
+endless_server::endless_server(std::string start, const std::string& repeated)
     : start_(std::move(start)),
       block_(RepeatToBlock(repeated)),
       acceptor_(io_,
--- a/tests/sidecar/endless_server.h
+++ b/tests/sidecar/endless_server.h
@@ -14,7 +14,7 @@
 /// until the other side closes. Serves each connection on the same thread.
 class endless_server {
  public:
-  endless_server(std::string start, std::string repeated);
+  endless_server(std::string start, const std::string& repeated);
   ~endless_server();
   endless_server(const endless_server&) = delete;
   endless_server& operator=(const endless_server&) = delete;
