Log answers that wait long for the link, and requests cut by a stop

The record of the downloads without an answer does not show whether an answer waited at the daemon beside its server, on the way, or at the daemon of its caller. The lines answer_sent_late, answer_abandoned, answer_dropped and request_unanswered tell these apart, waited_us the wait for a slot, and a metric has the longest wait for the link.

--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -1,18 +1,30 @@
 #include "answer_sender.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "logging/log_event.h"
+
 namespace pomelohall {
 namespace {
 
 // Size of the header fields of a typical answer and of its packet headers.
 constexpr std::uint64_t kHeaderBytes = 500;
+// Shorter waits are normal on a busy link and are not logged.
+constexpr duration kMinLoggedWait = std::chrono::seconds(1);
+
+std::int64_t Millis(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
 
 }  // namespace
 
 answer_sender::answer_sender(boost::asio::io_context& io,
-                             transmit_queue_options options)
-    : queue_(options), timer_(io) {}
+                             transmit_queue_options options,
+                             std::string attempt_id_field)
+    : queue_(options),
+      timer_(io),
+      attempt_id_field_(std::move(attempt_id_field)) {}
 
 void answer_sender::Send(const std::shared_ptr<incoming_request>& request,
                          incoming_response answer, instant target_at) {
@@ -23,8 +35,11 @@
   }
   const auto id = ++last_id_;
   queue_.Add({.id = id, .bytes = *answer.head.length, .target_at = target_at});
-  waiting_.emplace(
-      id, waiting_answer{.request = request, .answer = std::move(answer)});
+  waiting_.emplace(id, waiting_answer{.request = request,
+                                      .answer = std::move(answer),
+                                      .target_at = target_at,
+                                      .queued_at = MonotonicNow(),
+                                      .sent_before = sent_answers_});
   request->SetDisconnectHandler([this, id] { Remove(id); });
   SendReady();
 }
@@ -39,6 +54,10 @@
     if (found == waiting_.end()) continue;
     auto next = std::move(found->second);
     waiting_.erase(found);
+    if (MonotonicNow() - next.queued_at >= kMinLoggedWait) {
+      LogWait("answer_sent_late", next);
+    }
+    ++sent_answers_;
     next.request->Respond(std::move(next.answer), nullptr);
   }
   if (queue_.Empty()) return;
@@ -56,11 +75,36 @@
   // session that calls it may still use them.
   const auto removed = std::move(found->second);
   waiting_.erase(found);
+  LogWait("answer_abandoned", removed);
   if (removed.answer.body) removed.answer.body->Cancel();
 }
 
+void answer_sender::LogWait(std::string_view event,
+                            const waiting_answer& waiting) const {
+  const auto now = MonotonicNow();
+  const auto& head = waiting.request->Head();
+  const auto* const id = FindField(head.fields, attempt_id_field_);
+  log_event(log_level::kInfo, event)
+      .With("request", id == nullptr ? "" : *id)
+      .With("bytes", waiting.answer.head.length.value_or(0))
+      .With("waited_ms", Millis(now - waiting.queued_at))
+      .With("target_left_ms", Millis(waiting.target_at - now))
+      .With("sent_meanwhile", sent_answers_ - waiting.sent_before)
+      .With("queued", static_cast<std::uint64_t>(waiting_.size()))
+      .With("link_free_ms", Millis(queue_.LinkFreeAt() - now));
+}
+
+duration answer_sender::OldestWait(instant now) const {
+  duration oldest{0};
+  for (const auto& [id, waiting] : waiting_) {
+    oldest = std::max(oldest, now - waiting.queued_at);
+  }
+  return oldest;
+}
+
 void answer_sender::Stop() {
   timer_.cancel();
+  for (const auto& [id, waiting] : waiting_) LogWait("answer_dropped", waiting);
   waiting_.clear();
 }
 
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "backend/exchange.h"
@@ -17,7 +19,10 @@
 // network link.
 class answer_sender {
  public:
-  answer_sender(boost::asio::io_context& io, transmit_queue_options options);
+  // @param attempt_id_field Name of the header field with the attempt ID, for
+  //   log lines.
+  answer_sender(boost::asio::io_context& io, transmit_queue_options options,
+                std::string attempt_id_field);
 
   // Sends a small answer immediately and queues a large one.
   void Send(const std::shared_ptr<incoming_request>& request,
@@ -29,20 +34,29 @@
   // Drops all queued answers.
   void Stop();
 
+  // Returns how long the oldest queued answer has waited.
+  duration OldestWait(instant now) const;
+
   transmit_queue& Queue() { return queue_; }
 
  private:
   struct waiting_answer {
     std::shared_ptr<incoming_request> request;
     incoming_response answer;
+    instant target_at;
+    instant queued_at;
+    std::uint64_t sent_before = 0;  // Answers sent when this one was queued.
   };
 
   void SendReady();
   void Remove(std::uint64_t id);
+  void LogWait(std::string_view event, const waiting_answer& waiting) const;
 
   transmit_queue queue_;
   boost::asio::steady_timer timer_;
+  const std::string attempt_id_field_;
   std::uint64_t last_id_ = 0;
+  std::uint64_t sent_answers_ = 0;  // Queued ones only.
   std::unordered_map<std::uint64_t, waiting_answer> waiting_;
 };
 
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -24,7 +24,8 @@
     : dispatcher_(&dispatcher),
       id_(id),
       request_(std::move(request)),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      received_at_(MonotonicNow()) {}
 
 void local_exchange::Send() {
   if (dispatcher_ == nullptr) return;
@@ -76,6 +77,9 @@
       .With("error", GetErrorInfo(failure.kind).name)
       .With("ran", RunStateName(failure.ran))
       .With("reason", failure.message)
+      .With("waited_us",
+            static_cast<std::int64_t>(
+                ((sent_ ? sent_at_ : MonotonicNow()) - received_at_).count()))
       .With("running", static_cast<std::uint64_t>(load.running))
       .With("waiting", static_cast<std::uint64_t>(load.waiting))
       .With("slots", static_cast<std::uint64_t>(load.slots))
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -49,6 +49,7 @@
   exchange_events events_;
   std::shared_ptr<exchange> sent_;
   std::shared_ptr<body_source> answer_body_;
+  const instant received_at_;
   instant sent_at_;
   bool abandoned_ = false;  // Nobody waits for the answer any more.
 };
--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -1,6 +1,5 @@
 #include "request_router.h"
 
-#include <set>
 #include <utility>
 
 #include "routed_request.h"
@@ -35,8 +34,17 @@
   });
 }
 
+void request_router::LogUnanswered() const {
+  for (const auto& request : in_progress_) {
+    if (const auto routed = request.lock()) routed->LogUnanswered();
+  }
+}
+
 void request_router::OnRequest(std::shared_ptr<incoming_request> request) {
-  std::make_shared<routed_request>(*this, std::move(request))->Start();
+  const auto routed =
+      std::make_shared<routed_request>(*this, std::move(request));
+  in_progress_.insert(routed);
+  routed->Start();
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "answer_sender.h"
@@ -24,6 +25,8 @@
 
 namespace pomelohall {
 
+class routed_request;
+
 struct request_router_options {
   header_field_names fields;
   std::string member;          // Name of this daemon.
@@ -62,6 +65,9 @@
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
+  // Logs what each request in progress waits for.
+  void LogUnanswered() const;
+
  private:
   friend class routed_request;
 
@@ -77,6 +83,7 @@
   random_source random_;
   std::shared_ptr<route_table> table_;
   std::map<std::string, deadline_history> deadline_histories_;  // By route.
+  std::set<std::weak_ptr<const routed_request>, std::owner_less<>> in_progress_;
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -496,9 +496,25 @@
   Finish(0, "cancelled");
 }
 
+void routed_request::LogUnanswered() const {
+  const bool has_answer = answer_ || finished_ || delivering_;
+  log_event(log_level::kWarning, "request_unanswered")
+      .With("request", attempt_id_)
+      .With("route", route_ == nullptr ? "" : route_->name)
+      .With("waits_for", has_answer ? "caller"
+                         : offer_   ? "member"
+                                    : "body")
+      .With("member", offer_ ? offer_->member.name : "")
+      .With("offers", static_cast<std::uint64_t>(offers_))
+      .With("offer_ms",
+            offer_ ? FormatMillis(MonotonicNow() - offered_at_) : "")
+      .With("after_ms", FormatMillis(MonotonicNow() - received_at_));
+}
+
 void routed_request::Finish(int status, const std::string& reason) {
   finished_ = true;
   timer_.cancel();
+  router_.in_progress_.erase(weak_from_this());
   const auto elapsed = MonotonicNow() - received_at_;
   router_.metrics_.OnRequest(route_ == nullptr ? "none" : route_->name, status,
                              elapsed);
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -22,6 +22,8 @@
                  std::shared_ptr<incoming_request> request);
 
   void Start();
+  // Logs what the request waits for.
+  void LogUnanswered() const;
 
  private:
   // Preparation before the first offer.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -79,7 +79,8 @@
       : settings_(std::move(settings)),
         incarnation_(UnixMillis()),
         sender_(io,
-                {.bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)}),
+                {.bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
+                platform.fields.attempt_id),
         dispatcher_(io,
                     {.fields = platform.fields,
                      .server_address = settings_.server_address,
@@ -207,6 +208,7 @@
     if (confirmation.revision > 0) {
       metrics_.SetConfirmationAge(MonotonicNow() - confirmation.at);
     }
+    metrics_.SetOldestQueuedAnswer(sender_.OldestWait(MonotonicNow()));
     return metrics_.Render();
   }
 
@@ -300,6 +302,7 @@
   }
 
   void OnStopped(const char* reason) {
+    router_.LogUnanswered();
     config_sync_.Stop();
     config_reader_.Stop();
     member_watch_.Stop();
--- a/libs/sidecar/src/sidecar_metrics.cc
+++ b/libs/sidecar/src/sidecar_metrics.cc
@@ -19,6 +19,10 @@
           "pomelohall_config_confirmation_age_milliseconds",
           "Time since the configuration in force was last known to be the "
           "latest in the store.")),
+      oldest_queued_answer_(registry_.Gauge(
+          "pomelohall_oldest_queued_answer_milliseconds",
+          "Longest time that a queued answer has waited for the network "
+          "link.")),
       dropped_lines_(registry_.Counter("pomelohall_log_lines_dropped_total",
                                        "Log lines above the rate limit.")) {}
 
@@ -51,6 +55,10 @@
   confirmation_age_.Set(static_cast<std::int64_t>(ToMillis(age)));
 }
 
+void sidecar_metrics::SetOldestQueuedAnswer(duration wait) {
+  oldest_queued_answer_.Set(static_cast<std::int64_t>(ToMillis(wait)));
+}
+
 std::string sidecar_metrics::Render() {
   dropped_lines_.SetTotal(DroppedLogLines());
   return registry_.Render();
--- a/libs/sidecar/src/sidecar_metrics.h
+++ b/libs/sidecar/src/sidecar_metrics.h
@@ -21,6 +21,8 @@
   void SetVersion(std::uint64_t version);
   // Time since the active configuration was last known to be the latest.
   void SetConfirmationAge(duration age);
+  // Longest time that a queued answer has waited for the network link.
+  void SetOldestQueuedAnswer(duration wait);
 
   std::string Render();
 
@@ -28,6 +30,7 @@
   metric_registry registry_;
   gauge& version_;
   gauge& confirmation_age_;
+  gauge& oldest_queued_answer_;
   counter& dropped_lines_;
 };
 
