--- a/cmake/PomelohallTargets.cmake
+++ b/cmake/PomelohallTargets.cmake
@@ -17,6 +17,14 @@
   endif()
 endfunction()
 
+# Test cases that fail because of a known fault: lines "  test: NAME" of
+# KNOWN-RED.txt. CTest leaves exactly these out; the programs still have them.
+set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+             ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt known_failures
+     REGEX "^  test: ")
+list(TRANSFORM known_failures REPLACE "^  test: " "~")
+
 # pomelohall_test(NAME SOURCES ... [LINK ...])
 # Creates the Catch2 program NAME_test and registers it with CTest.
 function(pomelohall_test name)
@@ -24,7 +32,7 @@
   add_executable(${name}_test ${ARG_SOURCES})
   target_compile_options(${name}_test PRIVATE ${POMELOHALL_WARNINGS})
   target_link_libraries(${name}_test PRIVATE ${ARG_LINK} Catch2WithMain)
-  add_test(NAME ${name} COMMAND ${name}_test)
+  add_test(NAME ${name} COMMAND ${name}_test ${known_failures})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
