--- /dev/null
+++ b/tests/sidecar/concurrent_server.h
@@ -0,0 +1,54 @@
+#ifndef POMELOHALL_TESTS_SIDECAR_CONCURRENT_SERVER_H_
+#define POMELOHALL_TESTS_SIDECAR_CONCURRENT_SERVER_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace pomelohall {
+
+/// Bytes that a concurrent_server sends in response to a request.
+struct scripted_reply {
+  std::string bytes;
+  std::chrono::milliseconds delay{0};  ///< Time before the bytes are sent.
+  bool close = false;  ///< Whether the connection is closed after them.
+};
+
+/// A backend server that keeps connections open and serves them concurrently on
+/// its own thread. Requests must not have a body.
+class concurrent_server {
+ public:
+  /// Returns the response to a request header. Called on the server's thread.
+  using script = std::function<scripted_reply(const std::string& header)>;
+
+  explicit concurrent_server(script respond);
+  ~concurrent_server();
+  concurrent_server(const concurrent_server&) = delete;
+  concurrent_server& operator=(const concurrent_server&) = delete;
+
+  std::string Address() const;
+  /// Number of requests whose header arrived.
+  int Requests() const { return requests_; }
+
+ private:
+  struct connection;
+
+  void Accept();
+  void ReadHeader(const std::shared_ptr<connection>& served);
+  void Respond(const std::shared_ptr<connection>& served);
+
+  script respond_;
+  std::atomic<int> requests_{0};
+  boost::asio::io_context io_{1};
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_TESTS_SIDECAR_CONCURRENT_SERVER_H_
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -37,6 +37,7 @@
     settings.server_service = service;
     settings.caller_address = "127.0.0.1:0";
     settings.forward_address = "127.0.0.1:0";
+    settings.link_mbps = link_mbps_;
     node->store = std::make_unique<http_watched_store>(io_, store_->Address());
     node->daemon = std::make_unique<sidecar>(
         io_, settings,
@@ -65,11 +66,16 @@
 
 void sidecar_fleet::PublishConfig(int version,
                                   const std::string& added_prefix) {
-  const auto route = [](const std::string& prefix, const char* kind) {
-    return json{
-        {"name", prefix}, {"host", "test"},    {"pathPrefix", prefix},
-        {"kind", kind},   {"timeoutMs", 3000}, {"latencyTargetMs", 1000},
-        {"priority", 1},  {"service", "shop"}, {"attempts", 2}};
+  const auto route = [this](const std::string& prefix, const char* kind) {
+    return json{{"name", prefix},
+                {"host", "test"},
+                {"pathPrefix", prefix},
+                {"kind", kind},
+                {"timeoutMs", route_timeout_.count()},
+                {"latencyTargetMs", 1000},
+                {"priority", 1},
+                {"service", "shop"},
+                {"attempts", 2}};
   };
   json routes{route("/safe/", "safe"), route("/order/", "unsafe")};
   if (!added_prefix.empty()) routes.push_back(route(added_prefix, "safe"));
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
@@ -71,6 +72,11 @@
   std::size_t AddSidecarFor(const std::string& server_address,
                             const std::string& service);
 
+  /// Rate of the link of sidecars added from now on; 0 if unknown.
+  double link_mbps_ = 0;
+  /// Time-out of the routes of configurations published from now on.
+  std::chrono::milliseconds route_timeout_{3000};
+
   struct sidecar_node {
     std::unique_ptr<platform_adapter::http_watched_store> store;
     std::unique_ptr<sidecar> daemon;
