Remember the withdrawal of a backend server that is not known yet

A withdrawal of another instance than the current one is now kept with its time by the clock of the VM, which the backend server shares. An announcement of that instance counts as draining, unless it started after the withdrawal.

Before: the new test saw the server offered. After: it is leaving.

--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -63,8 +63,11 @@
   bool OnAnnounced(const server_announcement& announcement, instant now);
 
   /// Handles a withdrawal, which starts draining without an announcement.
+  /// @param unix_ms Current time by the clock of this VM, which its backend
+  ///     server shares, in milliseconds.
   /// @return False if `instance` is not the current one.
-  bool OnWithdrawn(const std::string& instance, instant now);
+  bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
+                   instant now);
 
   /// Handles a refused connection or a response from another instance.
   /// @param instance The instance that the request was sent to.
@@ -88,6 +91,12 @@
   instant PhaseSince() const { return phase_since_; }
 
  private:
+  struct withdrawal {
+    std::string instance;
+    std::int64_t unix_ms;
+  };
+
+  bool IsWithdrawn(const server_announcement& announcement) const;
   bool IsOutdated(const server_announcement& announcement, instant now) const;
   void SetPhase(server_phase phase, instant now);
 
@@ -96,6 +105,9 @@
   instant phase_since_;
   std::optional<server_announcement> last_announcement_;
   instant last_announced_at_;
+  /// Withdrawal of an instance that is not the current one. A daemon that was
+  /// restarted may get it before an announcement that was sent earlier.
+  std::optional<withdrawal> early_withdrawal_;
 };
 
 }  // namespace pomelohall
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -31,17 +31,27 @@
       announcement.instance == last_announcement_->instance &&
       announcement.started_unix_ms == last_announcement_->started_unix_ms;
   // A draining server does not serve again until it is restarted.
-  const bool leaving =
-      announcement.draining || (same_start && phase_ == server_phase::kLeaving);
+  const bool leaving = announcement.draining ||
+                       (same_start && phase_ == server_phase::kLeaving) ||
+                       IsWithdrawn(announcement);
   last_announcement_ = announcement;
   last_announced_at_ = now;
   SetPhase(leaving ? server_phase::kLeaving : server_phase::kServing, now);
   return true;
 }
 
-bool local_server::OnWithdrawn(const std::string& instance, instant now) {
-  if (!last_announcement_ || last_announcement_->instance != instance)
+bool local_server::IsWithdrawn(const server_announcement& announcement) const {
+  return early_withdrawal_ &&
+         early_withdrawal_->instance == announcement.instance &&
+         announcement.started_unix_ms <= early_withdrawal_->unix_ms;
+}
+
+bool local_server::OnWithdrawn(const std::string& instance,
+                               std::int64_t unix_ms, instant now) {
+  if (!last_announcement_ || last_announcement_->instance != instance) {
+    early_withdrawal_ = {.instance = instance, .unix_ms = unix_ms};
     return false;
+  }
   SetPhase(server_phase::kLeaving, now);
   return true;
 }
--- a/libs/mesh/tests/local_server_test.cc
+++ b/libs/mesh/tests/local_server_test.cc
@@ -55,20 +55,33 @@
 TEST_CASE_METHOD(local_server_fixture, "LocalServer_Withdrawn_IsLeaving",
                  "[mesh]") {
   Announce("i-1", 1);
-  CHECK_FALSE(server_.OnWithdrawn("i-0", now_));
+  CHECK_FALSE(server_.OnWithdrawn("i-0", 5000, now_));
   CHECK(server_.OfferedServer());
-  CHECK(server_.OnWithdrawn("i-1", now_));
+  CHECK(server_.OnWithdrawn("i-1", 5000, now_));
   CHECK_FALSE(server_.OfferedServer());
   Announce("i-1", 2);
   CHECK_FALSE(server_.OfferedServer());
 }
 
+// Guards against a daemon that offers a draining server after its restart: it
+// had the withdrawal first, then an announcement that was sent before.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_WithdrawnBeforeAnnounced_IsLeaving", "[mesh]") {
+  CHECK_FALSE(server_.OnWithdrawn("i-1", 5000, now_));
+  Announce("i-1", 25, 1000);
+  CHECK(server_.Phase() == server_phase::kLeaving);
+  CHECK_FALSE(server_.OfferedServer());
+  // Started again under the same name after the withdrawal.
+  Announce("i-1", 1, 6000);
+  CHECK(server_.OfferedServer());
+}
+
 // Guards against ignoring a restarted server with the same instance name, whose
 // sequence numbers start over.
 TEST_CASE_METHOD(local_server_fixture,
                  "LocalServer_SameInstanceNewStart_Counts", "[mesh]") {
   Announce("i-1", 50);
-  server_.OnWithdrawn("i-1", now_);
+  server_.OnWithdrawn("i-1", 5000, now_);
   CHECK(Announce("i-1", 1, 2000));
   CHECK(server_.OfferedServer());
   CHECK_FALSE(Announce("i-1", 60, 1000));
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -111,9 +111,10 @@
   return true;
 }
 
-bool local_dispatcher::OnWithdrawn(const std::string& instance, instant now) {
+bool local_dispatcher::OnWithdrawn(const std::string& instance,
+                                   std::int64_t unix_ms, instant now) {
   const auto previous = server_.Phase();
-  if (!server_.OnWithdrawn(instance, now)) return false;
+  if (!server_.OnWithdrawn(instance, unix_ms, now)) return false;
   LogPhaseChange(previous);
   if (on_offer_changed_) on_offer_changed_();
   return true;
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -71,9 +71,11 @@
                                   exchange_events events);
 
   // Handle announcements and withdrawals of the backend server. Return false if
-  // they are outdated or from another address or instance.
+  // they are outdated or from another address or instance. `unix_ms` is the
+  // time of the VM's clock in milliseconds.
   bool OnAnnounced(const server_announcement& announcement, instant now);
-  bool OnWithdrawn(const std::string& instance, instant now);
+  bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
+                   instant now);
   void SetServerAddress(const std::string& address);
 
   // Refuses new requests from now on; running ones end.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -63,11 +63,10 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
-std::uint64_t UnixMillis() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+std::int64_t UnixMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
 }
 
 }  // namespace
@@ -77,7 +76,7 @@
   impl(boost::asio::io_context& io, sidecar_settings settings,
        const sidecar_platform& platform)
       : settings_(std::move(settings)),
-        incarnation_(UnixMillis()),
+        incarnation_(static_cast<std::uint64_t>(UnixMillis())),
         sender_(io,
                 {.bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
                 platform.fields.attempt_id),
@@ -200,7 +199,7 @@
   }
 
   bool OnWithdrawn(const std::string& instance) {
-    return dispatcher_.OnWithdrawn(instance, MonotonicNow());
+    return dispatcher_.OnWithdrawn(instance, UnixMillis(), MonotonicNow());
   }
 
   std::string RenderMetrics() {
