Admit and queue large answers to the callers beside a backend server

Callers on the VM of a backend server used its link without a bound: their requests were not admitted against the link, and their answers were sent at once and only counted. With a full link all answers are late, and link_wait_us of 33 s was seen while requests of other daemons were refused.

Cause: local requests did not reserve link time, and transmit_queue::OnSent moves the time at which the link counts as free without a limit.

Requests of the callers on the VM to its backend server now reserve link time, and their answers go through the queue, read into memory up to 1 MiB so that the slot is free meanwhile. One that can no longer end before its deadline is sent at once: in the queue, its caller got none at all. Answers of other daemons to the callers on this VM are still sent at once, as the daemon beside their backend server has paced them and a second wait would exceed the time that a stop leaves. They count on the link as before, but for max_wait at most.

Why it works: everything large that a backend server produces for its link is admitted, so the queue holds what the link carries.

--- a/libs/mesh/include/mesh/transmit_queue.h
+++ b/libs/mesh/include/mesh/transmit_queue.h
@@ -55,6 +55,10 @@
   /// immediately.
   bool IsPaced(std::uint64_t bytes) const;
 
+  /// Returns the time that a response of this size occupies the link; 0 if the
+  /// rate of the link is unknown.
+  duration LinkTime(std::uint64_t bytes) const;
+
   /// Records the size of a response to a request of `work_class`.
   void OnResponseSize(const std::string& work_class, std::uint64_t bytes);
 
@@ -89,7 +93,10 @@
   instant NextAt() const;
 
   /// Accounts for bytes sent without queueing: small responses, and responses
-  /// to the callers on this VM, which use the same link.
+  /// of other VMs to the callers on this VM, which use the same link. They are
+  /// not admitted against the link, so they count as sent after `max_wait` at
+  /// the latest; otherwise requests would be refused for as long as they
+  /// arrive.
   void OnSent(std::uint64_t bytes, instant now);
 
   /// Returns whether no response is queued.
@@ -107,7 +114,6 @@
   };
   using iterator = std::vector<waiting_response>::iterator;
 
-  duration LinkTime(std::uint64_t bytes) const;
   // Returns the response with the earliest target that can still be met.
   iterator FirstInTime(instant now);
   // Whether all others can be sent by their latest send time if `first` is sent
--- a/libs/mesh/src/transmit_queue.cc
+++ b/libs/mesh/src/transmit_queue.cc
@@ -128,7 +128,9 @@
 }
 
 void transmit_queue::OnSent(std::uint64_t bytes, instant now) {
-  link_free_at_ = std::max(link_free_at_, now) + LinkTime(bytes);
+  const auto sent_at = std::max(link_free_at_, now) + LinkTime(bytes);
+  link_free_at_ =
+      std::max(link_free_at_, std::min(sent_at, now + options_.max_wait));
 }
 
 instant transmit_queue::DrainedAt(instant now) const {
--- a/libs/mesh/tests/transmit_queue_test.cc
+++ b/libs/mesh/tests/transmit_queue_test.cc
@@ -257,6 +257,17 @@
   CHECK(link_.Empty());
 }
 
+// Guards against responses that are not queued and make the link count as busy
+// for longer and longer: requests were refused for half a minute.
+TEST_CASE_METHOD(transmit_queue_fixture,
+                 "TransmitQueue_ManyUnqueuedResponses_BusyForABoundedTime",
+                 "[mesh]") {
+  for (int i = 0; i < 300; ++i) link_.OnSent(kBytes, now_);
+  CHECK(link_.LinkFreeAt() == now_ + seconds(2));
+  CHECK_FALSE(link_.CanSendAfter(duration(0), now_));
+  CHECK(link_.CanSendAfter(duration(0), now_ + seconds(1)));
+}
+
 // Guards against requests that run although their response would wait for
 // longer than the longest wait, and against a response that takes longer than
 // that and is refused on a free link.
--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -27,10 +27,11 @@
       attempt_id_field_(std::move(attempt_id_field)) {}
 
 void answer_sender::Send(const std::shared_ptr<incoming_request>& request,
-                         incoming_response answer, const answer_times& times) {
+                         incoming_response answer, const answer_times& times,
+                         std::function<void(response_write_result)> done) {
   if (!answer.head.length || !queue_.IsPaced(*answer.head.length)) {
     CountSent(answer.head);
-    request->Respond(std::move(answer), nullptr);
+    request->Respond(std::move(answer), std::move(done));
     return;
   }
   const auto id = ++last_id_;
@@ -43,6 +44,7 @@
   waiting_.emplace(id, waiting_answer{.request = request,
                                       .answer = std::move(answer),
                                       .times = times,
+                                      .done = std::move(done),
                                       .queued_at = now,
                                       .sent_before = sent_answers_});
   request->SetDisconnectHandler([this, id] { Remove(id); });
@@ -63,7 +65,7 @@
       LogWait("answer_sent_late", next);
     }
     ++sent_answers_;
-    next.request->Respond(std::move(next.answer), nullptr);
+    next.request->Respond(std::move(next.answer), std::move(next.done));
   }
   if (queue_.Empty()) return;
   timer_.expires_at(queue_.NextAt());
@@ -82,6 +84,7 @@
   waiting_.erase(found);
   LogWait("answer_abandoned", removed);
   if (removed.answer.body) removed.answer.body->Cancel();
+  if (removed.done) removed.done({});
 }
 
 void answer_sender::LogWait(std::string_view event,
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -3,7 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -18,11 +20,15 @@
 // Times that decide when a queued answer is sent.
 struct answer_times {
   instant target_at;  // Until then the answer meets its target.
-  instant deadline;   // The daemon that asked waits until then.
+  instant deadline;   // The daemon or caller that asked waits until then.
 };
 
-// Sends answers to other daemons and paces large ones to the rate of the
-// network link.
+// Larger answers are streamed. Bounds the memory for answers that wait for the
+// network link: a backend server has a few tens of slots.
+inline constexpr std::size_t kMaxBufferedAnswerBytes = 1024UL * 1024;
+
+// Sends answers of the backend server on this VM, to other daemons and to the
+// callers on this VM, and paces large ones to the rate of the network link.
 class answer_sender {
  public:
   // @param attempt_id_field Name of the header field with the attempt ID, for
@@ -32,8 +38,11 @@
 
   // Sends a small answer immediately and queues a large one, which is sent at
   // its latest send time (see transmit_queue) at the latest.
+  // @param done Receives the result, also if the receiver disconnects while the
+  //   answer is queued; not if the sender is stopped. May be empty.
   void Send(const std::shared_ptr<incoming_request>& request,
-            incoming_response answer, const answer_times& times);
+            incoming_response answer, const answer_times& times,
+            std::function<void(response_write_result)> done = nullptr);
 
   // Accounts for an answer that is sent without queueing.
   void CountSent(const response_head& head);
@@ -51,6 +60,7 @@
     std::shared_ptr<incoming_request> request;
     incoming_response answer;
     answer_times times;
+    std::function<void(response_write_result)> done;
     instant queued_at;
     std::uint64_t sent_before = 0;  // Answers sent when this one was queued.
   };
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -70,9 +70,8 @@
                  .target_at = request.target_at,
                  .deadline = request.deadline,
                  .max_wait = request.max_wait};
-  if (request.over_link) {
-    item.link_time = link_.ExpectedLinkTime(item.work_class);
-  }
+  // Answers to the callers on this VM use the link as well.
+  item.link_time = link_.ExpectedLinkTime(item.work_class);
   // Small answers do not queue behind large ones.
   if (item.link_time.count() > 0) {
     item.link_free_at = link_.DrainedAt(now);
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -33,7 +33,6 @@
   instant target_at;
   instant deadline;
   duration max_wait = duration::max();
-  bool over_link = false;  // The answer leaves this VM.
 };
 
 struct local_dispatcher_options {
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -20,10 +20,6 @@
   return text;
 }
 
-// Larger answers are streamed. Bounds the memory for answers that wait for the
-// network link: a backend server has a few tens of slots.
-constexpr std::size_t kMaxBufferedAnswerBytes = 1024UL * 1024;
-
 duration ParseMillis(std::string_view text) {
   std::int64_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -95,7 +91,6 @@
   if (const auto text = TakeField(fields, kMeshMaxWaitField); !text.empty()) {
     local.max_wait = ParseMillis(text);
   }
-  local.over_link = true;
   local.request = std::move(outgoing);
   const answer_times times{.target_at = local.target_at,
                            .deadline = local.deadline};
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -367,13 +367,19 @@
 void routed_request::ReadAnswer(incoming_response answer) {
   answer_ = std::move(answer);
   answer_is_complete_ = !answer_->body;
+  answer_is_local_ = offer_->member.name == router_.options_.member;
   if (!answer_->body) {
     Deliver();
     return;
   }
   // A small answer is read completely before it is forwarded: if it breaks off,
   // the request can still be retried and the caller sees no truncated answer.
-  ReadBodyPrefix(answer_->body, kMaxBufferedBodyBytes,
+  // One that waits for the network link is read into memory, which frees its
+  // slot on the backend server.
+  const bool is_queued = answer_is_local_ && answer_->head.length &&
+                         router_.sender_.Queue().IsPaced(*answer_->head.length);
+  ReadBodyPrefix(answer_->body,
+                 is_queued ? kMaxBufferedAnswerBytes : kMaxBufferedBodyBytes,
                  [self = shared_from_this()](const result<body_prefix>& start) {
                    self->OnResponseBody(start);
                  });
@@ -464,12 +470,23 @@
 
 void routed_request::Answer(incoming_response answer, const char* reason) {
   const int status = answer.head.status;
-  router_.sender_.CountSent(answer.head);
-  request_->Respond(std::move(answer), [self = shared_from_this(), status,
-                                        text = std::string(reason)](
-                                           response_write_result written) {
+  auto done = [self = shared_from_this(), status,
+               text = std::string(reason)](response_write_result written) {
     self->Finish(written.complete ? status : 0, text);
-  });
+  };
+  const auto send_time =
+      router_.sender_.Queue().LinkTime(answer.head.length.value_or(0));
+  if (answer_is_local_ && MonotonicNow() + send_time <= deadline_) {
+    router_.sender_.Send(request_, std::move(answer),
+                         {.target_at = target_at_, .deadline = deadline_},
+                         std::move(done));
+  } else {
+    // The daemon beside another backend server has paced the answer: a second
+    // wait would exceed the time that a stop leaves. One that would end after
+    // the deadline does not wait at all.
+    router_.sender_.CountSent(answer.head);
+    request_->Respond(std::move(answer), std::move(done));
+  }
   if (!delivering_) finished_ = true;
 }
 
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -87,6 +87,9 @@
 
   std::optional<incoming_response> answer_;
   bool answer_is_complete_ = false;  // The whole answer is in memory.
+  // The answer is of the backend server on this VM, which nothing has paced
+  // yet.
+  bool answer_is_local_ = false;
   // Failed answer of an earlier offer.
   std::optional<incoming_response> fallback_;
   boost::asio::steady_timer timer_;
