Assume a size for downloads before the first one of a class has ended

Right after the start of a daemon, requests for downloads were accepted without regard to the link: 18 answers were on their way at once on a link of 7 Mbit/s, and their callers waited for seconds or got no answer before their daemon ended.

Cause: before the first answer of a class its size is unknown and counted as none. A class whose answers have no length never got a size.

A download now counts as 256 KiB until the first answer of its class, so a few run at once on a slow link, and a fast one limits nothing as before. Answers without a length are measured when they end. Classes of other kinds, which have small answers, still count as nothing at first: a refusal there would cost more than it saves.

Why it works: admission sees the requests in progress from the first one on, and the real size replaces the assumed one after the first run.

TransmitQueue_FirstDownloads_HaveAnAssumedSize. The fleet of the sidecar tests has a further route, for downloads.

--- a/libs/mesh/include/mesh/transmit_queue.h
+++ b/libs/mesh/include/mesh/transmit_queue.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/mesh_config.h"
 #include "mesh/moving_average.h"
 
 namespace pomelohall {
@@ -24,6 +25,11 @@
   /// progress at a daemon that stops: requests whose response would wait for
   /// longer are to be refused before they run.
   duration max_wait = std::chrono::seconds(2);
+  /// Size that a download is expected to have before the first one of its class
+  /// has ended. Otherwise all requests that arrive until then are accepted
+  /// after a start. A few run at once on a link of 7 Mbit/s, and it limits
+  /// nothing on one of 1 Gbit/s, where it is below `min_paced_time`.
+  std::uint64_t first_download_bytes = 256UL * 1024;
 };
 
 /// A large response that is ready to be sent.
@@ -63,8 +69,10 @@
   void OnResponseSize(const std::string& work_class, std::uint64_t bytes);
 
   /// Returns the expected time that the response to a request of `work_class`
-  /// occupies the link; 0 for responses that are sent immediately.
-  duration ExpectedLinkTime(const std::string& work_class) const;
+  /// occupies the link; 0 for responses that are sent immediately, and before
+  /// the first response of a class that is not of downloads.
+  duration ExpectedLinkTime(const std::string& work_class,
+                            request_kind kind = request_kind::kSafe) const;
 
   /// Returns whether the response to a request that runs for `run_time` can be
   /// sent within `max_wait` after it, after all queued and reserved responses.
@@ -73,7 +81,8 @@
   bool CanSendAfter(duration run_time, instant now) const;
 
   /// Reserves link time for the response to a request until Release().
-  void Reserve(std::uint64_t request, const std::string& work_class);
+  void Reserve(std::uint64_t request, const std::string& work_class,
+               request_kind kind = request_kind::kSafe);
   /// Releases the reservation of a request, if any.
   void Release(std::uint64_t request);
 
--- a/libs/mesh/src/transmit_queue.cc
+++ b/libs/mesh/src/transmit_queue.cc
@@ -37,10 +37,15 @@
   class_bytes_[work_class].Add(static_cast<double>(bytes));
 }
 
-duration transmit_queue::ExpectedLinkTime(const std::string& work_class) const {
+duration transmit_queue::ExpectedLinkTime(const std::string& work_class,
+                                          request_kind kind) const {
   const auto found = class_bytes_.find(work_class);
-  if (found == class_bytes_.end()) return duration(0);
-  const auto bytes = static_cast<std::uint64_t>(found->second.Value());
+  std::uint64_t bytes = 0;
+  if (found != class_bytes_.end()) {
+    bytes = static_cast<std::uint64_t>(found->second.Value());
+  } else if (kind == request_kind::kDownload) {
+    bytes = options_.first_download_bytes;
+  }
   return IsPaced(bytes) ? LinkTime(bytes) : duration(0);
 }
 
@@ -51,8 +56,8 @@
 }
 
 void transmit_queue::Reserve(std::uint64_t request,
-                             const std::string& work_class) {
-  const auto time = ExpectedLinkTime(work_class);
+                             const std::string& work_class, request_kind kind) {
+  const auto time = ExpectedLinkTime(work_class, kind);
   if (time.count() == 0) return;
   if (reserved_.emplace(request, time).second) reserved_link_time_ += time;
 }
--- a/libs/mesh/tests/transmit_queue_test.cc
+++ b/libs/mesh/tests/transmit_queue_test.cc
@@ -257,6 +257,26 @@
   CHECK(link_.Empty());
 }
 
+// Guards against downloads that are accepted without limit before the first one
+// has ended, and against an assumed size that stays.
+TEST_CASE_METHOD(transmit_queue_fixture,
+                 "TransmitQueue_FirstDownloads_HaveAnAssumedSize", "[mesh]") {
+  const auto assumed =
+      link_.ExpectedLinkTime("report", request_kind::kDownload);
+  CHECK(ToMillis(assumed) == Approx(262.144));
+  for (int i = 1; i <= 18; ++i) {
+    link_.Reserve(i, "report", request_kind::kDownload);
+  }
+  CHECK_FALSE(link_.CanSendAfter(seconds(1), now_));
+  link_.OnResponseSize("report", kBytes);
+  CHECK(link_.ExpectedLinkTime("report", request_kind::kDownload) == kLinkTime);
+  for (int i = 1; i <= 18; ++i) link_.Release(i);
+  CHECK(link_.DrainedAt(now_) == now_);
+  const transmit_queue fast_link({.bytes_per_second = 1e8});
+  CHECK(fast_link.ExpectedLinkTime("report", request_kind::kDownload) ==
+        duration(0));
+}
+
 // Guards against responses that are not queued and make the link count as busy
 // for longer and longer: requests were refused for half a minute.
 TEST_CASE_METHOD(transmit_queue_fixture,
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -64,6 +64,7 @@
                                                   exchange_events events) {
   const auto now = MonotonicNow();
   auto refusal = CheckAdmission(request);
+  const auto kind = request.kind;
   work_item item{.id = ++last_id_,
                  .work_class = request.work_class,
                  .priority = request.priority,
@@ -71,7 +72,7 @@
                  .deadline = request.deadline,
                  .max_wait = request.max_wait};
   // Answers to the callers on this VM use the link as well.
-  item.link_time = link_.ExpectedLinkTime(item.work_class);
+  item.link_time = link_.ExpectedLinkTime(item.work_class, kind);
   // Small answers do not queue behind large ones.
   if (item.link_time.count() > 0) {
     item.link_free_at = link_.DrainedAt(now);
@@ -93,7 +94,7 @@
                       "the backend server cannot run the request in time",
                       run_state::kNotRun);
     } else if (item.link_time.count() > 0) {
-      link_.Reserve(item.id, item.work_class);
+      link_.Reserve(item.id, item.work_class, kind);
     }
   }
   // Posted, as Start() has to return the exchange before its first event.
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -150,6 +150,7 @@
     NotifyAnswer(std::move(answer));
     return;
   }
+  counts_bytes_ = success && !answer.head.length;
   answer_body_ = answer.body;
   if (abandoned_) {
     Discard(answer_body_);
@@ -167,9 +168,13 @@
 
 void local_exchange::OnBodyPart(result<body_part> part,
                                 const body_source::callback& forward) {
+  if (part) body_bytes_ += part->bytes.size();
   if (!part) {
     End(std::nullopt);
   } else if (part->last) {
+    if (counts_bytes_ && dispatcher_ != nullptr) {
+      dispatcher_->link_.OnResponseSize(request_.work_class, body_bytes_);
+    }
     End(MonotonicNow() - sent_at_);
   }
   forward(std::move(part));
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -51,6 +51,8 @@
   std::shared_ptr<body_source> answer_body_;
   const instant received_at_;
   instant sent_at_;
+  bool counts_bytes_ = false;  // The header has no length.
+  std::uint64_t body_bytes_ = 0;
   bool abandoned_ = false;  // Nobody waits for the answer any more.
 };
 
--- a/tests/sidecar/link_share_test.cc
+++ b/tests/sidecar/link_share_test.cc
@@ -78,6 +78,18 @@
       return {.bytes = SignedResponse(200, "a1", std::string(1'500'000, 'x')),
               .delay = milliseconds(300)};
     }
+    if (header.starts_with("GET /file/")) {
+      // The first response comes when all requests of a test have arrived.
+      auto response = SignedResponse(200, "a1", std::string(300'000, 'x'));
+      if (header.starts_with("GET /file/unknown")) {
+        response.replace(
+            response.find("Content-Length"),
+            response.find("\r\n\r\n") - response.find("Content-Length"),
+            "Connection: close");
+        return {.bytes = response, .delay = seconds(1), .close = true};
+      }
+      return {.bytes = response, .delay = seconds(1)};
+    }
     return {.bytes = SignedResponse(200, "a1", std::string(kBytes, 'x')),
             .delay = milliseconds(20)};
   }
@@ -159,5 +171,35 @@
   CHECK(other.get().complete);
 }
 
+// Guards against a daemon that has just started and runs all downloads at once,
+// as it does not know the size of a response yet: the link then takes many
+// seconds for them.
+TEST_CASE_METHOD(shared_link_fixture,
+                 "Sidecar_FirstDownloads_AreLimitedToWhatTheLinkCarries",
+                 "[sidecar]") {
+  const auto* const target = GENERATE("/file/known", "/file/unknown");
+  INFO(target);
+  constexpr int kCalls = 16;
+  std::vector<std::future<raw_response>> calls;
+  calls.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(std::async(std::launch::async, Download,
+                               CallerAddress(i % 2 ? kServerVm : kCallerVm),
+                               target));
+  }
+  int served = 0;
+  for (auto& call : calls) {
+    const auto response = call.get();
+    CHECK((response.status == 200 || response.status == 503));
+    CHECK(response.complete);
+    if (response.status == 200) ++served;
+  }
+  // The target is 1 s, in which the link carries 700 kB.
+  CHECK(served >= 1);
+  CHECK(served <= 4);
+  // The size is known now and the link is free.
+  CHECK(Download(CallerAddress(kCallerVm), target).status == 200);
+}
+
 }  // namespace
 }  // namespace pomelohall
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -77,7 +77,8 @@
                 {"service", "shop"},
                 {"attempts", 2}};
   };
-  json routes{route("/safe/", "safe"), route("/order/", "unsafe")};
+  json routes{route("/safe/", "safe"), route("/order/", "unsafe"),
+              route("/file/", "download")};
   if (!added_prefix.empty()) routes.push_back(route(added_prefix, "safe"));
   const json spec{{"version", "r" + std::to_string(version)},
                   {"routes", std::move(routes)},
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -23,7 +23,7 @@
 /// Test fixture with sidecars of one data centre and a fake of the platform's
 /// store, all on one I/O thread. The published configuration routes requests to
 /// host "test" to the service "shop". Requests below /safe/ are idempotent,
-/// those below /order/ are not.
+/// those below /order/ are not, and those below /file/ are downloads.
 class sidecar_fleet {
  public:
   sidecar_fleet();
