--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -3,7 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -15,8 +17,18 @@
 
 namespace pomelohall {
 
-// Sends answers to other daemons and paces large ones to the rate of the
-// network link.
+// Times that decide when a queued answer is sent.
+struct answer_times {
+  instant target_at;  // Until then the answer meets its target.
+  instant deadline;   // The daemon or caller that asked waits until then.
+};
+
+// Larger answers are streamed. Bounds the memory for answers that wait for the
+// network link: a backend server has a few tens of slots.
+inline constexpr std::size_t kMaxBufferedAnswerBytes = 1024UL * 1024;
+
+// Sends answers of the backend server on this VM, to other daemons and to the
+// callers on this VM, and paces large ones to the rate of the network link.
 class answer_sender {
  public:
   // @param attempt_id_field Name of the header field with the attempt ID, for
@@ -24,9 +36,13 @@
   answer_sender(boost::asio::io_context& io, transmit_queue_options options,
                 std::string attempt_id_field);
 
-  // Sends a small answer immediately and queues a large one.
+  // Sends a small answer immediately and queues a large one, which is sent at
+  // its latest send time (see transmit_queue) at the latest.
+  // @param done Receives the result, also if the receiver disconnects while the
+  //   answer is queued; not if the sender is stopped. May be empty.
   void Send(const std::shared_ptr<incoming_request>& request,
-            incoming_response answer, instant target_at);
+            incoming_response answer, const answer_times& times,
+            std::function<void(response_write_result)> done = nullptr);
 
   // Accounts for an answer that is sent without queueing.
   void CountSent(const response_head& head);
@@ -43,7 +59,8 @@
   struct waiting_answer {
     std::shared_ptr<incoming_request> request;
     incoming_response answer;
-    instant target_at;
+    answer_times times;
+    std::function<void(response_write_result)> done;
     instant queued_at;
     std::uint64_t sent_before = 0;  // Answers sent when this one was queued.
   };
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -64,17 +64,25 @@
                                                   exchange_events events) {
   const auto now = MonotonicNow();
   auto refusal = CheckAdmission(request);
+  const auto kind = request.kind;
   work_item item{.id = ++last_id_,
                  .work_class = request.work_class,
                  .priority = request.priority,
                  .target_at = request.target_at,
                  .deadline = request.deadline,
                  .max_wait = request.max_wait};
-  if (request.over_link) {
-    item.link_time = link_.ExpectedLinkTime(item.work_class);
-  }
+  // Answers to the callers on this VM use the link as well.
+  item.link_time = link_.ExpectedLinkTime(item.work_class, kind);
   // Small answers do not queue behind large ones.
-  if (item.link_time.count() > 0) item.link_free_at = link_.DrainedAt(now);
+  if (item.link_time.count() > 0) {
+    item.link_free_at = link_.DrainedAt(now);
+    if (!refusal &&
+        !link_.CanSendAfter(queue_.MeanRunTime(item.work_class), now)) {
+      refusal = error(error_kind::kOverloaded,
+                      "the network link cannot carry the answer in time",
+                      run_state::kNotRun);
+    }
+  }
   auto local = std::make_shared<local_exchange>(
       *this, item.id, std::move(request), std::move(events));
   exchanges_.emplace(item.id, local);
@@ -86,7 +94,7 @@
                       "the backend server cannot run the request in time",
                       run_state::kNotRun);
     } else if (item.link_time.count() > 0) {
-      link_.Reserve(item.id, item.work_class);
+      link_.Reserve(item.id, item.work_class, kind);
     }
   }
   // Posted, as Start() has to return the exchange before its first event.
