Refuse an accepted request that waits too long for a slot

Callers saw an order that was accepted, reached no backend server for 4.3 s and got no answer when the daemon of its caller ended. That the order waited in this queue is likely, not proved.

A request is accepted by its expected wait. Then all that arrives later and is in time, or more urgent, precedes it, and nothing bounds its wait but its caller's deadline of 8 to 10 s. It was refused only once its mean run time no longer fitted before that deadline, without regard to the link, and could even start after that.

work_queue has a maximum wait: Offer(), Next() and TakeExpired() decide by the same rule, that a request can start within the maximum wait and end before its deadline, link included. TakeExpired() applies it to the expected start, so a request that has no prospect is refused at once and can be offered elsewhere. The dispatcher also asks at the end of each request. The sidecar allows a third of the stop grace period.

--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -28,8 +28,8 @@
   /// the response does not wait for the link.
   instant link_free_at;
   duration link_time{0};  ///< Time that the response occupies the link.
-  /// Longest wait before the request is refused, so that its sender can try
-  /// other backend servers first.
+  /// The request is refused on arrival if it is expected to wait longer than
+  /// this, so that its sender can try other backend servers first.
   duration max_wait = duration::max();
 };
 
@@ -39,6 +39,10 @@
   /// Work that is expected to miss its target is refused if it would wait for
   /// longer than this, so that it does not delay work that is in time.
   duration max_late_wait = std::chrono::milliseconds(50);
+  /// Longest wait of accepted work. Without it, work that others precede waits
+  /// until its deadline, although another backend server may have a free slot
+  /// and the daemon of its caller may end earlier.
+  duration max_wait = duration::max();
   /// Safety margin for varying run times, as a fraction of the expected time,
   /// in the check whether work meets its target.
   double time_margin = 0.25;
@@ -69,6 +73,10 @@
 /// after its deadline is refused on arrival, urgent work runs first, and work
 /// that still meets its target runs before work that does not. A request ends
 /// when its response was sent, which includes the wait for the network link.
+///
+/// Work that others precede is not moved ahead when it has waited long: each
+/// move would make later work miss its target. It is returned instead, as not
+/// run, as soon as it is expected to start too late.
 class work_queue {
  public:
   explicit work_queue(work_queue_options options);
@@ -82,10 +90,13 @@
   queue_decision Offer(const work_item& item, instant now);
 
   /// Starts the next waiting work and returns its id, or nothing if no slot is
-  /// free or no work waits.
+  /// free or no work can be started. Work that has waited for `max_wait`, or
+  /// can no longer meet its deadline, is not started: TakeExpired() returns it.
   std::optional<std::uint64_t> Next(instant now);
 
-  /// Removes and returns waiting work that can no longer meet its deadline.
+  /// Removes and returns waiting work that is expected to start after
+  /// `max_wait` or to end after its deadline, by the estimate of Offer(). To be
+  /// called before Next(), and regularly while work waits.
   std::vector<std::uint64_t> TakeExpired(instant now);
 
   /// Removes and returns all waiting work.
@@ -111,21 +122,39 @@
   // running requests precede new requests of the same priority.
   using order_key = std::tuple<int, bool, instant, std::uint64_t>;
 
+  struct waiting_work {
+    work_item item;
+    instant start_by;  ///< End of `max_wait`.
+  };
+
   static order_key MakeKey(const work_item& item, bool in_time,
                            std::uint64_t sequence);
   // Expected time until work with `key` starts, after all work that precedes
   // it.
   duration ExpectedWait(const order_key& key) const;
+  // Expected time until the slots have run work of `ahead_us` in total.
+  duration WaitBehind(double ahead_us) const;
+  // Run time of waiting work; that of all classes before the first of its own.
+  double ExpectedRunTimeUs(const work_item& item) const;
+  std::size_t FreeSlots() const;
+  // Moves work that has missed its target behind the work that is in time.
+  void DemoteLate(instant now);
   bool MeetsTarget(const work_item& item, instant start) const;
   // Time that the response waits for the network link after a run from `start`.
   duration LinkWait(const work_item& item, instant start) const;
   // When the response will have been sent if the request starts at `start`.
   instant EndTime(const work_item& item, instant start) const;
+  // Whether `work` can keep its maximum wait and its deadline if it starts at
+  // `start`.
+  bool CanStart(const waiting_work& work, instant start) const;
   void Start(const work_item& item);
 
   work_queue_options options_;
   std::uint64_t next_sequence_ = 0;
-  std::map<order_key, work_item> waiting_;
+  // Invariant: work is started no later than its `start_by` and so that it is
+  // expected to meet its deadline; the first TakeExpired() after it can't be
+  // returns it. Offer(), Next() and TakeExpired() all decide by CanStart().
+  std::map<order_key, waiting_work> waiting_;
   std::unordered_map<std::uint64_t, order_key> keys_;
   std::unordered_map<std::uint64_t, std::string> running_;  ///< Id to class.
   std::unordered_map<std::string, moving_average> class_run_time_us_;
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -6,6 +6,9 @@
 namespace pomelohall {
 namespace {
 
+// Any longer wait is unlimited; added to the current time it must not overflow.
+constexpr duration kLongestWait = std::chrono::hours(1);
+
 duration ToDuration(double microseconds) {
   return duration(static_cast<std::int64_t>(microseconds));
 }
@@ -28,8 +31,10 @@
     wait = ExpectedWait(key);
   }
   const auto start = now + wait;
-  if (EndTime(item, start) > item.deadline ||
-      wait + LinkWait(item, start) > item.max_wait) {
+  const waiting_work work{
+      .item = item,
+      .start_by = now + std::min(options_.max_wait, kLongestWait)};
+  if (!CanStart(work, start) || wait + LinkWait(item, start) > item.max_wait) {
     return queue_decision::kRefuse;
   }
   if (!in_time && wait + LinkWait(item, start) > options_.max_late_wait) {
@@ -39,7 +44,7 @@
     Start(item);
     return queue_decision::kRun;
   }
-  waiting_.emplace(key, item);
+  waiting_.emplace(key, work);
   keys_.emplace(item.id, key);
   return queue_decision::kWait;
 }
@@ -65,36 +70,59 @@
          item.link_time;
 }
 
+bool work_queue::CanStart(const waiting_work& work, instant start) const {
+  return start <= work.start_by &&
+         EndTime(work.item, start) <= work.item.deadline;
+}
+
+std::size_t work_queue::FreeSlots() const {
+  return options_.slots - std::min(options_.slots, running_.size());
+}
+
 void work_queue::Start(const work_item& item) {
   running_.emplace(item.id, item.work_class);
 }
 
-std::optional<std::uint64_t> work_queue::Next(instant now) {
-  while (running_.size() < options_.slots && !waiting_.empty()) {
-    const auto first = waiting_.begin();
-    const auto item = first->second;
-    const bool was_in_time = !std::get<1>(first->first);
-    if (was_in_time && !MeetsTarget(item, now)) {
-      // It waited longer than expected and now runs after work that is in time.
-      const auto key = MakeKey(item, false, std::get<3>(first->first));
-      waiting_.erase(first);
-      waiting_.emplace(key, item);
-      keys_[item.id] = key;
-      continue;
-    }
-    waiting_.erase(first);
-    keys_.erase(item.id);
-    Start(item);
-    return item.id;
+void work_queue::DemoteLate(instant now) {
+  std::vector<order_key> late;
+  for (const auto& [key, work] : waiting_) {
+    const bool was_in_time = !std::get<1>(key);
+    if (was_in_time && !MeetsTarget(work.item, now)) late.push_back(key);
+  }
+  for (const auto& key : late) {
+    auto node = waiting_.extract(key);
+    std::get<1>(node.key()) = true;
+    keys_[node.mapped().item.id] = node.key();
+    waiting_.insert(std::move(node));
   }
-  return std::nullopt;
+}
+
+std::optional<std::uint64_t> work_queue::Next(instant now) {
+  if (FreeSlots() == 0) return std::nullopt;
+  DemoteLate(now);
+  const auto next = std::find_if(
+      waiting_.begin(), waiting_.end(),
+      [&](const auto& entry) { return CanStart(entry.second, now); });
+  if (next == waiting_.end()) return std::nullopt;
+  const auto id = next->second.item.id;
+  Start(next->second.item);
+  Remove(id);
+  return id;
 }
 
 std::vector<std::uint64_t> work_queue::TakeExpired(instant now) {
+  DemoteLate(now);
   std::vector<std::uint64_t> expired;
-  for (const auto& [key, item] : waiting_) {
-    if (now + MeanRunTime(item.work_class) > item.deadline) {
-      expired.push_back(item.id);
+  auto free_slots = FreeSlots();
+  double ahead_us = mean_run_time_us_.Value();  // Until the first slot is free.
+  for (const auto& [key, work] : waiting_) {
+    const auto wait = free_slots > 0 ? duration(0) : WaitBehind(ahead_us);
+    if (!CanStart(work, now + wait)) {
+      expired.push_back(work.item.id);
+    } else if (free_slots > 0) {
+      --free_slots;
+    } else {
+      ahead_us += ExpectedRunTimeUs(work.item);
     }
   }
   for (const auto id : expired) Remove(id);
@@ -103,7 +131,7 @@
 
 std::vector<std::uint64_t> work_queue::TakeAll() {
   std::vector<std::uint64_t> all;
-  for (const auto& [key, item] : waiting_) all.push_back(item.id);
+  for (const auto& [key, work] : waiting_) all.push_back(work.item.id);
   waiting_.clear();
   keys_.clear();
   return all;
@@ -133,13 +161,20 @@
   double ahead_us = mean_run_time_us_.Value();  // Until the first slot is free.
   for (const auto& [other, waiting] : waiting_) {
     if (key < other) break;
-    const auto time = MeanRunTime(waiting.work_class).count();
-    ahead_us +=
-        time > 0 ? static_cast<double>(time) : mean_run_time_us_.Value();
+    ahead_us += ExpectedRunTimeUs(waiting.item);
   }
+  return WaitBehind(ahead_us);
+}
+
+duration work_queue::WaitBehind(double ahead_us) const {
   return ToDuration(ahead_us / static_cast<double>(options_.slots));
 }
 
+double work_queue::ExpectedRunTimeUs(const work_item& item) const {
+  const auto time = MeanRunTime(item.work_class).count();
+  return time > 0 ? static_cast<double>(time) : mean_run_time_us_.Value();
+}
+
 duration work_queue::MeanRunTime(const std::string& work_class) const {
   const auto found = class_run_time_us_.find(work_class);
   return ToDuration(found == class_run_time_us_.end() ? 0
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -33,7 +33,7 @@
       pool_(io, PoolOptions(options_)),
       server_({.address = options_.server_address,
                .announcement_timeout = options_.announcement_timeout}),
-      queue_({}) {}
+      queue_({.max_wait = options_.max_wait}) {}
 
 local_dispatcher::~local_dispatcher() = default;
 
@@ -164,8 +164,7 @@
 }
 
 void local_dispatcher::Tick(instant now) {
-  Refuse(queue_.TakeExpired(now), error_kind::kOverloaded,
-         "the request waited too long to be answered in time");
+  SendWaiting(now);
   if (server_.Phase() == server_phase::kLeaving &&
       now - server_.PhaseSince() > options_.leaving_grace) {
     Refuse(queue_.TakeAll(), error_kind::kDraining,
@@ -201,7 +200,7 @@
                                   std::optional<duration> run_time) {
   queue_.OnFinished(id, run_time);
   Remove(id);
-  SendWaiting();
+  SendWaiting(MonotonicNow());
 }
 
 void local_dispatcher::Remove(std::uint64_t id) {
@@ -210,8 +209,18 @@
   exchanges_.erase(id);
 }
 
-void local_dispatcher::SendWaiting() {
-  while (const auto id = queue_.Next(MonotonicNow())) {
+void local_dispatcher::SendWaiting(instant now) {
+  const error expired(error_kind::kOverloaded,
+                      "the request cannot start in time any more",
+                      run_state::kNotRun);
+  for (const auto id : queue_.TakeExpired(now)) {
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) continue;
+    // Posted, as its sender may offer another request before this returns.
+    boost::asio::post(
+        io_, [local = found->second, expired] { local->Refuse(expired); });
+  }
+  while (const auto id = queue_.Next(now)) {
     const auto found = exchanges_.find(*id);
     if (found == exchanges_.end()) {
       queue_.OnFinished(*id, std::nullopt);
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -40,6 +40,8 @@
   header_field_names fields;
   std::string server_address;  // "ip:port".
   std::size_t max_connections = 100;
+  // Longest wait of an accepted request for a slot of the backend server.
+  duration max_wait = duration::max();
   // Waiting requests still start for this time after the backend server began
   // to leave; later ones could reach it after it stopped.
   duration leaving_grace = std::chrono::seconds(1);
@@ -78,8 +80,8 @@
 
   // Refuses new requests from now on; running ones end.
   void StopAccepting();
-  // To be called about every 50 ms: ends requests that waited or ran past their
-  // deadline.
+  // To be called about every 50 ms: ends requests that waited too long or ran
+  // past their deadline.
   void Tick(instant now);
   // To be called about once a second: closes idle connections and checks for
   // missing announcements.
@@ -100,7 +102,9 @@
   std::optional<error> CheckAdmission(const local_request& request) const;
   void OnFinished(std::uint64_t id, std::optional<duration> run_time);
   void Remove(std::uint64_t id);
-  void SendWaiting();
+  // Refuses waiting requests that can't start in time any more, and sends those
+  // that a slot is free for.
+  void SendWaiting(instant now);
   void Refuse(const std::vector<std::uint64_t>& ids, error_kind kind,
               const std::string& reason);
   void OnUnreachable(const std::string& instance);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -36,6 +36,9 @@
 constexpr duration kReadinessLossTime = std::chrono::milliseconds(2200);
 // Part of the stop grace period that is reserved for the exit of the process.
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
+// The wait of a request for a slot, its run and the wait of its answer for the
+// link each get an equal part of the grace period of a stop.
+constexpr int kStagesOfRequest = 3;
 // A connection between daemons opens within milliseconds or not at all.
 constexpr duration kPeerConnectTimeout = std::chrono::milliseconds(300);
 // Daemons acknowledge bytes within milliseconds; this tolerates two consecutive
@@ -58,6 +61,10 @@
   return kPacedLinkShare * link_mbps * kBytesPerMegabit;
 }
 
+duration MaxSlotWait(duration stop_grace) {
+  return std::max(stop_grace - kExitMargin, duration(0)) / kStagesOfRequest;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -84,6 +91,7 @@
         dispatcher_(io,
                     {.fields = platform.fields,
                      .server_address = settings_.server_address,
+                     .max_wait = MaxSlotWait(settings_.stop_grace),
                      // The other half is for requests in transit.
                      .leaving_grace = settings_.drain_time / 2,
                      .announcement_timeout =
