Keep the shares of a class that used free slots alone

Callers of pomelohalld saw transactions wait behind hundreds of lookups after a quiet time: a class that had been served alone from free slots got no slot until another class had used as much slot time as it had, weighted.

The queue serves the class with the lowest virtual time, and a class that joins starts at the current virtual time. Requests that started from a free slot charged their class but did not advance the current virtual time, so the next class to join started at zero, ahead by everything that the first had used since the start of the daemon.

Requests that start at once now advance it like those from the queue. No class is queued at that moment, so none can fall behind.

--- a/libs/policy/src/admission_controller.cc
+++ b/libs/policy/src/admission_controller.cc
@@ -62,7 +62,11 @@
   } else if (CanStartImmediately(request)) {
     limit_.Advance(!running_.empty(), now);
     auto& state = ClassOf(request);
+    // No class is queued, so none falls behind when the virtual time advances.
+    // If it did not, the next class to queue would be ahead of this one by all
+    // the slot time that this one has used alone.
     state.virtual_time = std::max(state.virtual_time, virtual_time_);
+    virtual_time_ = state.virtual_time;
     Start(request, state, out);
     return out;
   } else {
--- a/libs/policy/tests/admission_controller_test.cc
+++ b/libs/policy/tests/admission_controller_test.cc
@@ -190,6 +190,24 @@
   CHECK(started_["order"] > started_["lookup"]);
 }
 
+// Guards against a class that waits because it used free slots earlier, while
+// no other class had requests: its requests then waited until the other class
+// had used as much, here 250 lookups for 1000 orders.
+TEST_CASE_METHOD(admission_fixture,
+                 "Submit_AfterUseOfFreeSlots_SharesByWeight") {
+  for (int i = 0; i < 1000; ++i) {
+    const auto id = Submit("order", class_kind::kTransaction);
+    now_ += milliseconds(10);
+    Finish(id, milliseconds(10));
+  }
+  SubmitLookups(kSlots + 80);
+  started_.clear();
+  for (int i = 0; i < 20; ++i) Submit("order", class_kind::kTransaction);
+  CompleteRounds(3, milliseconds(10));
+  CHECK(started_["order"] == 20);
+  CHECK(started_["lookup"] > 0);
+}
+
 // Guards against a transaction that has to wait for a download to finish.
 TEST_CASE_METHOD(admission_fixture, "Submit_Downloads_LeaveSlotsFree") {
   for (int i = 0; i < 40; ++i) Submit("scan", class_kind::kDownload);
