Refuse a waiting request before its caller's daemon gives up

Callers of an order that waited for a slot until its deadline were told 504, which promises nothing, although no server had received the order.

The dispatcher looks for expired requests every 50 ms, so it refused a request up to 50 ms after it could no longer be run. The daemon of the caller waits only 20 ms past the deadline and then cannot tell whether the request has run.

work_queue has the interval of these checks as an option: a request that could not start any more at the next check is refused at this one, and is not queued on arrival. The maximum wait is now exact as well; the bound in the simulation test and the checks of the generated sequences are stricter accordingly.

--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -46,6 +46,10 @@
   /// Safety margin for varying run times, as a fraction of the expected time,
   /// in the check whether work meets its target.
   double time_margin = 0.25;
+  /// Longest time between two calls of TakeExpired(). Work that could not start
+  /// any more at the next call is returned by the current one, so that its
+  /// caller learns that it has not run before it gives up.
+  duration check_interval{0};
 };
 
 /// Decision about offered work.
@@ -132,6 +136,8 @@
   // Expected time until work with `key` starts, after all work that precedes
   // it.
   duration ExpectedWait(const order_key& key) const;
+  // Start to expect of work that waits: at the earliest at the next check.
+  instant ExpectedStart(duration wait, instant now) const;
   // Expected time until the slots have run work of `ahead_us` in total.
   duration WaitBehind(double ahead_us) const;
   // Run time of waiting work; that of all classes before the first of its own.
@@ -151,9 +157,10 @@
 
   work_queue_options options_;
   std::uint64_t next_sequence_ = 0;
-  // Invariant: work is started no later than its `start_by` and so that it is
-  // expected to meet its deadline; the first TakeExpired() after it can't be
-  // returns it. Offer(), Next() and TakeExpired() all decide by CanStart().
+  // Invariant: work that is here after TakeExpired(now) can still start at now
+  // + `check_interval`, within its maximum wait and its deadline, by the mean
+  // run time that is known then. Offer(), Next() and TakeExpired() decide by
+  // CanStart().
   std::map<order_key, waiting_work> waiting_;
   std::unordered_map<std::uint64_t, order_key> keys_;
   std::unordered_map<std::uint64_t, std::string> running_;  ///< Id to class.
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -34,13 +34,15 @@
   const waiting_work work{
       .item = item,
       .start_by = now + std::min(options_.max_wait, kLongestWait)};
-  if (!CanStart(work, start) || wait + LinkWait(item, start) > item.max_wait) {
+  const bool runs = FreeSlots() > 0 && waiting_.empty();
+  if (!CanStart(work, runs ? now : ExpectedStart(wait, now)) ||
+      wait + LinkWait(item, start) > item.max_wait) {
     return queue_decision::kRefuse;
   }
   if (!in_time && wait + LinkWait(item, start) > options_.max_late_wait) {
     return queue_decision::kRefuse;
   }
-  if (running_.size() < options_.slots && waiting_.empty()) {
+  if (runs) {
     Start(item);
     return queue_decision::kRun;
   }
@@ -75,6 +77,10 @@
          EndTime(work.item, start) <= work.item.deadline;
 }
 
+instant work_queue::ExpectedStart(duration wait, instant now) const {
+  return now + std::max(wait, options_.check_interval);
+}
+
 std::size_t work_queue::FreeSlots() const {
   return options_.slots - std::min(options_.slots, running_.size());
 }
@@ -116,8 +122,9 @@
   auto free_slots = FreeSlots();
   double ahead_us = mean_run_time_us_.Value();  // Until the first slot is free.
   for (const auto& [key, work] : waiting_) {
-    const auto wait = free_slots > 0 ? duration(0) : WaitBehind(ahead_us);
-    if (!CanStart(work, now + wait)) {
+    const auto start =
+        free_slots > 0 ? now : ExpectedStart(WaitBehind(ahead_us), now);
+    if (!CanStart(work, start)) {
       expired.push_back(work.item.id);
     } else if (free_slots > 0) {
       --free_slots;
@@ -157,7 +164,7 @@
 }
 
 duration work_queue::ExpectedWait(const order_key& key) const {
-  if (running_.size() < options_.slots && waiting_.empty()) return duration(0);
+  if (FreeSlots() > 0 && waiting_.empty()) return duration(0);
   double ahead_us = mean_run_time_us_.Value();  // Until the first slot is free.
   for (const auto& [other, waiting] : waiting_) {
     if (key < other) break;
--- a/libs/mesh/tests/work_queue_wait_test.cc
+++ b/libs/mesh/tests/work_queue_wait_test.cc
@@ -40,8 +40,9 @@
   wait_simulation(duration max_wait, double load, std::uint64_t seed)
       : random_(seed),
         load_(load),
-        servers_(kServers,
-                 work_queue({.slots = kSlots, .max_wait = max_wait})) {}
+        servers_(kServers, work_queue({.slots = kSlots,
+                                       .max_wait = max_wait,
+                                       .check_interval = kTick})) {}
 
   outcome Run() {
     events_.push({kStart, event_kind::kArrive, 0, 0, duration(0)});
@@ -249,7 +250,7 @@
           bounded.longest_wait.count(), unbounded.worth, bounded.worth,
           unbounded.served, bounded.served, unbounded.refused_wait.count(),
           bounded.refused_wait.count(), bounded.requests);
-  CHECK(bounded.longest_wait <= kMaxWait + kTick);
+  CHECK(bounded.longest_wait <= kMaxWait);
   CHECK(bounded.worth > 0.97 * unbounded.worth);
   if (load > 1) {
     CHECK(unbounded.longest_wait > 2 * kMaxWait);
@@ -324,9 +325,9 @@
   }
 
   /// No further request arrives or ends: each accepted one has been started or
-  /// returned once `max_wait` and a tick have passed.
+  /// returned once `max_wait` has passed.
   void CheckNothingIsLeft() {
-    for (duration waited{0}; waited <= kMaxWait; waited += kTick) {
+    for (duration waited{0}; waited < kMaxWait; waited += kTick) {
       now_ += kTick;
       Tick();
     }
@@ -365,8 +366,9 @@
   void Tick() {
     Dispatch();
     for (const auto& [id, request] : accepted_) {
-      RC_ASSERT(now_ <= request.at + kMaxWait);
-      RC_ASSERT(EndIfStarted(id, request) <= request.deadline);
+      const auto next_tick = now_ + kTick;
+      RC_ASSERT(next_tick <= request.at + kMaxWait);
+      RC_ASSERT(EndIfStarted(id, request, next_tick) <= request.deadline);
     }
     RC_ASSERT(accepted_.size() == queue_.Load().waiting);
     RC_ASSERT(accepted_.empty() || running_.size() >= kSlots);
@@ -380,7 +382,8 @@
       const auto found = accepted_.find(*id);
       RC_ASSERT(found != accepted_.end());
       RC_ASSERT(now_ <= found->second.at + kMaxWait);
-      RC_ASSERT(EndIfStarted(*id, found->second) <= found->second.deadline);
+      RC_ASSERT(EndIfStarted(*id, found->second, now_) <=
+                found->second.deadline);
       accepted_.erase(found);
       running_.push_back(*id);
     }
@@ -388,13 +391,15 @@
   }
 
   // Expected end of the transmission of the response.
-  instant EndIfStarted(std::uint64_t id, const accepted_request& request) {
-    const auto ready_at = now_ + queue_.MeanRunTime(classes_[id]);
+  instant EndIfStarted(std::uint64_t id, const accepted_request& request,
+                       instant start) {
+    const auto ready_at = start + queue_.MeanRunTime(classes_[id]);
     return std::max(ready_at, request.link_free_at) + request.link_time;
   }
 
   static constexpr std::size_t kSlots = 3;
-  work_queue queue_{{.slots = kSlots, .max_wait = kMaxWait}};
+  work_queue queue_{
+      {.slots = kSlots, .max_wait = kMaxWait, .check_interval = kTick}};
   instant now_{seconds(100)};
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, accepted_request> accepted_;
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -33,7 +33,8 @@
       pool_(io, PoolOptions(options_)),
       server_({.address = options_.server_address,
                .announcement_timeout = options_.announcement_timeout}),
-      queue_({.max_wait = options_.max_wait}) {}
+      queue_({.max_wait = options_.max_wait,
+              .check_interval = options_.tick_interval}) {}
 
 local_dispatcher::~local_dispatcher() = default;
 
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -42,6 +42,8 @@
   std::size_t max_connections = 100;
   // Longest wait of an accepted request for a slot of the backend server.
   duration max_wait = duration::max();
+  // Longest time between two calls of Tick().
+  duration tick_interval = std::chrono::milliseconds(50);
   // Waiting requests still start for this time after the backend server began
   // to leave; later ones could reach it after it stopped.
   duration leaving_grace = std::chrono::seconds(1);
@@ -80,8 +82,8 @@
 
   // Refuses new requests from now on; running ones end.
   void StopAccepting();
-  // To be called about every 50 ms: ends requests that waited too long or ran
-  // past their deadline.
+  // To be called each `tick_interval`: ends requests that waited too long or
+  // ran past their deadline.
   void Tick(instant now);
   // To be called about once a second: closes idle connections and checks for
   // missing announcements.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -92,6 +92,7 @@
                     {.fields = platform.fields,
                      .server_address = settings_.server_address,
                      .max_wait = MaxSlotWait(settings_.stop_grace),
+                     .tick_interval = kTickInterval,
                      // The other half is for requests in transit.
                      .leaving_grace = settings_.drain_time / 2,
                      .announcement_timeout =
