Refuse a request that waits too long for a connection to a daemon

Callers of orders that never left their own daemon were told 504, which promises nothing.

A daemon opens at most 200 connections to another one; further requests waited for one of them without a bound, with the deadline that was written into them before. The other daemon then took them for requests with all that time left, let them wait for a slot, and refused them only after the caller's daemon had given up.

connection_pool has an option for the longest wait. The sidecar sets it for other daemons to the time that it allows a new connection (300 ms): the request fails as not run and is offered elsewhere, or its caller is told 503. The pool of the backend server keeps no bound: it gets no more requests than there are slots, and their deadlines are checked.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -20,6 +20,10 @@
 struct pool_options {
   /// Maximum number of connections per address; further calls are queued.
   std::size_t max_connections = 100;
+  /// Longest wait of a queued call for a connection. It then fails with
+  /// `connect_error`, as not run: its deadline field, if any, was set when it
+  /// was queued.
+  duration max_wait = duration::max();
   /// Timeout for opening a connection.
   duration connect_timeout = std::chrono::seconds(2);
   /// Idle connections are closed after this time.
@@ -37,7 +41,7 @@
   /// are forwarded as chunked, and are complete unless the connection is reset.
   /// If false, they fail with `kAnswerCutShort`.
   bool allow_close_delimited = false;
-  /// Error of a call if no connection could be opened (always not run).
+  /// Error of a call that got no connection (always not run).
   error_kind connect_error = error_kind::kNoBackendServer;
   /// Error of a call whose connection broke before the response started.
   error_kind disconnect_error = error_kind::kBackendFailed;
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -133,6 +133,9 @@
   void Run(const exchange_ptr& call, client_connection_ptr connection);
   void Release(client_connection_ptr connection, bool reusable);
   void Close(const client_connection_ptr& connection);
+  void Queue(host_connections& host, const std::string& address,
+             const exchange_ptr& call);
+  void OnWaitedTooLong(const std::string& address, const exchange_ptr& call);
   void StartWaitingCalls(const std::string& address);
   void SweepIdle(host_connections& host, instant now);
 
@@ -161,11 +164,36 @@
   if (host.open < options_.max_connections) {
     Connect(address, call);
   } else {
-    host.waiting.push_back(call);
+    Queue(host, address, call);
   }
   return call;
 }
 
+void connection_pool::impl::Queue(host_connections& host,
+                                  const std::string& address,
+                                  const exchange_ptr& call) {
+  host.waiting.push_back(call);
+  if (options_.max_wait == duration::max()) return;
+  auto timer = std::make_shared<asio::steady_timer>(io_);
+  timer->expires_after(options_.max_wait);
+  timer->async_wait(
+      [pool = weak_from_this(), address, call, timer](error_code cancelled) {
+        const auto self = pool.lock();
+        if (self && !cancelled) self->OnWaitedTooLong(address, call);
+      });
+}
+
+void connection_pool::impl::OnWaitedTooLong(const std::string& address,
+                                            const exchange_ptr& call) {
+  const auto host = hosts_.find(address);
+  if (host == hosts_.end()) return;
+  // Without effect if the call has got a connection meanwhile.
+  if (std::erase(host->second.waiting, call) == 0 || call->Done()) return;
+  call->FailUnsent({options_.connect_error,
+                    "all connections to " + address + " are in use",
+                    run_state::kNotRun});
+}
+
 bool connection_pool::impl::RunOnIdleConnection(host_connections& host,
                                                 const exchange_ptr& call) {
   while (!host.idle.empty()) {
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -39,7 +39,8 @@
 // The wait of a request for a slot, its run and the wait of its answer for the
 // link each get an equal part of the grace period of a stop.
 constexpr int kStagesOfRequest = 3;
-// A connection between daemons opens within milliseconds or not at all.
+// A connection between daemons opens within milliseconds or not at all. A
+// request that waits longer for one of those in use is offered elsewhere.
 constexpr duration kPeerConnectTimeout = std::chrono::milliseconds(300);
 // Daemons acknowledge bytes within milliseconds; this tolerates two consecutive
 // lost packets.
@@ -105,6 +106,7 @@
                  .window = settings_.retry_window,
                  .allowance = settings_.retry_allowance}),
         peers_(io, {.max_connections = kMaxPeerConnections,
+                    .max_wait = kPeerConnectTimeout,
                     .connect_timeout = kPeerConnectTimeout,
                     .dead_peer_timeout = kPeerSilenceTimeout,
                     .echo_field = platform.fields.attempt_id,
--- a/tests/sidecar/slot_wait_test.cc
+++ b/tests/sidecar/slot_wait_test.cc
@@ -107,5 +107,24 @@
   CHECK(server_.Requests() == requests_at_start_);
 }
 
+// Guards against an order that waits at its caller's daemon for one of the
+// connections to the other daemon, which then hears of it too late to refuse it
+// in time: its caller is told that it may have run.
+TEST_CASE_METHOD(no_free_slot_fixture,
+                 "Sidecar_OrderWaitsForAConnection_SaysNotRun", "[sidecar]") {
+  constexpr int kOrders = 230;  // A daemon opens 200 connections to another.
+  std::vector<std::future<raw_response>> orders;
+  orders.reserve(kOrders);
+  for (int i = 0; i < kOrders; ++i) {
+    orders.push_back(Start("/order/1", milliseconds(1000)));
+    // Connections that open in a burst delay each other.
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  int not_run = 0;
+  for (auto& order : orders) not_run += order.get().status == 503 ? 1 : 0;
+  CHECK(not_run == kOrders);
+  CHECK(server_.Requests() == requests_at_start_);
+}
+
 }  // namespace
 }  // namespace pomelohall
