Measure the run time of a class again when it is outdated

Callers would see every request of a route refused by a daemon whose backend server is idle, without an end.

A request is refused if the mean run time of its class does not fit before its deadline, and the mean changes only when a request of that class runs. After runs that took longer than later requests have time (callers that read a long body slowly, a server that was slow, a shorter time-out in the configuration), none ran any more.

A class that has not started for 10 s runs on a free slot although the mean says that it will be late, if the link can send its answer in time. One request in 10 s then shows the present run time.

--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -50,6 +50,10 @@
   /// any more at the next call is returned by the current one, so that its
   /// caller learns that it has not run before it gives up.
   duration check_interval{0};
+  /// Work of a class that has not started for this time runs on a free slot
+  /// even if its expected run time ends after its deadline: the expectation is
+  /// outdated, and only a run shows the present run time.
+  duration run_time_lifetime = std::chrono::seconds(10);
 };
 
 /// Decision about offered work.
@@ -153,7 +157,9 @@
   // Whether `work` can keep its maximum wait and its deadline if it starts at
   // `start`.
   bool CanStart(const waiting_work& work, instant start) const;
-  void Start(const work_item& item);
+  // Whether no work of the class has started for `run_time_lifetime`.
+  bool IsRunTimeOutdated(const std::string& work_class, instant now) const;
+  void Start(const work_item& item, instant now);
 
   work_queue_options options_;
   std::uint64_t next_sequence_ = 0;
@@ -165,6 +171,7 @@
   std::unordered_map<std::uint64_t, order_key> keys_;
   std::unordered_map<std::uint64_t, std::string> running_;  ///< Id to class.
   std::unordered_map<std::string, moving_average> class_run_time_us_;
+  std::unordered_map<std::string, instant> class_started_at_;  ///< Last start.
   moving_average mean_run_time_us_;
 };
 
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -35,15 +35,18 @@
       .item = item,
       .start_by = now + std::min(options_.max_wait, kLongestWait)};
   const bool runs = FreeSlots() > 0 && waiting_.empty();
-  if (!CanStart(work, runs ? now : ExpectedStart(wait, now)) ||
-      wait + LinkWait(item, start) > item.max_wait) {
+  const bool can_start =
+      CanStart(work, runs ? now : ExpectedStart(wait, now)) ||
+      (runs && IsRunTimeOutdated(item.work_class, now) &&
+       std::max(now, item.link_free_at) + item.link_time <= item.deadline);
+  if (!can_start || wait + LinkWait(item, start) > item.max_wait) {
     return queue_decision::kRefuse;
   }
   if (!in_time && wait + LinkWait(item, start) > options_.max_late_wait) {
     return queue_decision::kRefuse;
   }
   if (runs) {
-    Start(item);
+    Start(item, now);
     return queue_decision::kRun;
   }
   waiting_.emplace(key, work);
@@ -85,8 +88,16 @@
   return options_.slots - std::min(options_.slots, running_.size());
 }
 
-void work_queue::Start(const work_item& item) {
+bool work_queue::IsRunTimeOutdated(const std::string& work_class,
+                                   instant now) const {
+  const auto found = class_started_at_.find(work_class);
+  return found != class_started_at_.end() &&
+         now - found->second > options_.run_time_lifetime;
+}
+
+void work_queue::Start(const work_item& item, instant now) {
   running_.emplace(item.id, item.work_class);
+  class_started_at_[item.work_class] = now;
 }
 
 void work_queue::DemoteLate(instant now) {
@@ -111,7 +122,7 @@
       [&](const auto& entry) { return CanStart(entry.second, now); });
   if (next == waiting_.end()) return std::nullopt;
   const auto id = next->second.item.id;
-  Start(next->second.item);
+  Start(next->second.item, now);
   Remove(id);
   return id;
 }
--- a/libs/mesh/tests/work_queue_test.cc
+++ b/libs/mesh/tests/work_queue_test.cc
@@ -106,6 +106,39 @@
   CHECK(last_decision_ == queue_decision::kRefuse);
 }
 
+// Guards against a class that is refused forever: after one run that took
+// longer than all later requests have, none would run, and so none would show
+// that the backend server is quick again.
+TEST_CASE_METHOD(work_queue_fixture,
+                 "WorkQueue_OutdatedRunTime_IsMeasuredAgain", "[mesh]") {
+  const auto slow = Offer("report", 1, seconds(1), seconds(10));
+  now_ += seconds(9);
+  queue_.OnFinished(slow, seconds(9));
+  running_.clear();
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    now_ += seconds(1);
+    Offer("report", 1, seconds(1), seconds(8));
+    if (last_decision_ == queue_decision::kRefuse) ++refused;
+    if (last_decision_ == queue_decision::kRun) FinishOne();
+  }
+  CHECK(refused <= 20);
+}
+
+// Guards against a run for that reason whose response the link cannot send
+// before the deadline.
+TEST_CASE_METHOD(work_queue_fixture,
+                 "WorkQueue_OutdatedRunTimeAndFullLink_IsRefused", "[mesh]") {
+  now_ += seconds(60);
+  const work_item item{.id = 1000,
+                       .work_class = "lookup",
+                       .target_at = now_ + seconds(1),
+                       .deadline = now_ + seconds(2),
+                       .link_free_at = now_ + milliseconds(1900),
+                       .link_time = milliseconds(200)};
+  CHECK(queue_.Offer(item, now_) == queue_decision::kRefuse);
+}
+
 // Guards against a slot for work that can no longer meet its deadline.
 TEST_CASE_METHOD(work_queue_fixture, "WorkQueue_WaitedTooLong_IsRemoved",
                  "[mesh]") {
