--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -36,7 +36,11 @@
 constexpr duration kReadinessLossTime = std::chrono::milliseconds(2200);
 // Part of the stop grace period that is reserved for the exit of the process.
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
-// A connection between daemons opens within milliseconds or not at all.
+// The wait of a request for a slot, its run and the wait of its answer for the
+// link each get an equal part of the grace period of a stop.
+constexpr int kStagesOfRequest = 3;
+// A connection between daemons opens within milliseconds or not at all. A
+// request that waits longer for one of those in use is offered elsewhere.
 constexpr duration kPeerConnectTimeout = std::chrono::milliseconds(300);
 // Daemons acknowledge bytes within milliseconds; this tolerates two consecutive
 // lost packets.
@@ -67,6 +71,10 @@
   return kPacedLinkShare * link_mbps * kBytesPerMegabit;
 }
 
+duration MaxSlotWait(duration stop_grace) {
+  return std::max(stop_grace - kExitMargin, duration(0)) / kStagesOfRequest;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -93,6 +101,8 @@
         dispatcher_(io,
                     {.fields = platform.fields,
                      .server_address = settings_.server_address,
+                     .max_wait = MaxSlotWait(settings_.stop_grace),
+                     .tick_interval = kTickInterval,
                      // The other half is for requests in transit.
                      .leaving_grace = settings_.drain_time / 2,
                      .announcement_timeout =
@@ -105,6 +115,7 @@
                  .window = settings_.retry_window,
                  .allowance = settings_.retry_allowance}),
         peers_(io, {.max_connections = kMaxPeerConnections,
+                    .max_wait = kPeerConnectTimeout,
                     .connect_timeout = kPeerConnectTimeout,
                     .dead_peer_timeout = kPeerSilenceTimeout,
                     .echo_field = platform.fields.attempt_id,
