Keep the daemon alive when an upload goes on after its response

Callers: each request of the daemon was cut when it crashed. An upload that is still incomplete when its request gets a response (time-out of the route, error of the backend server, refusal) was enough, if the caller then sent more bytes or closed the connection.

Cause: the read of the body was still pending when the response had been written. FinishResponse() released the buffer that it reads into, Linger() started a second read of the same socket into the same input buffer, and OnPart() used the entry of a request that was no longer there.

Change: the session knows that a read of the body is pending. It keeps the buffer until that read ends, and discards further input only then. A body part that arrives after the response is dropped.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -316,14 +316,25 @@
 
 void call_session::ReadPart() {
   buffer_.reserve(kReadBytes);
+  reading_body_ = true;
   http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code failure, std::size_t) {
+        self->reading_body_ = false;
         if (!self->closed_) self->OnPart(failure);
       });
 }
 
 void call_session::OnPart(error_code failure) {
+  if (linger_until_) {
+    // The response was written before the body had arrived.
+    if (failure && failure != http::error::need_buffer) {
+      Close();
+    } else {
+      ReadLinger();
+    }
+    return;
+  }
   last_progress_ = MonotonicNow();
   if (failure && failure != http::error::need_buffer) {
     pending_.back().keep_alive = false;
@@ -498,7 +509,8 @@
   pending_.pop_front();
   writing_response_ = false;
   if (entry.request) entry.request->Detach();
-  if (pending_.empty()) part_.reset();  // Sized for one request.
+  // Sized for one request.
+  if (pending_.empty() && !reading_body_) part_.reset();
   if (close_after_write_) Linger();
   if (entry.on_written) entry.on_written({true, response_bytes_});
   if (linger_until_ || closed_) return;
@@ -514,8 +526,8 @@
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   linger_until_ = MonotonicNow() + kLingerTime;
-  // A pending wait resumes in ReadLinger().
-  if (!waiting_readable_) ReadLinger();
+  // A pending wait or read resumes in ReadLinger().
+  if (!waiting_readable_ && !reading_body_) ReadLinger();
 }
 
 void call_session::ReadLinger() {
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -126,6 +126,7 @@
   std::unique_ptr<char[]> part_;
   std::size_t part_capacity_ = 0;
   body_source::callback pending_read_;
+  bool reading_body_ = false;  // A read of the socket for the body is pending.
   bool continue_expected_ = false;
   bool writing_continue_ = false;
 
--- a/tests/sidecar/concurrent_server.cc
+++ b/tests/sidecar/concurrent_server.cc
@@ -1,11 +1,15 @@
 #include "concurrent_server.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/system/error_code.hpp>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace pomelohall {
@@ -53,16 +57,41 @@
   boost::asio::async_read_until(
       served->socket, boost::asio::dynamic_buffer(served->input), "\r\n\r\n",
       [this, served](error_code failure, std::size_t bytes) {
+        if (!failure) ReadBody(served, bytes);
+      });
+}
+
+void concurrent_server::ReadBody(const std::shared_ptr<connection>& served,
+                                 std::size_t header_bytes) {
+  const auto header = served->input.substr(0, header_bytes);
+  constexpr std::string_view kLength = "\r\nContent-Length: ";
+  const auto field = header.find(kLength);
+  const auto body_bytes =
+      field == std::string::npos
+          ? std::size_t{0}
+          : std::stoul(header.substr(field + kLength.size()));
+  const auto missing =
+      header_bytes + body_bytes -
+      std::min(served->input.size(), header_bytes + body_bytes);
+  boost::asio::async_read(
+      served->socket, boost::asio::dynamic_buffer(served->input),
+      boost::asio::transfer_exactly(missing),
+      [this, served, header, bytes = header_bytes + body_bytes](
+          error_code failure, std::size_t) {
         if (failure) return;
-        ++requests_;
-        served->reply = respond_(served->input.substr(0, bytes));
         served->input.erase(0, bytes);
-        served->timer.expires_after(served->reply.delay);
-        served->timer.async_wait(
-            [this, served](error_code) { Respond(served); });
+        Run(served, header);
       });
 }
 
+void concurrent_server::Run(const std::shared_ptr<connection>& served,
+                            const std::string& header) {
+  ++requests_;
+  served->reply = respond_(header);
+  served->timer.expires_after(served->reply.delay);
+  served->timer.async_wait([this, served](error_code) { Respond(served); });
+}
+
 void concurrent_server::Respond(const std::shared_ptr<connection>& served) {
   boost::asio::async_write(served->socket,
                            boost::asio::buffer(served->reply.bytes),
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,10 +21,12 @@
 };
 
 /// A backend server that keeps connections open and serves them concurrently on
-/// its own thread. Requests must not have a body.
+/// its own thread. Reads request bodies with a Content-Length and discards
+/// them.
 class concurrent_server {
  public:
-  /// Returns the response to a request header. Called on the server's thread.
+  /// Returns the response to a request header. Called on the server's thread
+  /// once the whole request has arrived.
   using script = std::function<scripted_reply(const std::string& header)>;
 
   explicit concurrent_server(script respond);
@@ -32,7 +35,7 @@
   concurrent_server& operator=(const concurrent_server&) = delete;
 
   std::string Address() const;
-  /// Number of requests whose header arrived.
+  /// Number of requests that arrived.
   int Requests() const { return requests_; }
 
  private:
@@ -40,6 +43,10 @@
 
   void Accept();
   void ReadHeader(const std::shared_ptr<connection>& served);
+  void ReadBody(const std::shared_ptr<connection>& served,
+                std::size_t header_bytes);
+  void Run(const std::shared_ptr<connection>& served,
+           const std::string& header);
   void Respond(const std::shared_ptr<connection>& served);
 
   script respond_;
