Bound the time of requests by the stop of the daemon that took them

Callers: requests sent late in the grace of a planned stop were passed on, and their connection was closed at its end without a response, requests that may not be repeated among them.

Cause: the end of the stop was not part of a request's time. A request accepted in the 2.2 s after SIGTERM was passed on with the deadline of its caller or route (8 s here), so the daemon beside the backend server admitted it and the server ran it for a caller whose connection closes after 5.6 s. Nothing answered what was still open then.

Change: from SIGTERM on, the deadline of each request and of each new offer of an earlier one is at most 350 ms before the connections close (5.25 s after SIGTERM), not before the last sixth of the grace. It goes out as time left: the daemon beside the server refuses what cannot end by then, and the server ends its work and answers in time. At 5.45 s the daemon answers what has no response: 504, outcome unknown. Refusals during a stop get the longer Retry-After: callers reach only the daemon of their VM, which has to start again first.

--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -34,6 +34,13 @@
   });
 }
 
+void request_router::LimitToStop(const stop_limits& limits) {
+  stop_ = limits;
+  for (const auto& request : in_progress_) {
+    if (const auto routed = request.lock()) routed->LimitToStop();
+  }
+}
+
 void request_router::LogUnanswered() const {
   for (const auto& request : in_progress_) {
     if (const auto routed = request.lock()) routed->LogUnanswered();
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -47,6 +47,16 @@
   double short_wait_target_share = 0.05;
 };
 
+// Times by which the requests of a stopping daemon end.
+struct stop_limits {
+  // Latest deadline that requests are passed on with. Their responses still
+  // arrive before `respond_at`.
+  instant deadline;
+  // When requests without a response get one from the daemon itself; shortly
+  // before their connections close.
+  instant respond_at;
+};
+
 // Routes requests of the callers on this VM to backend servers.
 class request_router final : public call_handler {
  public:
@@ -65,6 +75,9 @@
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
+  // Limits the time of all requests, those in progress included.
+  void LimitToStop(const stop_limits& limits);
+
   // Logs what each request in progress waits for.
   void LogUnanswered() const;
 
@@ -83,7 +96,8 @@
   random_source random_;
   std::shared_ptr<route_table> table_;
   std::map<std::string, deadline_history> deadline_histories_;  // By route.
-  std::set<std::weak_ptr<const routed_request>, std::owner_less<>> in_progress_;
+  std::set<std::weak_ptr<routed_request>, std::owner_less<>> in_progress_;
+  std::optional<stop_limits> stop_;
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -87,7 +87,27 @@
           initial_time_left_);
   target_at_ =
       is_likely_retry ? received_at_ : received_at_ + route_->latency_target;
-  timer_.expires_at(deadline_ + margin);
+  timeout_at_ = deadline_ + margin;
+  if (router_.stop_) {
+    LimitToStop();
+  } else {
+    StartTimer();
+  }
+}
+
+// The connection closes when the stop is over, so an answer is of no use after
+// that. The daemon beside the backend server and the backend server itself
+// learn this from the deadline.
+void routed_request::LimitToStop() {
+  deadline_ = std::min(deadline_, router_.stop_->deadline);
+  // Answers that wait for the link are sent in the order of their targets.
+  target_at_ = std::min(target_at_, deadline_);
+  timeout_at_ = std::min(timeout_at_, router_.stop_->respond_at);
+  StartTimer();
+}
+
+void routed_request::StartTimer() {
+  timer_.expires_at(timeout_at_);
   timer_.async_wait(
       [self = shared_from_this()](boost::system::error_code cancelled) {
         if (!cancelled) self->OnTimeout();
@@ -438,11 +458,14 @@
   RemoveField(answer.head.fields, kErrorField);
   if (reported.ran == run_state::kNotRun && answer.head.status == 503) {
     const auto time_left = initial_time_left_ - (MonotonicNow() - received_at_);
+    // Callers reach no other daemon than that of their VM, so a retry during a
+    // stop has to wait for the next start, about as long as for an overload to
+    // end.
+    const auto cause = reported.kind == error_kind::kOverloaded || router_.stop_
+                           ? refusal_cause::kOverload
+                           : refusal_cause::kNoServer;
     SetField(answer.head.fields, "Retry-After",
-             FormatSeconds(RetryHint(reported.kind == error_kind::kOverloaded
-                                         ? refusal_cause::kOverload
-                                         : refusal_cause::kNoServer,
-                                     time_left, router_.random_)));
+             FormatSeconds(RetryHint(cause, time_left, router_.random_)));
   }
   if (!attempt_id_.empty()) {
     SetField(answer.head.fields, router_.options_.fields.attempt_id,
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -22,6 +22,8 @@
                  std::shared_ptr<incoming_request> request);
 
   void Start();
+  // Applies the limits of the router's stop.
+  void LimitToStop();
   // Logs what the request waits for.
   void LogUnanswered() const;
 
@@ -31,6 +33,7 @@
   void ReadBody();
   void OnBody(result<body_prefix> start);
   void SetDeadlines();
+  void StartTimer();
 
   // Offers to backend servers.
   void OfferNext();
@@ -71,6 +74,8 @@
   instant target_at_;
   // Before the caller's deadline, so that the answer arrives in time.
   instant deadline_;
+  // When a request without an answer gets one of this daemon.
+  instant timeout_at_;
   duration initial_time_left_{0};
   std::shared_ptr<const std::string> body_;  // Complete body, if it is small.
   // A large body; it can be sent only once.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
@@ -36,6 +37,15 @@
 constexpr duration kReadinessLossTime = std::chrono::milliseconds(2200);
 // Part of the stop grace period that is reserved for the exit of the process.
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
+// Time from the latest deadline of requests until the connections close. At its
+// deadline a backend server ends its work and answers; the daemon beside it
+// waits up to 150 ms for that answer. The rest is for the way back.
+constexpr duration kStopAnswerTime = std::chrono::milliseconds(350);
+// Time for the responses of this daemon to requests that got no answer.
+constexpr duration kStopResponseTime = std::chrono::milliseconds(150);
+// Part of the stop grace period before which no running request is broken off:
+// most requests end within it.
+constexpr double kUndisturbedGrace = 5.0 / 6;
 // A connection between daemons opens within milliseconds or not at all.
 constexpr duration kPeerConnectTimeout = std::chrono::milliseconds(300);
 // Daemons acknowledge bytes within milliseconds; this tolerates two consecutive
@@ -183,16 +193,26 @@
     if (stopping_) return;
     stopping_ = true;
     on_stopped_ = std::move(done);
-    stop_deadline_ = MonotonicNow() + settings_.stop_grace - kExitMargin;
+    const auto now = MonotonicNow();
+    stop_deadline_ = now + settings_.stop_grace - kExitMargin;
+    const auto undisturbed = std::chrono::duration_cast<duration>(
+        kUndisturbedGrace * settings_.stop_grace);
+    request_deadline_ =
+        std::min(std::max(stop_deadline_ - kStopAnswerTime, now + undisturbed),
+                 stop_deadline_);
     log_event(log_level::kInfo, "sidecar_stopping")
         .With("member", settings_.name)
         .With("caller_connections",
               static_cast<std::uint64_t>(caller_listener_.OpenConnections()));
+    router_.LimitToStop(
+        {.deadline = request_deadline_,
+         .respond_at =
+             std::max(stop_deadline_ - kStopResponseTime, request_deadline_)});
     caller_listener_.CloseAfterResponses();
     // Tells other daemons while requests in transit can still run.
     leaving_ = true;
     OnOfferedServerChanged();
-    RunAfter(kReadinessLossTime, [this] { CloseListeners(); });
+    RunAt(now + kReadinessLossTime, [this] { CloseListeners(); });
   }
 
   bool OnAnnounced(const server_announcement& announcement) {
@@ -281,8 +301,8 @@
   }
 
   template <typename Function>
-  void RunAfter(duration pause, Function next) {
-    stop_timer_.expires_after(pause);
+  void RunAt(instant time, Function next) {
+    stop_timer_.expires_at(time);
     stop_timer_.async_wait([next](boost::system::error_code cancelled) {
       if (!cancelled) next();
     });
@@ -292,8 +312,7 @@
     dispatcher_.StopAccepting();
     caller_listener_.Stop([this] { OnListenerStopped(); });
     daemon_listener_.Stop([this] { OnListenerStopped(); });
-    RunAfter(std::max(stop_deadline_ - MonotonicNow(), duration(0)),
-             [this] { OnStopped("time"); });
+    RunAt(stop_deadline_, [this] { OnStopped("time"); });
   }
 
   void OnListenerStopped() {
@@ -342,7 +361,8 @@
   std::int64_t ticks_ = 0;
   bool stopping_ = false;
   bool leaving_ = false;
-  instant stop_deadline_;
+  instant stop_deadline_;     // When all connections close.
+  instant request_deadline_;  // Latest deadline of requests while stopping.
   int stopped_listeners_ = 0;
   std::function<void()> on_stopped_;
 };
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -53,7 +53,7 @@
       node->announcement = {.instance = "i-" + std::to_string(index),
                             .service = service,
                             .address = server_address,
-                            .slots = 18,
+                            .slots = slots_,
                             .draining = false,
                             .started_unix_ms = 1000,
                             .sequence = 1};
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -74,6 +74,8 @@
 
   /// Rate of the link of sidecars added from now on; 0 if unknown.
   double link_mbps_ = 0;
+  /// Slots that the backend servers of sidecars added from now on announce.
+  std::size_t slots_ = 18;
   /// Time-out of the routes of configurations published from now on.
   std::chrono::milliseconds route_timeout_{3000};
 
--- a/tests/sidecar/stop_test.cc
+++ b/tests/sidecar/stop_test.cc
@@ -99,7 +99,8 @@
   std::vector<std::thread> loads_;
 };
 
-/// Returns how many calls have no complete response now.
+/// Returns how many calls have neither a complete response of the server nor a
+/// refusal now.
 std::size_t CountUnanswered(std::vector<std::future<raw_response>>& calls) {
   return static_cast<std::size_t>(
       std::count_if(calls.begin(), calls.end(), [](auto& call) {
@@ -108,7 +109,10 @@
           return true;
         }
         const auto response = call.get();
-        return response.status == 0 ||
+        // The server has answered: a time-out in place of its response is no
+        // better than none.
+        const bool failed = response.status >= 500 && response.status != 503;
+        return response.status == 0 || failed ||
                (response.status > 0 && !response.complete);
       }));
 }
