Refuse requests that arrive after the listeners of a stopping daemon closed

Callers: a request whose header or body was still incomplete when the listeners closed, 2.2 s after SIGTERM, was passed on however late it arrived, and one that may not be repeated could be cut while it ran. An upload that did not end before the daemon did got 504 or nothing, so its caller could not repeat it.

Cause: only idle connections close together with the listeners. On the others the daemon went on to take requests until its end.

Change: after the listeners have closed, a request that has not been passed on is refused (503, draining, not run, Connection: close, Retry-After) when it has arrived completely, and shortly before the end at the latest. A caller that is still sending could lose an earlier response when the connection closes, and must not repeat an unsafe request without it. Requests that were passed on before go on.

--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -77,6 +77,8 @@
 
   // Limits the time of all requests, those in progress included.
   void LimitToStop(const stop_limits& limits);
+  // Refuses requests from now on that have not been passed on yet.
+  void StopAccepting() { accepting_ = false; }
 
   // Logs what each request in progress waits for.
   void LogUnanswered() const;
@@ -98,6 +100,7 @@
   std::map<std::string, deadline_history> deadline_histories_;  // By route.
   std::set<std::weak_ptr<routed_request>, std::owner_less<>> in_progress_;
   std::optional<stop_limits> stop_;
+  bool accepting_ = true;
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -132,6 +132,12 @@
     Fail({start.error().kind, start.error().message, run_state::kNotRun});
     return;
   }
+  // Refused only once the body has been read: a caller that still sends may
+  // lose a response that arrives before the connection closes.
+  if (!router_.accepting_) {
+    Fail({error_kind::kDraining, "the daemon is stopping", run_state::kNotRun});
+    return;
+  }
   if (start->complete) {
     body_ = start->bytes;
     head_.framing =
@@ -499,6 +505,10 @@
 void routed_request::OnTimeout() {
   // An answer that has started is forwarded even past the deadline.
   if (finished_ || delivering_) return;
+  if (router_.stop_ && !offer_) {  // Its body has not arrived.
+    Fail({error_kind::kDraining, "the daemon is stopping", run_state::kNotRun});
+    return;
+  }
   if (sent_) {
     may_have_run_ = true;
     sent_->Cancel();
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -309,6 +309,7 @@
   }
 
   void CloseListeners() {
+    router_.StopAccepting();
     dispatcher_.StopAccepting();
     caller_listener_.Stop([this] { OnListenerStopped(); });
     daemon_listener_.Stop([this] { OnListenerStopped(); });
--- a/tests/sidecar/late_request_test.cc
+++ b/tests/sidecar/late_request_test.cc
@@ -351,6 +351,72 @@
   CHECK(Now() < ended_at + kTransitTime);
 }
 
+// Guards against requests that are taken after the listeners have closed, on
+// connections that were not idle then.
+TEST_CASE_METHOD(late_request_fixture,
+                 "Sidecar_HeaderCompletedAfterListenersClose_IsRefused",
+                 "[sidecar]") {
+  raw_client order(CallerAddress(kCallerVm));
+  raw_client query(CallerAddress(kCallerVm));
+  auto stopped = Stop(kCallerVm);
+  std::this_thread::sleep_for(kReadinessLossTime - milliseconds(300));
+  order.Send("POST /order/100 HTTP/1.1\r\nHost: test\r\n");
+  query.Send("GET /safe/100 HTTP/1.1\r\nHo");
+  std::this_thread::sleep_for(milliseconds(700));
+  order.Send(Fields("u1") + "Content-Length: 4\r\n\r\nbody");
+  query.Send("st: test\r\n" + Fields("s1") + "\r\n");
+  for (auto* const client : {&order, &query}) {
+    const auto response = client->Read();
+    CHECK(response.status == 503);
+    CHECK(response.complete);
+    CHECK(response.Field("Connection") == "close");
+    CHECK_FALSE(response.Field("Retry-After").empty());
+    client->Close();
+  }
+  CHECK(ServerRequests() == 0);
+  // Nothing is left to wait for.
+  CHECK(stopped.wait_for(seconds(1)) == std::future_status::ready);
+}
+
+// Guards against uploads that are passed on so late that their run is cut, and
+// against uploads that are cut without a refusal.
+TEST_CASE_METHOD(late_request_fixture,
+                 "Sidecar_UploadNotReadWhenListenersClose_IsRefused",
+                 "[sidecar]") {
+  const auto start = [&](raw_client& client, const std::string& id) {
+    client.Send("POST /order/100 HTTP/1.1\r\nHost: test\r\n" + Fields(id) +
+                "Content-Length: 8\r\n\r\nbody");
+  };
+  raw_client late(CallerAddress(kCallerVm));
+  raw_client unfinished(CallerAddress(kCallerVm));
+  raw_client in_time(CallerAddress(kCallerVm));
+  const auto stop_at = Now();
+  auto stopped = Stop(kCallerVm);
+  std::this_thread::sleep_for(seconds(1));
+  start(late, "u1");
+  start(unfinished, "u2");
+  start(in_time, "u3");
+  std::this_thread::sleep_for(milliseconds(500));
+  in_time.Send("body");
+  CHECK(in_time.Read().status == 200);
+  std::this_thread::sleep_until(stop_at + seconds(3));
+  late.Send("body");
+  const auto refused = late.Read();
+  CHECK(refused.status == 503);
+  CHECK(refused.complete);
+  CHECK(Now() < stop_at + seconds(4));
+  const auto at_end = unfinished.Read();
+  CHECK(at_end.status == 503);
+  CHECK(at_end.complete);
+  CHECK_FALSE(at_end.Field("Retry-After").empty());
+  CHECK(Now() - stop_at >= kLastSixth);
+  // The caller may still be sending when the response arrives.
+  unfinished.Send("body");
+  CHECK(stopped.wait_for(seconds(1)) == std::future_status::ready);
+  CHECK_FALSE(HasRun("u1"));
+  CHECK_FALSE(HasRun("u2"));
+}
+
 // Guards against responses that are lost at the end because their caller reads
 // slowly.
 TEST_CASE_METHOD(late_request_fixture,
