Refuse waiting requests that cannot end before their daemon stops

Callers: a request that waited for a slot at the daemon beside a backend server was started shortly before that daemon ended, and broken off. Its caller got 502 or 504 although the request could have been refused as not run, or run elsewhere. In the test it was a request that may not be repeated.

Cause: the dispatcher did not know when its daemon stops. It admitted, started and sent requests by the deadlines of their senders.

Change: from SIGTERM on, no request at the dispatcher has a deadline after the stop, and the backend server is told so. A waiting request that is expected to end later is refused as not run, at the latest when its slot becomes free, so its sender can offer it to another daemon in the time that is left. A request that still runs at that deadline is reported as unknown while the connection is open.

--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -64,6 +64,9 @@
                                                   exchange_events events) {
   const auto now = MonotonicNow();
   auto refusal = CheckAdmission(request);
+  if (latest_deadline_) {
+    request.deadline = std::min(request.deadline, *latest_deadline_);
+  }
   work_item item{.id = ++last_id_,
                  .work_class = request.work_class,
                  .priority = request.priority,
@@ -145,6 +148,17 @@
   server_.SetAddress(address);
 }
 
+void local_dispatcher::LimitDeadlines(instant latest) {
+  latest_deadline_ = latest;
+  for (const auto& [id, local] : exchanges_) local->LimitDeadline(latest);
+}
+
+bool local_dispatcher::EndsAfterStop(const local_request& request,
+                                     instant now) const {
+  return latest_deadline_ &&
+         now + queue_.MeanRunTime(request.work_class) > *latest_deadline_;
+}
+
 void local_dispatcher::StopAccepting() {
   accepting_ = false;
   if (on_offer_changed_) on_offer_changed_();
@@ -171,10 +185,17 @@
     Refuse(queue_.TakeAll(), error_kind::kDraining,
            "the backend server is leaving");
   }
+  std::vector<std::uint64_t> stopped;
   std::vector<std::shared_ptr<local_exchange>> overdue;
   for (const auto& [id, local] : exchanges_) {
-    if (now > local->Request().deadline) overdue.push_back(local);
+    if (!local->IsSent() && EndsAfterStop(local->Request(), now)) {
+      stopped.push_back(id);
+    } else if (now > local->Request().deadline) {
+      overdue.push_back(local);
+    }
   }
+  Refuse(stopped, error_kind::kDraining,
+         "the daemon stops before the request could end");
   for (const auto& local : overdue) local->CheckDeadline(now);
 }
 
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -76,6 +76,10 @@
   bool OnWithdrawn(const std::string& instance, instant now);
   void SetServerAddress(const std::string& address);
 
+  // Limits the deadlines of all requests, those in progress included: the
+  // daemon stops soon after `latest`. A waiting request that cannot end by then
+  // is refused.
+  void LimitDeadlines(instant latest);
   // Refuses new requests from now on; running ones end.
   void StopAccepting();
   // To be called about every 50 ms: ends requests that waited or ran past their
@@ -98,6 +102,8 @@
   friend class local_exchange;
 
   std::optional<error> CheckAdmission(const local_request& request) const;
+  // Whether a request that starts now would end after the daemon has stopped.
+  bool EndsAfterStop(const local_request& request, instant now) const;
   void OnFinished(std::uint64_t id, std::optional<duration> run_time);
   void Remove(std::uint64_t id);
   void SendWaiting();
@@ -116,6 +122,7 @@
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<local_exchange>> exchanges_;
   std::function<void()> on_offer_changed_;
+  std::optional<instant> latest_deadline_;  // Set while the daemon stops.
   bool accepting_ = true;
 };
 
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -29,6 +29,12 @@
 
 void local_exchange::Send() {
   if (dispatcher_ == nullptr) return;
+  if (dispatcher_->EndsAfterStop(request_, MonotonicNow())) {
+    Refuse({error_kind::kDraining,
+            "the daemon stops before the request could end",
+            run_state::kNotRun});
+    return;
+  }
   sent_at_ = MonotonicNow();
   auto& fields = request_.request.head.fields;
   const auto& names = dispatcher_->options_.fields;
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_SIDECAR_SRC_LOCAL_EXCHANGE_H_
 #define POMELOHALL_SIDECAR_SRC_LOCAL_EXCHANGE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 
@@ -25,7 +26,12 @@
   // Ends a request that is still running past its deadline.
   void CheckDeadline(instant now);
 
+  void LimitDeadline(instant latest) {
+    request_.deadline = std::min(request_.deadline, latest);
+  }
+
   const local_request& Request() const { return request_; }
+  bool IsSent() const { return sent_ != nullptr; }
 
   // exchange
   void Cancel() override;
--- a/tests/sidecar/late_request_test.cc
+++ b/tests/sidecar/late_request_test.cc
@@ -435,5 +435,28 @@
   CHECK(response.complete);
 }
 
+class one_slot_fixture : public late_request_fixture {
+ protected:
+  one_slot_fixture() : late_request_fixture(1) {}
+};
+
+// Guards against waiting requests that start so late that they are cut when the
+// daemon beside the backend server ends.
+TEST_CASE_METHOD(one_slot_fixture,
+                 "Sidecar_RequestWaitsForSlotUntilStopEnds_IsRefusedNotRun",
+                 "[sidecar]") {
+  auto running = CallAt(Now(), "POST", "/order/5000", "u1", false, "body");
+  std::this_thread::sleep_for(milliseconds(200));
+  auto waiting = CallAt(Now(), "POST", "/order/5000", "u2", false, "body");
+  std::this_thread::sleep_for(milliseconds(100));
+  auto stopped = Stop(kServerVm);
+  REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
+  CHECK(running.get().response.status == 200);
+  const auto refused = waiting.get();
+  CHECK(refused.response.status == 503);
+  CHECK_FALSE(refused.response.Field("Retry-After").empty());
+  CHECK_FALSE(HasRun("u2"));
+}
+
 }  // namespace
 }  // namespace pomelohall
