Send answers that wait for the link before the daemon ends

Callers: large responses that their backend server had given were lost when the daemon beside that server stopped: 502 at the daemon of the caller, or a second run.

Cause: answer_sender sends large answers one after the other at the rate of the link, and dropped those that still waited when the stop was over.

What was handed to the kernel goes out even after the process has ended.

Loopback has no rate limit: how much of such a backlog a full link still carries is not measured.

--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -28,7 +28,7 @@
 
 void answer_sender::Send(const std::shared_ptr<incoming_request>& request,
                          incoming_response answer, instant target_at) {
-  if (!answer.head.length || !queue_.IsPaced(*answer.head.length)) {
+  if (!paced_ || !answer.head.length || !queue_.IsPaced(*answer.head.length)) {
     CountSent(answer.head);
     request->Respond(std::move(answer), nullptr);
     return;
@@ -54,11 +54,7 @@
     if (found == waiting_.end()) continue;
     auto next = std::move(found->second);
     waiting_.erase(found);
-    if (MonotonicNow() - next.queued_at >= kMinLoggedWait) {
-      LogWait("answer_sent_late", next);
-    }
-    ++sent_answers_;
-    next.request->Respond(std::move(next.answer), nullptr);
+    SendQueued(std::move(next));
   }
   if (queue_.Empty()) return;
   timer_.expires_after(queue_.LinkFreeAt() - MonotonicNow());
@@ -67,6 +63,23 @@
   });
 }
 
+void answer_sender::SendQueued(waiting_answer next) {
+  if (MonotonicNow() - next.queued_at >= kMinLoggedWait) {
+    LogWait("answer_sent_late", next);
+  }
+  ++sent_answers_;
+  next.request->Respond(std::move(next.answer), nullptr);
+}
+
+void answer_sender::SendAll() {
+  paced_ = false;
+  timer_.cancel();
+  for (auto& [id, next] : std::exchange(waiting_, {})) {
+    queue_.Remove(id);
+    SendQueued(std::move(next));
+  }
+}
+
 void answer_sender::Remove(std::uint64_t id) {
   queue_.Remove(id);
   const auto found = waiting_.find(id);
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -31,6 +31,9 @@
   // Accounts for an answer that is sent without queueing.
   void CountSent(const response_head& head);
 
+  // Sends all queued answers at once, and further ones without queueing them.
+  void SendAll();
+
   // Drops all queued answers.
   void Stop();
 
@@ -49,12 +52,14 @@
   };
 
   void SendReady();
+  void SendQueued(waiting_answer next);
   void Remove(std::uint64_t id);
   void LogWait(std::string_view event, const waiting_answer& waiting) const;
 
   transmit_queue queue_;
   boost::asio::steady_timer timer_;
   const std::string attempt_id_field_;
+  bool paced_ = true;
   std::uint64_t last_id_ = 0;
   std::uint64_t sent_answers_ = 0;  // Queued ones only.
   std::unordered_map<std::uint64_t, waiting_answer> waiting_;
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -314,6 +314,12 @@
     dispatcher_.StopAccepting();
     caller_listener_.Stop([this] { OnListenerStopped(); });
     daemon_listener_.Stop([this] { OnListenerStopped(); });
+    RunAt(request_deadline_, [this] { SendQueuedAnswers(); });
+  }
+
+  // Bytes that were handed to the kernel are sent even after the process ends.
+  void SendQueuedAnswers() {
+    sender_.SendAll();
     RunAt(stop_deadline_, [this] { OnStopped("time"); });
   }
 
--- a/tests/sidecar/late_request_test.cc
+++ b/tests/sidecar/late_request_test.cc
@@ -435,6 +435,37 @@
   CHECK(response.complete);
 }
 
+class full_link_late_fixture : public late_request_fixture {
+ protected:
+  full_link_late_fixture() : late_request_fixture(90, 7) {}
+};
+
+// Guards against large responses that are dropped when the daemon beside the
+// backend server ends while they wait for the link.
+TEST_CASE_METHOD(full_link_late_fixture,
+                 "Sidecar_ResponsesQueuedForLinkAtTheEndOfAStop_AreSent",
+                 "[sidecar]") {
+  // The link carries them within 7.7 s.
+  response_bytes_ = 300'000;
+  constexpr std::size_t kCalls = 18;
+  std::vector<std::future<call_result>> calls;
+  calls.reserve(kCalls);
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    calls.push_back(CallAt(Now() + milliseconds(100), "GET", "/safe/300",
+                           "s" + std::to_string(i)));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  auto stopped = Stop(kServerVm);
+  REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
+  const auto ended_at = Now();
+  for (auto& call : calls) {
+    const auto result = call.get();
+    CHECK(result.response.status == 200);
+    CHECK(result.response.complete);
+    CHECK(result.ended_at <= ended_at + kTransitTime);
+  }
+}
+
 class one_slot_fixture : public late_request_fixture {
  protected:
   one_slot_fixture() : late_request_fixture(1) {}
