Count a refusal only for the request that it belongs to

Callers were told "not run" (503) for requests that their backend server had run, or such a request ran at a second backend server: if a backend server wrote an earlier refusal once more, without an id, after the next request on a kept connection had come, the copy was taken as the response to that request.

Cause: client_exchange took each response without the id as its own, and responses with any id if the request had none.

A response without the id is now accepted only on a connection that has carried no other request, sent nothing before the request, and skipped no response. On other connections the call fails with answer_mismatch and an unknown outcome: an unsafe request gets 502 and is not repeated, an idempotent one may be. The copy cannot be told from the response in another way, and a response that belongs to no request must not decide what a caller does. A response with an id to a request without one is skipped. A request without an id has nothing to be echoed, so only refusals of it are subject to the rule. Connections between daemons keep the old rule: daemons send no response twice, and do not echo the id in their error responses. pomelohalld had the same fault with responses that say Pomelohall-Outcome: not_run.

The stand-in server disables Nagle's algorithm: otherwise its bytes after a response were held back until the client acknowledged with its next request.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -33,6 +33,18 @@
   /// Name of the field that a response echoes from its request. A response with
   /// a different value belongs to an earlier request and is skipped.
   std::string echo_field{kCallIdField};
+  /// Whether the peer echoes the field in all responses. If so, a response
+  /// without it is accepted only on a connection that has carried no other
+  /// request: on a reused connection it may be a repeated response to an
+  /// earlier request, so the call fails with `kAnswerMismatch` and its outcome
+  /// is unknown. Off for daemons, which never repeat a response and do not echo
+  /// the field in their error responses.
+  bool peer_echoes_always = false;
+  /// Returns whether a response promises that the request was not run; may be
+  /// empty. With `peer_echoes_always`, such a response to a request that has no
+  /// echo field itself is subject to the same rule. Other responses to such
+  /// requests are accepted, as nothing could be echoed.
+  std::function<bool(const response_head&)> is_refusal{};
   /// Accepts responses whose end is marked by the close of the connection. They
   /// are forwarded as chunked, and are complete unless the connection is reset.
   /// If false, they fail with `kAnswerCutShort`.
--- a/libs/backend/src/client_connection.h
+++ b/libs/backend/src/client_connection.h
@@ -24,6 +24,8 @@
   // Idle time after which the peer may close, derived from its Keep-Alive
   // field. 0 if it sent none.
   duration peer_idle_timeout{0};
+  // Whether a request was sent on the connection.
+  bool used = false;
 };
 
 using client_connection_ptr = std::shared_ptr<client_connection>;
--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -66,6 +66,8 @@
 void client_exchange::Run(client_connection_ptr connection) {
   connection_ = std::move(connection);
   last_progress_ = MonotonicNow();
+  connection_is_fresh_ =
+      !std::exchange(connection_->used, true) && !IsStale(connection_->socket);
   BuildMessage();
   if (request_.body) {
     ReadRequestPart();
@@ -163,10 +165,17 @@
     ReadHeader();
     return;
   }
-  if (!IsOwnResponse()) {
+  const auto owner = FindOwner();
+  if (owner == response_owner::kOtherCall) {
     SkipResponse();
     return;
   }
+  if (owner == response_owner::kUnknown) {
+    Fail({error_kind::kAnswerMismatch,
+          "the response has no call ID, and the connection was used before",
+          run_state::kUnknown});
+    return;
+  }
   auto head = CopyHead();
   if (!head) {
     Fail(head.error());
@@ -175,11 +184,31 @@
   DeliverResponse(std::move(*head));
 }
 
-bool client_exchange::IsOwnResponse() const {
-  if (echo_value_.empty()) return true;
+client_exchange::response_owner client_exchange::FindOwner() const {
+  const auto& message = parser_->get();
+  const auto ids = message.equal_range(ToBeast(options_.echo_field));
+  if (ids.first != ids.second) {
+    const bool echoed = std::all_of(
+        ids.first, ids.second, [this](const http::fields::value_type& field) {
+          return !echo_value_.empty() && ToView(field.value()) == echo_value_;
+        });
+    return echoed ? response_owner::kThisCall : response_owner::kOtherCall;
+  }
+  const bool certain = connection_is_fresh_ && skipped_responses_ == 0;
+  if (certain || !options_.peer_echoes_always) return response_owner::kThisCall;
+  // Nothing could be echoed, so only a promise needs proof.
+  if (echo_value_.empty() && !IsRefusal()) return response_owner::kThisCall;
+  return response_owner::kUnknown;
+}
+
+bool client_exchange::IsRefusal() const {
+  if (!options_.is_refusal) return false;
   const auto& message = parser_->get();
-  const auto found = message.find(ToBeast(options_.echo_field));
-  return found == message.end() || ToView(found->value()) == echo_value_;
+  return options_.is_refusal({.status = static_cast<int>(message.result_int()),
+                              .reason = {},
+                              .fields = CopyFields(message),
+                              .framing = body_framing::kNone,
+                              .length = std::nullopt});
 }
 
 // Reads and discards a response to an earlier request. The response to this
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -62,7 +62,14 @@
   void ReadHeader();
   void OnHeader(boost::system::error_code failure);
   result<response_head> CopyHead() const;
-  bool IsOwnResponse() const;
+  // Which request a response belongs to.
+  enum class response_owner {
+    kThisCall,
+    kOtherCall,
+    kUnknown,  // It may be a repeated response to an earlier request.
+  };
+  response_owner FindOwner() const;
+  bool IsRefusal() const;
   void SkipResponse();
   void OnSkipped(boost::system::error_code failure);
   bool IsReusable() const;
@@ -93,6 +100,9 @@
   std::size_t part_capacity_ = 0;
   callback pending_read_;
   instant last_progress_;
+  // Whether no bytes of an earlier response can arrive on the connection: it
+  // has carried no other request, and sent nothing before this one.
+  bool connection_is_fresh_ = false;
   bool sending_started_ = false;
   bool request_written_ = false;
   bool response_started_ = false;
--- a/libs/caller/src/owner_task.cc
+++ b/libs/caller/src/owner_task.cc
@@ -13,15 +13,14 @@
 
 constexpr int kServiceUnavailable = 503;
 
-// Returns whether the backend server rejected the request without running it.
+}  // namespace
+
 bool IsNotRunResponse(const response_head& head) {
   const auto* outcome = FindField(head.fields, kOutcomeField);
   return head.status == kServiceUnavailable && outcome != nullptr &&
          FindRunState(*outcome) == run_state::kNotRun;
 }
 
-}  // namespace
-
 owner_task::owner_task(context_ptr context, request_id id,
                        owner_request request, exchange_events events)
     : context_(std::move(context)),
--- a/libs/caller/src/owner_task.h
+++ b/libs/caller/src/owner_task.h
@@ -11,6 +11,9 @@
 
 namespace pomelohall {
 
+// Returns whether the backend server rejected the request without running it.
+bool IsNotRunResponse(const response_head& head);
+
 // One call at its owner daemon: waits for admission, runs on the backend server
 // and reports its result.
 class owner_task final : public exchange,
--- a/libs/caller/src/service_context.cc
+++ b/libs/caller/src/service_context.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "owner_task.h"
+
 namespace pomelohall {
 namespace {
 
@@ -32,6 +34,8 @@
   pool_options pool;
   pool.max_connections = options.max_backend_connections;
   pool.progress_timeout = options.progress_timeout;
+  pool.peer_echoes_always = true;
+  pool.is_refusal = IsNotRunResponse;
   return pool;
 }
 
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -11,6 +11,8 @@
 namespace pomelohall {
 namespace {
 
+constexpr int kMisdirectedRequest = 421;
+
 pool_options PoolOptions(const local_dispatcher_options& options) {
   return {.max_connections = options.max_connections,
           // The backend server is on this VM: it accepts connections
@@ -18,11 +20,21 @@
           .connect_timeout = std::chrono::milliseconds(300),
           .dead_peer_timeout = options.dead_peer_timeout,
           .echo_field = options.fields.attempt_id,
+          .peer_echoes_always = true,
+          .is_refusal =
+              [fields = options.fields](const response_head& head) {
+                return IsRefusal(head, fields);
+              },
           .allow_close_delimited = true};
 }
 
 }  // namespace
 
+bool IsRefusal(const response_head& head, const header_field_names& fields) {
+  return head.status == kMisdirectedRequest ||
+         FindField(head.fields, fields.not_executed) != nullptr;
+}
+
 local_dispatcher::local_dispatcher(boost::asio::io_context& io,
                                    local_dispatcher_options options,
                                    transmit_queue& link)
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -50,6 +50,9 @@
   duration dead_peer_timeout = std::chrono::milliseconds(1500);
 };
 
+// Returns whether a backend server reports that it did not run the request.
+bool IsRefusal(const response_head& head, const header_field_names& fields);
+
 // Admission control and dispatch for the backend server beside this daemon, for
 // requests of this daemon and of others. Nothing else sends requests to that
 // backend server, so a request that the dispatcher refuses has certainly not
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -57,7 +57,7 @@
   if (dispatcher_ == nullptr) return;
   if (!answer) {
     OnFailure(answer.error());
-  } else if (IsRefusal(answer->head)) {
+  } else if (IsRefusal(answer->head, dispatcher_->options_.fields)) {
     RefusedByServer(*answer);
   } else if (const auto signature_error = SignatureError(answer->head)) {
     sent_->Cancel();
@@ -103,12 +103,6 @@
   }
 }
 
-bool local_exchange::IsRefusal(const response_head& head) const {
-  return head.status == kMisdirectedRequest ||
-         FindField(head.fields, dispatcher_->options_.fields.not_executed) !=
-             nullptr;
-}
-
 // Rejects successful answers without a signature: they may not come from a
 // backend server at all.
 std::optional<error> local_exchange::SignatureError(
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -33,7 +33,6 @@
  private:
   void OnResponse(result<incoming_response> answer);
   void OnFailure(const error& failure);
-  bool IsRefusal(const response_head& head) const;
   std::optional<error> SignatureError(const response_head& head) const;
   void Log(const char* event, const error& failure) const;
   void RefusedByServer(const incoming_response& answer);
--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "backend_stub/pattern.h"
+#include "concurrent_server.h"
 #include "mesh_fixture.h"
 #include "raw_client.h"
 #include "scripted_server.h"
@@ -84,6 +85,42 @@
   }
 }
 
+// Guarantee P5: a copy of an earlier refusal that precedes the response to a
+// call on the same connection does not make it "not run".
+TEST_CASE("Fault_RepeatedRefusal_IsNotReportedNotRun", "[fault]") {
+  const std::string refusal =
+      "HTTP/1.1 503 X\r\nPomelohall-Outcome: not_run\r\n"
+      "Content-Length: 0\r\n";
+  for (const bool with_id : {false, true}) {
+    concurrent_server server([&](const std::string& header) {
+      const auto id_line =
+          "Pomelohall-Call-Id: " + HeaderValue(header, "Pomelohall-Call-Id") +
+          "\r\n";
+      scripted_reply reply{.bytes = "HTTP/1.1 200 OK\r\n" + id_line +
+                                    "Content-Length: 2\r\n\r\nok"};
+      reply.before_next_response =
+          refusal + (with_id ? id_line : std::string()) + "\r\n";
+      return reply;
+    });
+    mesh_fixture mesh;
+    mesh.AddDaemon();
+    mesh.SetBackend(mesh.AddDaemon(), server.Address());
+    mesh.PublishSnapshot();
+    for (const std::size_t entry : {0U, 1U}) {
+      INFO("entry " << entry << ", with ID " << with_id);
+      // Of two calls, at least the second is behind the copy.
+      for (int call = 0; call < 2; ++call) {
+        const int before = server.Requests();
+        raw_client client(mesh.CallerAddress(entry));
+        const auto response = client.Call("POST", "/order/1");
+        CHECK(server.Requests() == before + 1);
+        CHECK(response.Field("Pomelohall-Outcome") != "not_run");
+        if (with_id) CHECK(response.status == 200);
+      }
+    }
+  }
+}
+
 // Guards against requests that keep running after their caller disconnected,
 // with the entry and the owner in one daemon and in two.
 TEST_CASE("Fault_CallerDisconnects_CancelsTheCall", "[fault]") {
--- a/tests/sidecar/concurrent_server.cc
+++ b/tests/sidecar/concurrent_server.cc
@@ -44,7 +44,13 @@
 
 void concurrent_server::Accept() {
   acceptor_.async_accept([this](error_code failure, tcp::socket socket) {
-    if (!failure) ReadHeader(std::make_shared<connection>(std::move(socket)));
+    if (!failure) {
+      ++connections_;
+      // Otherwise bytes after a response wait for its acknowledgement, which a
+      // client may delay until it sends the next request.
+      socket.set_option(tcp::no_delay(true), failure);
+      ReadHeader(std::make_shared<connection>(std::move(socket)));
+    }
     Accept();
   });
 }
@@ -55,7 +61,9 @@
       [this, served](error_code failure, std::size_t bytes) {
         if (failure) return;
         ++requests_;
-        served->reply = respond_(served->input.substr(0, bytes));
+        auto reply = respond_(served->input.substr(0, bytes));
+        reply.bytes.insert(0, served->reply.before_next_response);
+        served->reply = std::move(reply);
         served->input.erase(0, bytes);
         served->timer.expires_after(served->reply.delay);
         served->timer.async_wait(
@@ -67,12 +75,30 @@
   boost::asio::async_write(served->socket,
                            boost::asio::buffer(served->reply.bytes),
                            [this, served](error_code failure, std::size_t) {
-                             if (failure || served->reply.close) {
-                               served->socket.close(failure);
-                             } else {
-                               ReadHeader(served);
-                             }
+                             if (!failure) OnResponded(served);
                            });
 }
 
+void concurrent_server::OnResponded(const std::shared_ptr<connection>& served) {
+  error_code ignored;
+  if (served->reply.reset) {
+    // A close with a linger time of 0 resets the connection.
+    served->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                              ignored);
+  }
+  if (served->reply.reset || served->reply.close) {
+    served->socket.close(ignored);
+    return;
+  }
+  ReadHeader(served);
+  if (served->reply.late_bytes.empty()) return;
+  served->timer.expires_after(served->reply.late_delay);
+  served->timer.async_wait([served](error_code cancelled) {
+    if (cancelled) return;
+    error_code failure;
+    boost::asio::write(served->socket,
+                       boost::asio::buffer(served->reply.late_bytes), failure);
+  });
+}
+
 }  // namespace pomelohall
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -17,6 +17,14 @@
   std::string bytes;
   std::chrono::milliseconds delay{0};  ///< Time before the bytes are sent.
   bool close = false;  ///< Whether the connection is closed after them.
+  bool reset = false;  ///< Whether it is reset instead of closed.
+  /// Bytes that are sent when the next request on the connection has arrived,
+  /// directly before the response to it.
+  std::string before_next_response{};
+  /// Bytes that are sent after `late_delay` without a request. The next request
+  /// must arrive later.
+  std::string late_bytes{};
+  std::chrono::milliseconds late_delay{0};
 };
 
 /// A backend server that keeps connections open and serves them concurrently on
@@ -34,6 +42,8 @@
   std::string Address() const;
   /// Number of requests whose header arrived.
   int Requests() const { return requests_; }
+  /// Number of connections that were accepted.
+  int Connections() const { return connections_; }
 
  private:
   struct connection;
@@ -41,9 +51,11 @@
   void Accept();
   void ReadHeader(const std::shared_ptr<connection>& served);
   void Respond(const std::shared_ptr<connection>& served);
+  void OnResponded(const std::shared_ptr<connection>& served);
 
   script respond_;
   std::atomic<int> requests_{0};
+  std::atomic<int> connections_{0};
   boost::asio::io_context io_{1};
   boost::asio::ip::tcp::acceptor acceptor_;
   std::thread thread_;
