Close the connection after a refusal by a backend server

A caller that sent a request again with its id after a refusal was told "not run" (503) while the request ran, if the backend server wrote the refusal once more on the same connection: the copy bears the right id.

The connection is now closed after a refusal, so that a copy of it meets no later request. The sidecar offers a refused request to no server twice, so this happens only if the caller uses an id again; the protection no longer depends on that. It costs one new connection for each refusal, and a server refuses rarely, as the daemon sends it no more requests than it has slots. Connections between daemons are not affected: they have no is_refusal, and refusals by a daemon are frequent under load and truthful.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -41,9 +41,11 @@
   /// the field in their error responses.
   bool peer_echoes_always = false;
   /// Returns whether a response promises that the request was not run; may be
-  /// empty. With `peer_echoes_always`, such a response to a request that has no
-  /// echo field itself is subject to the same rule. Other responses to such
-  /// requests are accepted, as nothing could be echoed.
+  /// empty. The connection is closed after such a response, so that a copy of
+  /// it can meet no later request, not even the same one sent again. With
+  /// `peer_echoes_always`, such a response to a request that has no echo field
+  /// itself is subject to the same rule. Other responses to such requests are
+  /// accepted, as nothing could be echoed.
   std::function<bool(const response_head&)> is_refusal{};
   /// Accepts responses whose end is marked by the close of the connection. They
   /// are forwarded as chunked, and are complete unless the connection is reset.
--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -181,6 +181,7 @@
     Fail(head.error());
     return;
   }
+  refused_ = options_.is_refusal && options_.is_refusal(*head);
   DeliverResponse(std::move(*head));
 }
 
@@ -245,13 +246,17 @@
 
 // Returns whether the connection can carry another request. Not if the request
 // was not fully written: a server may respond before it has read all of it, and
-// would then treat the next request as the rest of this one.
+// would then treat the next request as the rest of this one. Not after a
+// refusal: a faulty server may write it once more, and if this request is sent
+// again on the connection, the copy would be taken as its response. Servers
+// refuse rarely, as the daemon knows how many requests they can run.
 bool client_exchange::IsReusable() const {
   const auto& message = parser_->get();
   connection_->peer_idle_timeout = std::chrono::duration_cast<duration>(
       kKeepAliveTimeoutFraction *
       ParseKeepAliveTimeout(ToView(message[http::field::keep_alive])));
-  return request_written_ && message.keep_alive() && !parser_->need_eof();
+  return request_written_ && !refused_ && message.keep_alive() &&
+         !parser_->need_eof();
 }
 
 result<response_head> client_exchange::CopyHead() const {
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -106,6 +106,7 @@
   bool sending_started_ = false;
   bool request_written_ = false;
   bool response_started_ = false;
+  bool refused_ = false;  // The response is a refusal.
   std::size_t skipped_responses_ = 0;
   // Buffered bytes from which on parsing can make progress.
   std::size_t min_parsed_bytes_ = 1;
--- a/tests/sidecar/repeated_refusal_test.cc
+++ b/tests/sidecar/repeated_refusal_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -224,6 +225,40 @@
   CHECK(Send(1, "POST", "/order/refuse", NextId()).status == 502);
 }
 
+// Guards against a request that is sent again with its ID after a refusal,
+// runs, and is reported as not run because the copy of its first refusal
+// precedes its response.
+TEST_CASE_METHOD(refusing_fleet,
+                 "RepeatedRefusal_SameIdIsSentAgain_IsNoPromise", "[refusal]") {
+  for (const auto& form : RefusalForms()) {
+    // The sidecar stops using a backend server that refuses so.
+    if (std::string_view(form.name) == "421") continue;
+    for (const std::size_t entry : {0U, 1U}) {
+      INFO(form.name << ", entry " << entry);
+      const auto id = NextId();
+      form_ = &form;
+      change_next_reply_ = [&](scripted_reply& reply) {
+        reply.before_next_response = reply.bytes;
+      };
+      CHECK(Send(entry, "POST", "/order/refuse", id).status == 503);
+      CHECK(runs_.Of(id) == 0);
+      CHECK(Send(entry, "POST", "/order/run", id).status == 200);
+      CHECK(runs_.Of(id) == 1);
+    }
+  }
+}
+
+// Guards against a refusal that leaves its connection open, and against one
+// that costs more connections than its own.
+TEST_CASE_METHOD(refusing_fleet, "Refusal_ByTheServer_ClosesItsConnection",
+                 "[refusal]") {
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Send(0, "POST", "/order/refuse", NextId()).status == 503);
+    CHECK(Send(0, "POST", "/order/run", NextId()).status == 200);
+  }
+  CHECK(server_.Connections() == 6);
+}
+
 // Guards against a response with the ID of another request that is taken as the
 // response to a request without an ID.
 TEST_CASE_METHOD(refusing_fleet,
