Close connections of the HTTP client that have bytes behind a response

If a server wrote more bytes in the packet of a response, the client of the platform's store took them as the response to its next request on that connection: its read buffer was kept with the idle connection, and only the socket was checked for unexpected bytes.

A connection whose read buffer is not empty is now closed, as in connection_pool. Client_BytesBehindAResponse_AreDiscarded fails without the change and passes with it.

--- a/libs/http/src/client_call.cc
+++ b/libs/http/src/client_call.cc
@@ -137,7 +137,10 @@
 void client_call::Succeed() {
   // The body callback may have destroyed the client.
   if (!done_) return;
-  const bool reusable = connection_ && parser_->get().keep_alive();
+  // Bytes beyond the response belong to no request, and would be read as the
+  // response to the next one.
+  const bool reusable = connection_ && connection_->buffer.size() == 0 &&
+                        parser_->get().keep_alive();
   if (reusable) core_->ReturnIdle(address_, std::move(connection_));
   Finish(FromBeast(parser_->release()));
 }
--- a/libs/http/tests/http_client_test.cc
+++ b/libs/http/tests/http_client_test.cc
@@ -56,6 +56,39 @@
   CHECK(Call({})->body == "ok");
 }
 
+// Guards against bytes behind a response that are taken as the response to the
+// next request.
+TEST_CASE_METHOD(http_fixture, "Client_BytesBehindAResponse_AreDiscarded") {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const auto serve = [&acceptor](const std::string& response) {
+    boost::system::error_code failure;
+    auto socket = acceptor.accept();
+    std::string request;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                            "\r\n\r\n", failure);
+    boost::asio::write(socket, boost::asio::buffer(response), failure);
+    // Waits for the next request or the end of the connection.
+    char byte = 0;
+    boost::asio::read(socket, boost::asio::buffer(&byte, 1), failure);
+  };
+  std::thread server([&serve] {
+    serve(kOkResponse + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    serve(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n"
+        "\r\nown");
+  });
+  address_ = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  const auto first = Call({});
+  CHECK((first && first->body == "ok"));
+  const auto second = Call({});
+  CHECK((second && second->body == "own"));
+  // Ends the server even if the client did not open a second connection.
+  tcp::socket(io).connect(acceptor.local_endpoint());
+  server.join();
+}
+
 // Guards against a request that is reported as not run although it was sent.
 TEST_CASE_METHOD(http_fixture, "Client_ResponseTimeout_ReportsOutcomeUnknown") {
   Listen();
