--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -64,8 +64,8 @@
   });
 }
 
-void sidecar_fleet::PublishConfig(int version,
-                                  const std::string& added_prefix) {
+void sidecar_fleet::PublishConfig(int version, const std::string& added_prefix,
+                                  const char* added_kind) {
   const auto route = [this](const std::string& prefix, const char* kind) {
     return json{{"name", prefix},
                 {"host", "test"},
@@ -78,7 +78,7 @@
                 {"attempts", 2}};
   };
   json routes{route("/safe/", "safe"), route("/order/", "unsafe")};
-  if (!added_prefix.empty()) routes.push_back(route(added_prefix, "safe"));
+  if (!added_prefix.empty()) routes.push_back(route(added_prefix, added_kind));
   const json spec{{"version", "r" + std::to_string(version)},
                   {"routes", std::move(routes)},
                   {"services", {{{"name", "shop"}}}},
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -43,7 +43,9 @@
   }
   /// Writes the configuration to the store under the given version.
   /// @param added_prefix Path prefix of a further route; empty for none.
-  void PublishConfig(int version, const std::string& added_prefix = "");
+  /// @param added_kind Kind of that route.
+  void PublishConfig(int version, const std::string& added_prefix = "",
+                     const char* added_kind = "safe");
   /// Waits until all sidecars are ready, and at least `server_count` backend
   /// servers are offered in the store and known to all sidecars.
   void WaitUntilOffered(std::size_t server_count);
