Reject a response that follows the start of another one

If a backend server wrote the start of an earlier response's header on a kept connection before its response, the two were read as one header if the first ended within a field value or the reason phrase. The result has the status of the first and the id of the second: a caller could get 200 for a request that failed, or 503 (not run) for one that ran.

A header that contains a status line within a field value or the reason phrase now fails the call with answer_mismatch and an unknown outcome, unless nothing can precede the response (first on its connection). A cut elsewhere, in a name or between lines, is a syntax error already. A backend server that sends a status line as the value of a field of its own loses answers on kept connections; no field that is in use has such a value.

--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cassert>
 #include <limits>
+#include <string_view>
 #include <utility>
 
 #include "backend/beast_fields.h"
@@ -45,6 +46,24 @@
   return std::chrono::seconds(ParseNumber(text).value_or(0));
 }
 
+// Returns whether `text` contains a status line, such as "HTTP/1.1 200".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersionStart = "HTTP/1.";
+  // The digits of the minor version and of the status, and a space.
+  constexpr std::size_t kRestLength = 5;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  auto start = text.find(kVersionStart);
+  while (start != std::string_view::npos) {
+    const auto rest = text.substr(start + kVersionStart.size());
+    if (rest.size() >= kRestLength && is_digit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.begin() + kRestLength, is_digit)) {
+      return true;
+    }
+    start = text.find(kVersionStart, start + 1);
+  }
+  return false;
+}
+
 }  // namespace
 
 client_exchange::client_exchange(outgoing_request request,
@@ -165,6 +184,12 @@
     ReadHeader();
     return;
   }
+  if (IsJoined()) {
+    Fail({error_kind::kAnswerMismatch,
+          "the response follows the start of another one",
+          run_state::kUnknown});
+    return;
+  }
   const auto owner = FindOwner();
   if (owner == response_owner::kOtherCall) {
     SkipResponse();
@@ -202,6 +227,20 @@
   return response_owner::kUnknown;
 }
 
+// Returns whether the header is the start of an earlier response's header, cut
+// within a line, and the header of another response. It has the status of the
+// first and the ID of the second one. On a fresh connection, nothing precedes
+// the response.
+bool client_exchange::IsJoined() const {
+  if (connection_is_fresh_ && skipped_responses_ == 0) return false;
+  const auto& message = parser_->get();
+  return ContainsStatusLine(ToView(message.reason())) ||
+         std::any_of(message.begin(), message.end(),
+                     [](const http::fields::value_type& field) {
+                       return ContainsStatusLine(ToView(field.value()));
+                     });
+}
+
 bool client_exchange::IsRefusal() const {
   if (!options_.is_refusal) return false;
   const auto& message = parser_->get();
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -70,6 +70,7 @@
   };
   response_owner FindOwner() const;
   bool IsRefusal() const;
+  bool IsJoined() const;
   void SkipResponse();
   void OnSkipped(boost::system::error_code failure);
   bool IsReusable() const;
--- a/tests/sidecar/cut_head_test.cc
+++ b/tests/sidecar/cut_head_test.cc
@@ -1,5 +1,6 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -81,11 +82,15 @@
     bytes_ = std::move(bytes);
     end_ = end;
   }
+  /// Selects bytes that precede the response to the request after one to
+  /// /whole.
+  void SendBeforeNextResponse(std::string bytes) { before_ = std::move(bytes); }
 
  private:
   scripted_reply Reply(const std::string& header) const {
     if (header.find("/cut") == std::string::npos) {
-      return {.bytes = sidecar_fleet::SignedResponse(200, "a1", "whole")};
+      return {.bytes = sidecar_fleet::SignedResponse(200, "a1", "whole"),
+              .before_next_response = before_};
     }
     return {.bytes = bytes_,
             .close = true,
@@ -93,6 +98,7 @@
   }
 
   std::string bytes_;
+  std::string before_;
   connection_end end_ = connection_end::kClose;
   concurrent_server server_{
       [this](const std::string& header) { return Reply(header); }};
@@ -130,7 +136,9 @@
            OnResponse(std::move(response), seen);
          }});
     io_.restart();
-    io_.run();
+    // A call that ends late fails the test, as it has no result then.
+    io_.run_for(std::chrono::seconds(10));
+    call->Cancel();
     return seen;
   }
   void CloseIdle() { pool_.CloseIdle(); }
@@ -182,6 +190,38 @@
   }
 }
 
+// Guards against the start of an earlier response's head that is joined with
+// the response to the next request, and gives it a wrong status.
+TEST_CASE("CutHead_FollowedByTheNextResponse_IsNotJoinedWithIt", "[cut]") {
+  struct joined_responses {
+    std::string earlier;
+    int status;
+  };
+  const std::vector<joined_responses> cases{
+      {"HTTP/1.1 200 OK\r\nServer: one\r\n"
+       "Pomelohall-Response-Signature: old\r\nContent-Length: 3\r\n"
+       "Pomelohall-Attempt-Id: other\r\n\r\n",
+       500},
+      {"HTTP/1.1 503 X\r\nPomelohall-Not-Executed: 1\r\nRetry-After: 1\r\n"
+       "Content-Length: 0\r\nPomelohall-Attempt-Id: other\r\n\r\n",
+       200}};
+  cutting_server server;
+  pool_caller caller(server.Address(), true);
+  for (const auto& joined : cases) {
+    const auto next =
+        sidecar_fleet::SignedResponse(joined.status, "a1", "next");
+    server.CutAt(next, connection_end::kClose);
+    for (std::size_t size = 1; size < joined.earlier.size(); ++size) {
+      server.SendBeforeNextResponse(joined.earlier.substr(0, size));
+      CHECK(caller.Call("GET", "/whole").complete);
+      const auto seen = caller.Call("GET", "/cut");
+      INFO(joined.earlier.substr(0, size));
+      CHECK_FALSE(seen.status);
+      CHECK(seen.ran == run_state::kUnknown);
+    }
+  }
+}
+
 // Guards against a body that was cut and is accepted as complete. The end of a
 // body that ends with its connection is unknown; only a reset shows a cut.
 TEST_CASE("CutBody_AtEachByte_IsNotComplete", "[cut]") {
