Forward no status of a refusal for an order that was not refused

A backend server's 503, 429 or 408 without Pomelohall-Not-Executed was forwarded to the caller of a request that must not run twice. Callers take these statuses as the promise that the request did not run, and send it again; the server has not said so, and the request may have run.

local_exchange now reports such an answer to a non-idempotent request as of unknown outcome, so that the caller gets 502, which promises nothing. Answers to idempotent requests are forwarded as before: another run does no harm.

--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -1,6 +1,7 @@
 #include "local_exchange.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <utility>
 
@@ -62,6 +63,9 @@
   } else if (const auto signature_error = SignatureError(answer->head)) {
     sent_->Cancel();
     OnFailure(*signature_error);
+  } else if (const auto status_error = StatusError(answer->head)) {
+    sent_->Cancel();
+    OnFailure(*status_error);
   } else {
     ForwardAnswer(std::move(*answer));
   }
@@ -118,6 +122,23 @@
                run_state::kUnknown);
 }
 
+// Rejects statuses that callers take as the promise that the request did not
+// run, although the backend server does not say so. Only matters for requests
+// that must not run twice.
+std::optional<error> local_exchange::StatusError(
+    const response_head& head) const {
+  constexpr std::array kPromises{408, 421, 429, 503};
+  if (IsIdempotent(request_.kind) ||
+      std::find(kPromises.begin(), kPromises.end(), head.status) ==
+          kPromises.end()) {
+    return std::nullopt;
+  }
+  return error(error_kind::kBackendFailed,
+               "the backend server answered with status " +
+                   std::to_string(head.status) + " without refusing",
+               run_state::kUnknown);
+}
+
 void local_exchange::RefusedByServer(const incoming_response& answer) {
   auto* const dispatcher = dispatcher_;
   const auto status = answer.head.status;
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -34,6 +34,7 @@
   void OnResponse(result<incoming_response> answer);
   void OnFailure(const error& failure);
   std::optional<error> SignatureError(const response_head& head) const;
+  std::optional<error> StatusError(const response_head& head) const;
   void Log(const char* event, const error& failure) const;
   void RefusedByServer(const incoming_response& answer);
   void ForwardAnswer(incoming_response answer);
--- a/tests/sidecar/repeated_refusal_test.cc
+++ b/tests/sidecar/repeated_refusal_test.cc
@@ -284,6 +284,28 @@
   }
 }
 
+// Guards against a status that callers take as the promise that an order did
+// not run, although the backend server did not say so.
+TEST_CASE_METHOD(refusing_fleet, "RunRequest_WithStatusOfARefusal_IsNoPromise",
+                 "[refusal]") {
+  for (const std::size_t entry : {0U, 1U}) {
+    for (const int status : {503, 429, 408}) {
+      INFO(status << ", entry " << entry);
+      const auto id = NextId();
+      change_next_reply_ = [&](scripted_reply& reply) {
+        reply.bytes = SignedResponse(status, id, "failed");
+      };
+      CHECK(Send(entry, "POST", "/order/run", id).status == 502);
+      CHECK(runs_.Of(id) == 1);
+      // A repeated run does no harm, so the server's answer is forwarded.
+      change_next_reply_ = [&](scripted_reply& reply) {
+        reply.bytes = SignedResponse(status, "safe" + id, "failed");
+      };
+      CHECK(Send(entry, "GET", "/safe/run", "safe" + id).status == status);
+    }
+  }
+}
+
 // Guards against a success without the request's ID that reaches the caller of
 // the next request on the connection.
 TEST_CASE_METHOD(refusing_fleet,
