Remove two races from the tests of refusals and cut responses

CutResponse_NotCut_IsComplete failed in 1 of 5 runs, and in 5 of 18 with three runs at a time: the stand-in closes the connection after a complete response without notice, and the next request could still be sent on it. The case now closes it first; its checks are the same.

RepeatedRefusal_BeforeTheNextRequest_IsDiscarded waited a fixed time for bytes that the stand-in sends on an idle connection. It now waits until they were sent, and then the same time for their transfer.

--- a/tests/sidecar/concurrent_server.cc
+++ b/tests/sidecar/concurrent_server.cc
@@ -93,11 +93,12 @@
   ReadHeader(served);
   if (served->reply.late_bytes.empty()) return;
   served->timer.expires_after(served->reply.late_delay);
-  served->timer.async_wait([served](error_code cancelled) {
+  served->timer.async_wait([this, served](error_code cancelled) {
     if (cancelled) return;
     error_code failure;
     boost::asio::write(served->socket,
                        boost::asio::buffer(served->reply.late_bytes), failure);
+    ++late_writes_;
   });
 }
 
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -44,6 +44,8 @@
   int Requests() const { return requests_; }
   /// Number of connections that were accepted.
   int Connections() const { return connections_; }
+  /// Number of times that `late_bytes` were sent.
+  int LateWrites() const { return late_writes_; }
 
  private:
   struct connection;
@@ -56,6 +58,7 @@
   script respond_;
   std::atomic<int> requests_{0};
   std::atomic<int> connections_{0};
+  std::atomic<int> late_writes_{0};
   boost::asio::io_context io_{1};
   boost::asio::ip::tcp::acceptor acceptor_;
   std::thread thread_;
--- a/tests/sidecar/cut_head_test.cc
+++ b/tests/sidecar/cut_head_test.cc
@@ -249,6 +249,8 @@
   for (const auto& response : CutResponses()) {
     INFO(response.name);
     server.CutAt(response.head + response.body, connection_end::kClose);
+    // The server closes the connection of the previous response without notice.
+    caller.CloseIdle();
     CHECK(caller.Call("GET", "/whole").complete);
     const int connections = server.Connections();
     const auto seen = caller.Call(response.method, "/cut");
--- a/tests/sidecar/repeated_refusal_test.cc
+++ b/tests/sidecar/repeated_refusal_test.cc
@@ -189,6 +189,7 @@
 TEST_CASE_METHOD(refusing_fleet,
                  "RepeatedRefusal_BeforeTheNextRequest_IsDiscarded",
                  "[refusal]") {
+  int late_writes = 0;
   for (const auto& form : RefusalForms()) {
     for (const std::size_t entry : {0U, 1U}) {
       for (const bool late : {false, true}) {
@@ -201,8 +202,14 @@
           }
         };
         CHECK(Send(entry, "POST", "/order/run", NextId()).status == 200);
-        // Longer than the bytes need over loopback.
-        if (late) std::this_thread::sleep_for(milliseconds(20));
+        if (late) {
+          ++late_writes;
+          while (server_.LateWrites() < late_writes) {
+            std::this_thread::sleep_for(milliseconds(1));
+          }
+          // Longer than written bytes need over loopback.
+          std::this_thread::sleep_for(milliseconds(20));
+        }
         const auto id = NextId();
         CHECK(Send(entry, "POST", "/order/run", id).status == 200);
         CHECK(runs_.Of(id) == 1);
