--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cassert>
 #include <limits>
+#include <string_view>
 #include <utility>
 
 #include "backend/beast_fields.h"
@@ -45,6 +46,24 @@
   return std::chrono::seconds(ParseNumber(text).value_or(0));
 }
 
+// Returns whether `text` contains a status line, such as "HTTP/1.1 200".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersionStart = "HTTP/1.";
+  // The digits of the minor version and of the status, and a space.
+  constexpr std::size_t kRestLength = 5;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  auto start = text.find(kVersionStart);
+  while (start != std::string_view::npos) {
+    const auto rest = text.substr(start + kVersionStart.size());
+    if (rest.size() >= kRestLength && is_digit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.begin() + kRestLength, is_digit)) {
+      return true;
+    }
+    start = text.find(kVersionStart, start + 1);
+  }
+  return false;
+}
+
 }  // namespace
 
 client_exchange::client_exchange(outgoing_request request,
@@ -66,6 +85,8 @@
 void client_exchange::Run(client_connection_ptr connection) {
   connection_ = std::move(connection);
   last_progress_ = MonotonicNow();
+  connection_is_fresh_ =
+      !std::exchange(connection_->used, true) && !IsStale(connection_->socket);
   BuildMessage();
   if (request_.body) {
     ReadRequestPart();
@@ -163,23 +184,71 @@
     ReadHeader();
     return;
   }
-  if (!IsOwnResponse()) {
+  if (IsJoined()) {
+    Fail({error_kind::kAnswerMismatch,
+          "the response follows the start of another one",
+          run_state::kUnknown});
+    return;
+  }
+  const auto owner = FindOwner();
+  if (owner == response_owner::kOtherCall) {
     SkipResponse();
     return;
   }
+  if (owner == response_owner::kUnknown) {
+    Fail({error_kind::kAnswerMismatch,
+          "the response has no call ID, and the connection was used before",
+          run_state::kUnknown});
+    return;
+  }
   auto head = CopyHead();
   if (!head) {
     Fail(head.error());
     return;
   }
+  refused_ = options_.is_refusal && options_.is_refusal(*head);
   DeliverResponse(std::move(*head));
 }
 
-bool client_exchange::IsOwnResponse() const {
-  if (echo_value_.empty()) return true;
+client_exchange::response_owner client_exchange::FindOwner() const {
+  const auto& message = parser_->get();
+  const auto ids = message.equal_range(ToBeast(options_.echo_field));
+  if (ids.first != ids.second) {
+    const bool echoed = std::all_of(
+        ids.first, ids.second, [this](const http::fields::value_type& field) {
+          return !echo_value_.empty() && ToView(field.value()) == echo_value_;
+        });
+    return echoed ? response_owner::kThisCall : response_owner::kOtherCall;
+  }
+  const bool certain = connection_is_fresh_ && skipped_responses_ == 0;
+  if (certain || !options_.peer_echoes_always) return response_owner::kThisCall;
+  // Nothing could be echoed, so only a promise needs proof.
+  if (echo_value_.empty() && !IsRefusal()) return response_owner::kThisCall;
+  return response_owner::kUnknown;
+}
+
+// Returns whether the header is the start of an earlier response's header, cut
+// within a line, and the header of another response. It has the status of the
+// first and the ID of the second one. On a fresh connection, nothing precedes
+// the response.
+bool client_exchange::IsJoined() const {
+  if (connection_is_fresh_ && skipped_responses_ == 0) return false;
+  const auto& message = parser_->get();
+  return ContainsStatusLine(ToView(message.reason())) ||
+         std::any_of(message.begin(), message.end(),
+                     [](const http::fields::value_type& field) {
+                       return ContainsStatusLine(ToView(field.value()));
+                     });
+}
+
+bool client_exchange::IsRefusal() const {
+  if (!options_.is_refusal) return false;
   const auto& message = parser_->get();
-  const auto found = message.find(ToBeast(options_.echo_field));
-  return found == message.end() || ToView(found->value()) == echo_value_;
+  return options_.is_refusal({.status = static_cast<int>(message.result_int()),
+                              .reason = {},
+                              .fields = CopyFields(message),
+                              .framing = body_framing::kNone,
+                              .length = std::nullopt});
 }
 
 // Reads and discards a response to an earlier request. The response to this
@@ -216,13 +285,17 @@
 
 // Returns whether the connection can carry another request. Not if the request
 // was not fully written: a server may respond before it has read all of it, and
-// would then treat the next request as the rest of this one.
+// would then treat the next request as the rest of this one. Not after a
+// refusal: a faulty server may write it once more, and if this request is sent
+// again on the connection, the copy would be taken as its response. Servers
+// refuse rarely, as the daemon knows how many requests they can run.
 bool client_exchange::IsReusable() const {
   const auto& message = parser_->get();
   connection_->peer_idle_timeout = std::chrono::duration_cast<duration>(
       kKeepAliveTimeoutFraction *
       ParseKeepAliveTimeout(ToView(message[http::field::keep_alive])));
-  return request_written_ && message.keep_alive() && !parser_->need_eof();
+  return request_written_ && !refused_ && message.keep_alive() &&
+         !parser_->need_eof();
 }
 
 result<response_head> client_exchange::CopyHead() const {
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -1,6 +1,7 @@
 #include "local_exchange.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <utility>
 
@@ -63,11 +64,14 @@
   if (dispatcher_ == nullptr) return;
   if (!answer) {
     OnFailure(answer.error());
-  } else if (IsRefusal(answer->head)) {
+  } else if (IsRefusal(answer->head, dispatcher_->options_.fields)) {
     RefusedByServer(*answer);
   } else if (const auto signature_error = SignatureError(answer->head)) {
     sent_->Cancel();
     OnFailure(*signature_error);
+  } else if (const auto status_error = StatusError(answer->head)) {
+    sent_->Cancel();
+    OnFailure(*status_error);
   } else {
     ForwardAnswer(std::move(*answer));
   }
@@ -109,12 +113,6 @@
   }
 }
 
-bool local_exchange::IsRefusal(const response_head& head) const {
-  return head.status == kMisdirectedRequest ||
-         FindField(head.fields, dispatcher_->options_.fields.not_executed) !=
-             nullptr;
-}
-
 // Rejects successful answers without a signature: they may not come from a
 // backend server at all.
 std::optional<error> local_exchange::SignatureError(
@@ -130,6 +128,23 @@
                run_state::kUnknown);
 }
 
+// Rejects statuses that callers take as the promise that the request did not
+// run, although the backend server does not say so. Only matters for requests
+// that must not run twice.
+std::optional<error> local_exchange::StatusError(
+    const response_head& head) const {
+  constexpr std::array kPromises{408, 421, 429, 503};
+  if (IsIdempotent(request_.kind) ||
+      std::find(kPromises.begin(), kPromises.end(), head.status) ==
+          kPromises.end()) {
+    return std::nullopt;
+  }
+  return error(error_kind::kBackendFailed,
+               "the backend server answered with status " +
+                   std::to_string(head.status) + " without refusing",
+               run_state::kUnknown);
+}
+
 void local_exchange::RefusedByServer(const incoming_response& answer) {
   auto* const dispatcher = dispatcher_;
   const auto status = answer.head.status;
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -18,6 +18,14 @@
   std::string bytes;
   std::chrono::milliseconds delay{0};  ///< Time before the bytes are sent.
   bool close = false;  ///< Whether the connection is closed after them.
+  bool reset = false;  ///< Whether it is reset instead of closed.
+  /// Bytes that are sent when the next request on the connection has arrived,
+  /// directly before the response to it.
+  std::string before_next_response{};
+  /// Bytes that are sent after `late_delay` without a request. The next request
+  /// must arrive later.
+  std::string late_bytes{};
+  std::chrono::milliseconds late_delay{0};
 };
 
 /// A backend server that keeps connections open and serves them concurrently on
@@ -37,6 +45,10 @@
   std::string Address() const;
   /// Number of requests that arrived.
   int Requests() const { return requests_; }
+  /// Number of connections that were accepted.
+  int Connections() const { return connections_; }
+  /// Number of times that `late_bytes` were sent.
+  int LateWrites() const { return late_writes_; }
 
  private:
   struct connection;
@@ -48,9 +60,12 @@
   void Run(const std::shared_ptr<connection>& served,
            const std::string& header);
   void Respond(const std::shared_ptr<connection>& served);
+  void OnResponded(const std::shared_ptr<connection>& served);
 
   script respond_;
   std::atomic<int> requests_{0};
+  std::atomic<int> connections_{0};
+  std::atomic<int> late_writes_{0};
   boost::asio::io_context io_{1};
   boost::asio::ip::tcp::acceptor acceptor_;
   std::thread thread_;
