--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -84,7 +84,8 @@
         await self.crash()
 
     async def announce_periodically(self):
-        while True:
+        # wait_for() of Python 3.11 can swallow a cancellation.
+        while self.server.is_serving():
             await self.announce()
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -61,6 +61,7 @@
         # Bounds the requests a second of all callers, which run in one process.
         self.mean_pause_s = max(0.3, caller_count / 90)
         self.fills_links = False
+        self.ended = False
 
     def pause_s(self):
         return self.mean_pause_s / (3 if self.fills_links else 1)
@@ -87,11 +88,13 @@
         self.reads_slowly = self.random.random() < 0.2
 
     async def run(self):
-        while True:
+        # wait_for() of Python 3.11 can swallow a cancellation.
+        while not self.load.ended:
             writer = None
             try:
                 reader, writer = await self.connect()
-                while await self.call(reader, writer):
+                while (await self.call(reader, writer) and
+                       not self.load.ended):
                     await asyncio.sleep(
                         self.random.expovariate(1 / self.load.pause_s()))
             except (OSError, asyncio.TimeoutError):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -189,9 +189,14 @@
                       self.running[sent.attempt_id] > 0)
         if ending != "closed" and not broken_off:
             return
-        if (now - sent.sent_at > min(sent.timeout_s, sent.deadline_s) or
-                sent.attempt_id in self.broken_off or
-                self.exceeds_grace(sent, stopped_at)):
+        if now - sent.sent_at > min(sent.timeout_s, sent.deadline_s):
+            self.check_counts["ended at deadline"] += 1
+            return
+        if sent.attempt_id in self.broken_off:
+            self.check_counts["broken off by server"] += 1
+            return
+        if self.exceeds_grace(sent, stopped_at):
+            self.check_counts["ran beyond grace"] += 1
             return
         detail = (f"{sent.attempt_id} {sent.method} {sent.target} of "
                   f"{sent.vm} "
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -49,10 +49,10 @@
 
     PORT_COUNT = 9
 
-    def __init__(self, index, bin_dir, work_dir, ports, store_port, checks,
-                 seed):
+    def __init__(self, index, service, bin_dir, work_dir, ports, store_port,
+                 checks, seed):
         self.name = f"vm-{index}"
-        self.service = "files" if index % 3 == 2 else "shop"
+        self.service = service
         self.bin_dir = bin_dir
         self.work_dir = work_dir
         self.checks = checks
@@ -135,11 +135,14 @@
 class Soak:
     """A fleet of VMs, their callers, and the schedule of faults."""
 
+    # A third of a small fleet, so few in a large one that the callers fill
+    # their links.
+    MAX_FILES_VMS = 4
     # All callers run in this process: fewer for each VM of a large fleet.
     CALLERS_PER_VM = 3
     MAX_CALLERS = 120
     # Connections on which a request is sent at a moment of the grace of a stop.
-    CALLERS_PER_STOP = 12
+    CALLERS_PER_STOP = 20
     # Time between the stops of a roll, and for the downloads to fill the links
     # before it.
     ROLL_INTERVAL_S = 0.25
@@ -154,8 +157,10 @@
         self.store_port = self.port_block.allocate(1)[0]
         self.version = 1
         self.extra_routes = []
+        files_step = max(3, options.vms // self.MAX_FILES_VMS)
         self.vms = [
-            Vm(index, options.bin_dir, work_dir,
+            Vm(index, "files" if index % files_step == 2 else "shop",
+               options.bin_dir, work_dir,
                self.port_block.allocate(Vm.PORT_COUNT), self.store_port,
                self.checks, options.seed * 1000 + index * 10)
             for index in range(options.vms)]
@@ -288,8 +293,10 @@
             self.vms, self.random.randint(2, min(len(self.vms), 12)))
 
         async def restart(vm):
-            await self.restart(vm)
-            room.release()
+            try:
+                await self.restart(vm)
+            finally:
+                room.release()
         restarts = []
         for vm in vms:
             await room.acquire()
@@ -396,10 +403,11 @@
                    self.reload_daemon, self.replace_backend)
         actions = 2 * planned + (
             self.disrupt_store, self.disrupt_peer, self.clear_store_history,
-            self.pause_daemon, self.kill_daemons, self.crash_backend,
-            self.degrade_backend)
+            self.pause_daemon, self.kill_daemons, self.crash_backend) + 3 * (
+                self.degrade_backend,)
         calm_period_end = time.monotonic() + CALM_PERIOD_S
         fault_period_start = calm_period_end
+        action = self.roll_daemons
         end = time.monotonic() + self.options.minutes * 60
         while time.monotonic() < end:
             # Faults follow each other and overlap. Calm periods only have
@@ -411,8 +419,7 @@
                 await asyncio.sleep(CONTACT_S)
                 calm_period_end = time.monotonic() + CALM_PERIOD_S
                 fault_period_start = calm_period_end
-            calm = time.monotonic() < calm_period_end
-            action = self.random.choice(planned if calm else actions)
+                action = self.roll_daemons
             print(f"{time.monotonic() - end:8.2f} {action.__name__}",
                   flush=True)
             task = asyncio.create_task(action())
@@ -421,6 +428,8 @@
             await asyncio.sleep(self.random.expovariate(1 / 0.8))
             for vm in self.vms:
                 vm.check_process()
+            calm = time.monotonic() < calm_period_end
+            action = self.random.choice(planned if calm else actions)
         await asyncio.gather(*self.tasks)
         await asyncio.sleep(RECOVERY_S)
         since = time.monotonic()
@@ -430,11 +439,13 @@
         if share < 0.95:
             self.checks.report_violation(
                 "RECOVER", f"{share:.2f} of the requests were served")
+        self.load.ended = True
         for task in caller_tasks:
             task.cancel()
         await asyncio.gather(*caller_tasks, return_exceptions=True)
         for vm in self.vms:
             vm.kill()
+            vm.backend.server.close()
         await asyncio.sleep(0.2)  # For the ends of their connections.
         return share
 
