--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -367,8 +367,14 @@
             self.checks.end_disruption("backend")
         await self.on_random_backend(crash)
 
-    async def degrade_backend(self):
-        field, value = self.random.choice(
+    async def refuse_twice(self):
+        """Lets some backend servers write refusals again."""
+        await asyncio.gather(*(
+            self.degrade_backend(("doubled_refusal_share", 0.3))
+            for _ in range(len(self.vms) // 2)))
+
+    async def degrade_backend(self, fault=None):
+        field, value = fault or self.random.choice(
             (("slowdown", 8.0), ("lost_response_share", 0.3),
              ("truncated_response_share", 0.3), ("cut_head_share", 0.3),
              ("doubled_refusal_share", 0.3)))
@@ -420,6 +426,7 @@
                 calm_period_end = time.monotonic() + CALM_PERIOD_S
                 fault_period_start = calm_period_end
                 action = self.roll_daemons
+            was_calm = time.monotonic() < calm_period_end
             print(f"{time.monotonic() - end:8.2f} {action.__name__}",
                   flush=True)
             task = asyncio.create_task(action())
@@ -428,8 +435,12 @@
             await asyncio.sleep(self.random.expovariate(1 / 0.8))
             for vm in self.vms:
                 vm.check_process()
-            calm = time.monotonic() < calm_period_end
-            action = self.random.choice(planned if calm else actions)
+            if time.monotonic() < calm_period_end:
+                action = self.random.choice(planned)
+            elif was_calm:
+                action = self.refuse_twice
+            else:
+                action = self.random.choice(actions)
         await asyncio.gather(*self.tasks)
         await asyncio.sleep(RECOVERY_S)
         since = time.monotonic()
