--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -135,14 +135,13 @@
 class Soak:
     """A fleet of VMs, their callers, and the schedule of faults."""
 
+    VMS_PER_PORT_BLOCK = PortBlock.BLOCK_SIZE // (Vm.PORT_COUNT + 1)
     # A third of a small fleet, so few in a large one that the callers fill
     # their links.
     MAX_FILES_VMS = 4
     # All callers run in this process: fewer for each VM of a large fleet.
     CALLERS_PER_VM = 3
     MAX_CALLERS = 120
-    # Connections on which a request is sent at a moment of the grace of a stop.
-    CALLERS_PER_STOP = 20
     # Time between the stops of a roll, and for the downloads to fill the links
     # before it.
     ROLL_INTERVAL_S = 0.25
@@ -153,17 +152,21 @@
         self.options = options
         self.checks = Checks()
         self.store = Store()
-        self.port_block = PortBlock()
-        self.store_port = self.port_block.allocate(1)[0]
+        self.port_blocks = [
+            PortBlock() for _ in range(0, options.vms, self.VMS_PER_PORT_BLOCK)]
+        self.store_port = self.port_blocks[0].allocate(1)[0]
         self.version = 1
         self.extra_routes = []
         files_step = max(3, options.vms // self.MAX_FILES_VMS)
         self.vms = [
             Vm(index, "files" if index % files_step == 2 else "shop",
                options.bin_dir, work_dir,
-               self.port_block.allocate(Vm.PORT_COUNT), self.store_port,
+               self.port_blocks[index // self.VMS_PER_PORT_BLOCK].allocate(
+                   Vm.PORT_COUNT), self.store_port,
                self.checks, options.seed * 1000 + index * 10)
             for index in range(options.vms)]
+        # Connections on which a request is sent at a moment of the grace.
+        self.callers_per_stop = max(4, 180 // len(self.vms))
         per_vm = max(1, min(self.CALLERS_PER_VM,
                             self.MAX_CALLERS // len(self.vms)))
         self.load = Load(per_vm * len(self.vms))
@@ -290,7 +293,8 @@
         await asyncio.sleep(self.random.uniform(0.5, 1.5) * self.FILL_S)
         room = asyncio.Semaphore(max(1, len(self.vms) // 3))
         vms = self.random.sample(
-            self.vms, self.random.randint(2, min(len(self.vms), 12)))
+            self.vms, self.random.randint(
+                2, max(min(len(self.vms), 12), len(self.vms) // 3)))
 
         async def restart(vm):
             try:
@@ -317,7 +321,7 @@
             asyncio.create_task(
                 Caller(vm, self.checks, self.random.random(), self.load)
                 .call_during_stop(stop, STOP_GRACE_S * self.random.random()))
-            for _ in range(self.CALLERS_PER_STOP)]
+            for _ in range(self.callers_per_stop)]
         await asyncio.sleep(0.3)  # For the connections of these callers.
         if vm.process.poll() is not None:
             vm.start_daemon()  # check_process() reports the exit next time.
@@ -468,7 +472,8 @@
     def close(self):
         for vm in self.vms:
             vm.kill()
-        self.port_block.release()
+        for block in self.port_blocks:
+            block.release()
 
 
 def main():
