Soak: tests of the check of requests around a stop

An answer of the daemon's own while the server still worked was excused before the last sixth of the grace; the new test failed on that. A caller that gives up long after its deadline is reported too.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -187,6 +187,10 @@
         # A server still works on a request that a daemon answers by itself.
         broken_off = (response is not None and response.status >= 400 and
                       self.running[sent.attempt_id] > 0)
+        if ending == "gave up":  # Long after the deadline.
+            self.report_violation(
+                "LOST", f"{sent.attempt_id} got no response, and its "
+                "connection stayed open")
         if ending != "closed" and not broken_off:
             return
         if now - sent.sent_at > min(sent.timeout_s, sent.deadline_s):
@@ -195,7 +199,7 @@
         if sent.attempt_id in self.broken_off:
             self.check_counts["broken off by server"] += 1
             return
-        if self.exceeds_grace(sent, stopped_at):
+        if self.exceeds_grace(sent, stopped_at, now):
             self.check_counts["ran beyond grace"] += 1
             return
         detail = (f"{sent.attempt_id} {sent.method} {sent.target} of "
@@ -219,7 +223,7 @@
             if self.cut_requests > MAX_CUT_REQUESTS:
                 self.report_violation("LOST", detail)
 
-    def exceeds_grace(self, sent, stopped_at):
+    def exceeds_grace(self, sent, stopped_at, ended_at):
         """Returns whether the server works until the grace is nearly over.
 
         The last sixth of the grace is left for the end of the daemon. Requests
@@ -228,8 +232,9 @@
         if stopped_at is None or sent.sent_at > stopped_at + STOP_GRACE_S / 2:
             return False
         last_sixth_at = stopped_at + STOP_GRACE_S * 5 / 6
-        return (self.running[sent.attempt_id] > 0 or
-                self.execution_ends.get(sent.attempt_id, 0) >= last_sixth_at)
+        work_ended_at = (ended_at if self.running[sent.attempt_id] else
+                         self.execution_ends.get(sent.attempt_id, 0))
+        return min(work_ended_at, ended_at) >= last_sixth_at
 
     def on_probe(self, vm, route_added_at, sent_at, status):
         """Checks the status of a request to a route that was just added."""
