--- a/libs/mesh/include/mesh/transmit_queue.h
+++ b/libs/mesh/include/mesh/transmit_queue.h
@@ -27,9 +27,9 @@
   duration max_wait = std::chrono::seconds(2);
   /// Size that a download is expected to have before the first one of its class
   /// has ended. Otherwise all requests that arrive until then are accepted
-  /// after a start. A few run at once on a link of 7 Mbit/s, and it limits
-  /// nothing on one of 1 Gbit/s, where it is below `min_paced_time`.
-  std::uint64_t first_download_bytes = 256UL * 1024;
+  /// after a start. Too large a size refuses downloads that the link carries;
+  /// with this one, about seven a second are accepted on a link of 7 Mbit/s.
+  std::uint64_t first_download_bytes = 96UL * 1024;
 };
 
 /// A large response that is ready to be sent.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -46,9 +46,6 @@
 // Part of the stop grace period before which no running request is broken off:
 // most requests end within it.
 constexpr double kUndisturbedGrace = 5.0 / 6;
-// The wait of a request for a slot, its run and the wait of its answer for the
-// link each get an equal part of the grace period of a stop.
-constexpr int kStagesOfRequest = 3;
 // A connection between daemons opens within milliseconds or not at all. A
 // request that waits longer for one of those in use is offered elsewhere.
 constexpr duration kPeerConnectTimeout = std::chrono::milliseconds(300);
@@ -81,8 +78,11 @@
   return kPacedLinkShare * link_mbps * kBytesPerMegabit;
 }
 
+// A request that waits for longer could not be answered if a stop of its daemon
+// had begun when it was accepted. A shorter bound refuses requests under
+// overload that are still served late.
 duration MaxSlotWait(duration stop_grace) {
-  return std::max(stop_grace - kExitMargin, duration(0)) / kStagesOfRequest;
+  return std::max(stop_grace - kExitMargin, duration(0));
 }
 
 std::uint64_t RandomSeed() {
