--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -11,8 +11,6 @@
 namespace pomelohall {
 namespace {
 
-constexpr int kMisdirectedRequest = 421;
-
 pool_options PoolOptions(const local_dispatcher_options& options) {
   return {.max_connections = options.max_connections,
           // The backend server is on this VM: it accepts connections
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -12,7 +12,6 @@
 namespace pomelohall {
 namespace {
 
-constexpr int kMisdirectedRequest = 421;
 // Time between the deadline of a running request and the closing of its
 // connection: the answer that the backend server itself sends at the deadline
 // may still be in transit.
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -10,6 +10,9 @@
 
 namespace pomelohall {
 
+// Status of a backend server that is not the instance the request names.
+inline constexpr int kMisdirectedRequest = 421;
+
 // A request at the local dispatcher: waits in the queue, runs on the backend
 // server, and holds its slot until the answer has been read.
 class local_exchange final
