--- a/libs/mesh/tests/work_queue_wait_test.cc
+++ b/libs/mesh/tests/work_queue_wait_test.cc
@@ -238,8 +238,8 @@
 
 // Guards against accepted requests that wait until their deadline (8 to 10 s)
 // for a slot because others always precede them, and against a bound on that
-// wait that costs callers more than it gives them. The bound is a third of what
-// the sidecar has by default.
+// wait that costs callers more than it gives them. The bound here is
+// shorter than the 5.25 s that the sidecar has by default.
 TEST_CASE("WorkQueue_LongOverload_BoundsTheWaitAtEqualWorth", "[mesh][load]") {
   constexpr milliseconds kMaxWait(1867);
   const double load = GENERATE(0.95, 1.3, 2.0);
