--- a/libs/mesh/include/mesh/retry_budget.h
+++ b/libs/mesh/include/mesh/retry_budget.h
@@ -39,7 +39,10 @@
  public:
   explicit retry_budget(retry_budget_options options);
 
-  /// Sets the number of daemons that share the allowance; 0 counts as 1.
+  /// Sets the number of daemons that share the allowance. Until it is known, no
+  /// part of the allowance is used: after a loss of all daemons, each would
+  /// spend the whole of it.
+  /// @param count 0 if it is unknown.
   void SetDaemonCount(std::size_t count);
 
   /// Counts a caller's request to `service`.
@@ -62,11 +65,12 @@
   using buckets = std::array<bucket, kBuckets + 1>;
 
   bucket& CurrentBucket(const std::string& service, instant now);
+  double Allowance() const;
   bucket WindowTotal(const std::string& service, instant now) const;
   std::int64_t BucketIndex(instant now) const;
 
-  const retry_budget_options options_;
-  std::size_t daemon_count_ = 1;
+  retry_budget_options options_;
+  std::size_t daemon_count_ = 0;  ///< 0 if unknown.
   std::map<std::string, buckets> services_;
 };
 
--- a/libs/mesh/src/retry_budget.cc
+++ b/libs/mesh/src/retry_budget.cc
@@ -1,14 +1,10 @@
 #include "mesh/retry_budget.h"
 
-#include <algorithm>
-
 namespace pomelohall {
 
 retry_budget::retry_budget(retry_budget_options options) : options_(options) {}
 
-void retry_budget::SetDaemonCount(std::size_t count) {
-  daemon_count_ = std::max<std::size_t>(count, 1);
-}
+void retry_budget::SetDaemonCount(std::size_t count) { daemon_count_ = count; }
 
 std::int64_t retry_budget::BucketIndex(instant now) const {
   const auto length = options_.window / static_cast<std::int64_t>(kBuckets);
@@ -42,14 +38,17 @@
   CurrentBucket(service, now).requests += 1;
 }
 
+double retry_budget::Allowance() const {
+  if (daemon_count_ == 0) return 0;
+  return options_.allowance / static_cast<double>(daemon_count_);
+}
+
 bool retry_budget::TryRetry(const std::string& service, run_state ran,
                             instant now) {
   const auto total = WindowTotal(service, now);
   const double share =
       ran == run_state::kNotRun ? options_.not_run_share : options_.ran_share;
-  const double limit =
-      share * (options_.ratio * total.requests +
-               options_.allowance / static_cast<double>(daemon_count_));
+  const double limit = share * (options_.ratio * total.requests + Allowance());
   if (total.retries + 1 > limit) return false;
   CurrentBucket(service, now).retries += 1;
   return true;
--- a/libs/mesh/tests/retry_test.cc
+++ b/libs/mesh/tests/retry_test.cc
@@ -17,12 +17,15 @@
   static constexpr double kRatio = 0.2;
   static constexpr double kAllowance = 50;
 
-  retry_budget_fixture() {
-    for (std::size_t i = 0; i < kDaemons; ++i) {
-      budgets_.emplace_back(retry_budget_options{
-          .ratio = kRatio, .window = seconds(10), .allowance = kAllowance});
-      budgets_.back().SetDaemonCount(kDaemons);
-    }
+  retry_budget_fixture() : budgets_(NewBudgets()) {
+    for (auto& budget : budgets_) budget.SetDaemonCount(kDaemons);
+  }
+
+  static std::vector<retry_budget> NewBudgets() {
+    return std::vector<retry_budget>(
+        kDaemons,
+        retry_budget(
+            {.ratio = kRatio, .window = seconds(10), .allowance = kAllowance}));
   }
 
   std::vector<retry_budget> budgets_;
@@ -69,6 +72,27 @@
   CHECK(retries <= kRatio * requests + kAllowance);
 }
 
+// Guards against retries beyond the limit after all daemons were killed: their
+// successors know neither what was spent in the window nor each other.
+TEST_CASE_METHOD(retry_budget_fixture,
+                 "RetryBudget_AllDaemonsRestarted_KeepTheBound",
+                 "[mesh][load]") {
+  int requests = 0;
+  int retries = 0;
+  for (int step = 0; step < 1000; ++step) {
+    if (step == 500) budgets_ = NewBudgets();
+    if (step == 510) {  // The members have been listed.
+      for (auto& budget : budgets_) budget.SetDaemonCount(kDaemons);
+    }
+    auto& budget = budgets_[static_cast<std::size_t>(step) % kDaemons];
+    budget.OnRequest("shop", now_);
+    ++requests;
+    while (budget.TryRetry("shop", run_state::kNotRun, now_)) ++retries;
+    now_ += milliseconds(10);
+  }
+  CHECK(retries <= kRatio * requests + kAllowance);
+}
+
 // Guards against a budget that does not recover, and against one that is spent
 // by retries for another service.
 TEST_CASE_METHOD(retry_budget_fixture, "RetryBudget_WindowPassed_IsRefilled",
@@ -85,8 +109,8 @@
 // the same time, and against a hint that leaves no time for the retry.
 TEST_CASE("RetryHint_ManyRefusals_AreSpreadWithinAThird", "[mesh][load]") {
   random_source random(3);
-  for (const auto cause :
-       {refusal_cause::kOverload, refusal_cause::kNoServer}) {
+  for (const auto cause : {refusal_cause::kOverload, refusal_cause::kNoServer,
+                           refusal_cause::kServerFault}) {
     std::set<std::int64_t> hints;
     for (int i = 0; i < 100; ++i) {
       const auto hint = RetryHint(cause, milliseconds(2400), random);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -316,7 +316,6 @@
     auto local_member = published_member_;
     local_member.server = dispatcher_.OfferedServer();
     directory_.Put(local_member, MonotonicNow());
-    budget_.SetDaemonCount(directory_.Size());
     publisher_.Publish(published_member_);
     const auto& announced = dispatcher_.Server().LastAnnouncement();
     if (announced) router_.SetCallerService(announced->service);
