--- a/libs/sidecar/src/collection_watch.h
+++ b/libs/sidecar/src/collection_watch.h
@@ -54,6 +54,10 @@
 
   void Start() { List(options_.consistency); }
   void Stop() { pacer_.Stop(); }
+  void SetPauseAfterChange(duration pause) {
+    options_.pause_after_change = pause;
+  }
+  bool HasListed() const { return revision_.IsKnown(); }
   // Lists the latest data now: the store was restored.
   void Refresh();
   // Era of the last listing.
@@ -69,7 +73,7 @@
 
   watched_store& store_;
   collection_observer& observer_;
-  const collection_watch_options options_;
+  collection_watch_options options_;
   store_call_pacer pacer_;
   store_revision revision_;
   std::optional<instant> grace_end_;  // Set while a restoration is recent.
--- a/libs/sidecar/src/config_reader.cc
+++ b/libs/sidecar/src/config_reader.cc
@@ -10,6 +10,10 @@
 
 // Checks for the end of a fetch per maximum age of a confirmation.
 constexpr int kFetchChecks = 8;
+// Factor of the pause after repeated failures of daemons that are not
+// designated. During an outage, every call of every daemon fails and is charged
+// all the same. The designated daemons notice its end and tell the others.
+constexpr int kOtherDaemonsPause = 4;
 
 }  // namespace
 
@@ -59,6 +63,7 @@
     return;
   }
   pacer_.OnListed();
+  failed_reads_ = 0;
   const auto version = config_.Version();
   config_.OnListed(listing->objects);
   OnConfirmed({.revision = listing->revision, .at = sent_at});
@@ -88,6 +93,7 @@
     return;
   }
   pacer_.OnWatched();
+  failed_reads_ = 0;
   for (const auto& change : changes->changes) config_.OnChanged(change);
   // The store answers a watch without changes from its state at the end of the
   // wait. Any other answer is at least as recent as the call.
@@ -102,7 +108,8 @@
   if (!options_.is_designated()) {
     ScheduleCheck();
   } else if (changed) {
-    pacer_.RunAfter(options_.pause_after_change, [this] { List(); });
+    const auto pause = options_.pause_after_change;
+    pacer_.RunAfter(std::max(pause / 4, pause - Age()), [this] { List(); });
   } else {
     Watch(options_.watch_wait);
   }
@@ -144,9 +151,30 @@
 }
 
 void config_reader::OnFailure(const error& failure) {
+  auto pause = pacer_.OnFailure(failure, confirmation_.revision);
+  // The first failure may concern one call only, and a daemon without a
+  // configuration cannot be told by others.
+  if (++failed_reads_ > 1 && confirmation_.revision.IsKnown() &&
+      !options_.is_designated()) {
+    pause *= kOtherDaemonsPause;
+  }
+  next_read_at_ = MonotonicNow() + pause;
+  AwaitNextRead();
+}
+
+void config_reader::AwaitNextRead() {
   asked_after_ = instant();  // Another daemon may have heard of a change since.
-  pacer_.RunAfter(pacer_.OnFailure(failure, confirmation_.revision),
-                  [this] { ReadAgain(); });
+  const auto left = next_read_at_ - MonotonicNow();
+  if (left.count() <= 0) {
+    ReadAgain();
+    return;
+  }
+  pacer_.RunAfter(std::min(left, options_.max_age), [this] {
+    if (!options_.is_designated() && Age() >= options_.ask_age) {
+      options_.ask_peer();
+    }
+    AwaitNextRead();
+  });
 }
 
 void config_reader::ReadAgain() {
--- a/libs/sidecar/src/config_reader.h
+++ b/libs/sidecar/src/config_reader.h
@@ -37,7 +37,9 @@
   std::function<void()> on_restored;
   // Pause after a change before a designated daemon lists again, until a
   // listing shows no change. A watch returns the whole object with every
-  // change, a listing only its latest state.
+  // change, a listing only its latest state. The pause is shortened by the age
+  // of the confirmation, to a quarter at most: while it lasts, the
+  // confirmations of all other daemons get old as well.
   duration pause_after_change{0};
   store_backoff backoff = {};
 };
@@ -75,6 +77,8 @@
   void CheckAge(duration max_age);
   void OnFailure(const error& failure);
   void ReadAgain();
+  // Asks another daemon now and then until the next read after a failure.
+  void AwaitNextRead();
   duration Age() const { return MonotonicNow() - confirmation_.at; }
 
   watched_store& store_;
@@ -85,7 +89,9 @@
   config_confirmation confirmation_;
   instant asked_after_;  // Last confirmation when another daemon was asked.
   bool listing_ = false;
-  callback_scope answers_;  // Answers to superseded calls are ignored.
+  std::size_t failed_reads_ = 0;  // Since the last successful one.
+  instant next_read_at_;          // After a failure.
+  callback_scope answers_;        // Answers to superseded calls are ignored.
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/member_publisher.cc
+++ b/libs/sidecar/src/member_publisher.cc
@@ -17,15 +17,45 @@
 }  // namespace
 
 member_publisher::member_publisher(boost::asio::io_context& io,
-                                   watched_store& store, std::uint64_t seed)
-    : store_(store), random_(seed), timer_(io) {}
+                                   watched_store& store,
+                                   member_publisher_options options,
+                                   std::uint64_t seed)
+    : store_(store),
+      options_(options),
+      random_(seed),
+      timer_(io),
+      writing_(options_.start_delay.count() == 0) {}
 
 void member_publisher::Publish(const mesh_member& member) {
   name_ = member.name;
   desired_spec_ = EncodeMember(member);
+  // A server that leaves before the first write may be in an earlier record.
+  if (serving_ && !member.server) StartWriting();
+  serving_ = member.server.has_value();
+  CheckStart();
   Reconcile();
 }
 
+void member_publisher::CheckStart() {
+  if (writing_) return;
+  if (serving_ && reported_) {
+    StartWriting();
+  } else if (!std::exchange(waiting_, true)) {
+    timer_.expires_after(options_.start_delay);
+    timer_.async_wait(
+        callbacks_.Bind([this](boost::system::error_code cancelled) {
+          if (cancelled) return;
+          StartWriting();
+          Reconcile();
+        }));
+  }
+}
+
+void member_publisher::StartWriting() {
+  if (std::exchange(writing_, true)) return;
+  timer_.cancel();
+}
+
 void member_publisher::OnStored(const watched_object& object, bool deleted) {
   if (object.name != name_) return;
   if (operation_pending_) {
@@ -37,6 +67,8 @@
   if (revision_ && object.revision < *revision_) return;
   revision_ = deleted ? store_revision() : object.revision;
   stored_spec_ = deleted ? std::string() : object.spec;
+  reported_ = true;
+  CheckStart();
   Reconcile();
 }
 
@@ -46,7 +78,10 @@
 }
 
 void member_publisher::Reconcile() {
-  if (operation_pending_ || stopped_ || desired_spec_ == stored_spec_) return;
+  if (operation_pending_ || stopped_ || !writing_ ||
+      desired_spec_ == stored_spec_) {
+    return;
+  }
   operation_pending_ = true;
   if (revision_) {
     Write();
--- a/libs/sidecar/src/member_publisher.h
+++ b/libs/sidecar/src/member_publisher.h
@@ -15,6 +15,12 @@
 
 namespace pomelohall {
 
+struct member_publisher_options {
+  // Time after the first Publish() in which the first write waits until the
+  // stored record and a backend server are known, to be the only one.
+  duration start_delay{0};
+};
+
 // Keeps the record of this daemon in the store equal to its state. Every write
 // is conditional on the revision that it replaces: a write whose answer was
 // lost may take effect seconds later and must not overwrite a newer one.
@@ -22,7 +28,7 @@
  public:
   // `store` must outlive the publisher.
   member_publisher(boost::asio::io_context& io, watched_store& store,
-                   std::uint64_t seed);
+                   member_publisher_options options, std::uint64_t seed);
 
   // Writes the record, now or as soon as the store accepts it.
   void Publish(const mesh_member& member);
@@ -30,8 +36,13 @@
   // revision of `object` is one at which there was no record.
   void OnStored(const watched_object& object, bool deleted);
   void Stop();
+  // Returns whether other daemons can know this one.
+  bool IsPublished() const { return !stored_spec_.empty(); }
 
  private:
+  // Starts writing, or the delay of the first write.
+  void CheckStart();
+  void StartWriting();
   void Reconcile();
   void Read();
   void OnRead(const result<watched_object>& object);
@@ -40,6 +51,7 @@
   void RetryLater(const error& failure);
 
   watched_store& store_;
+  const member_publisher_options options_;
   random_source random_;
   boost::asio::steady_timer timer_;
   std::string name_;
@@ -52,6 +64,11 @@
   std::optional<object_change> report_;
   std::size_t failures_ = 0;
   bool operation_pending_ = false;
+  bool writing_ = false;  // The first write is not delayed any more.
+  bool serving_ = false;  // The record to write has a backend server.
+  bool reported_ =
+      false;              // The stored record, or that there is none, is known.
+  bool waiting_ = false;  // For the end of the start delay.
   bool stopped_ = false;
   callback_scope callbacks_;
 };
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -53,9 +53,16 @@
 // lost packets.
 constexpr duration kPeerSilenceTimeout = std::chrono::milliseconds(1000);
 constexpr duration kMemberWatchWait = std::chrono::seconds(10);
-// Coalesces records that change together, as after the start of many daemons,
-// into one call.
-constexpr duration kMemberWatchPause = std::chrono::milliseconds(500);
+// Pause between a change of the members and the next watch. It coalesces
+// records that change together, as after the start of many daemons, into one
+// call. In a large fleet some record changes all the time, so the pause grows
+// with the fleet: all daemons together make 200 such calls a second at most.
+constexpr duration kMemberWatchPausePerMember = std::chrono::milliseconds(5);
+constexpr duration kMinMemberWatchPause = std::chrono::milliseconds(500);
+constexpr duration kMaxMemberWatchPause = std::chrono::seconds(3);
+// A backend server announces itself every 1.5 seconds, so a daemon that starts
+// mostly hears of it within this time and needs a single write.
+constexpr duration kFirstRecordDelay = std::chrono::seconds(1);
 // Announcements that a backend server may miss before it is considered
 // unreachable; they can be seconds late.
 constexpr std::int64_t kMaxMissedAnnouncements = 6;
@@ -90,6 +97,12 @@
   return std::max(TimeUntilEnd(stop_grace) - kStopAnswerTime, duration(0));
 }
 
+duration MemberWatchPause(std::size_t members) {
+  return std::clamp<duration>(
+      kMemberWatchPausePerMember * static_cast<std::int64_t>(members),
+      kMinMemberWatchPause, kMaxMemberWatchPause);
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -171,14 +184,15 @@
         caller_listener_(io, {.address = settings_.caller_address}, router_),
         daemon_listener_(io, {.address = settings_.forward_address},
                          mesh_endpoint_),
-        publisher_(io, *platform.store, RandomSeed()),
+        publisher_(io, *platform.store, {.start_delay = kFirstRecordDelay},
+                   RandomSeed()),
         member_observer_(settings_.name, directory_, budget_, publisher_),
         member_watch_(io, *platform.store, member_observer_,
                       {.collection = store_collection::kMembers,
                        // A stale record costs only a refused offer.
                        .consistency = read_consistency::kMayBeStale,
                        .wait = kMemberWatchWait,
-                       .pause_after_change = kMemberWatchPause},
+                       .pause_after_change = MemberWatchPause(0)},
                       RandomSeed()),
         tick_timer_(io),
         stop_timer_(io) {
@@ -275,14 +289,18 @@
   // of store reads does not grow with the number of daemons. The others fetch
   // newer versions from the daemons that they exchange requests with, most of
   // them in their own data centre.
+  // Before the others know this daemon, each of them would do the same.
   bool IsDesignatedConfigReader() const {
+    if (!publisher_.IsPublished() || !member_watch_.HasListed()) return false;
     const auto reader = directory_.FastestMember(MonotonicNow());
     return reader && reader->name == settings_.name;
   }
 
   void AskDesignatedConfigReader() {
     const auto reader = directory_.FastestMember(MonotonicNow());
-    if (reader) config_sync_.Ask(reader->address);
+    if (reader && reader->name != settings_.name) {
+      config_sync_.Ask(reader->address);
+    }
   }
 
   void OnStoreRestored() {
@@ -338,6 +356,7 @@
     daemon_listener_.Sweep(now);
     peers_.Sweep(now);
     dispatcher_.Sweep(now);
+    member_watch_.SetPauseAfterChange(MemberWatchPause(directory_.Size()));
   }
 
   template <typename Function>
--- a/libs/sidecar/tests/config_reader_test.cc
+++ b/libs/sidecar/tests/config_reader_test.cc
@@ -145,6 +145,50 @@
   CHECK(asked_ >= 3);
 }
 
+// Guards against an outage in which every daemon calls the store as often as
+// the designated ones do: each call is charged, and the store returns to a load
+// of useless calls.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_LongOutage_OtherDaemonsCallLess",
+                 "[sidecar][load]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  store_.down = true;
+  RunFor(2 * kMaxAge);
+  const auto calls = [this] {
+    const auto before = store_.lists + store_.watches;
+    RunFor(milliseconds(400));
+    return store_.lists + store_.watches - before;
+  };
+  const auto as_other = calls();
+  designated_ = true;
+  const auto as_designated = calls();
+  CAPTURE(as_other, as_designated);
+  CHECK(as_other * 2 < as_designated);
+  designated_ = false;
+  store_.down = false;
+  Publish(5);
+  RunFor(2 * kMaxAge);
+  CHECK(config_.Version() == 5);
+}
+
+// Guards against a pause after a change in which the confirmations of all
+// daemons get too old, so that each of them reads the store.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_ChangeLateInAWatch_IsConfirmedSoon",
+                 "[sidecar][load]") {
+  designated_ = true;
+  auto options = Options(milliseconds(300));
+  config_reader reader(io_, store_, config_, options, 1);
+  reader.Start();
+  RunFor(milliseconds(250));
+  Publish(5);
+  const auto listings = store_.lists;
+  RunFor(options.pause_after_change / 2);
+  CHECK(store_.lists > listings);
+  reader.Stop();
+}
+
 // Guards against a fetch without an end that keeps a daemon from reading the
 // store.
 TEST_CASE_METHOD(config_reader_fixture,
