--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -1,6 +1,8 @@
 #ifndef POMELOHALL_BASE_TIME_H_
 #define POMELOHALL_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace pomelohall {
@@ -18,6 +20,20 @@
       std::chrono::steady_clock::now());
 }
 
+/// Returns the time for which the machine was suspended since its start. The
+/// monotonic clock does not count it.
+inline duration TotalSuspendedTime() {
+  const auto read = [](clockid_t clock) {
+    timespec time{};
+    ::clock_gettime(clock, &time);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::seconds(time.tv_sec) +
+        std::chrono::nanoseconds(time.tv_nsec));
+  };
+  const auto running = read(CLOCK_MONOTONIC);
+  return read(CLOCK_BOOTTIME) - running;
+}
+
 /// Longest time span that is accepted from another program. Sums and multiples
 /// of such spans do not overflow.
 constexpr duration kMaxForeignDuration = std::chrono::hours(24 * 366);
--- a/libs/sidecar/src/config_reader.cc
+++ b/libs/sidecar/src/config_reader.cc
@@ -45,6 +45,11 @@
   confirmation_.at = std::max(confirmation_.at, confirmation.at);
 }
 
+void config_reader::OnSuspended(duration time) {
+  confirmation_.at -= time;
+  Refresh();
+}
+
 void config_reader::List() {
   listing_ = true;
   answers_.End();
--- a/libs/sidecar/src/config_reader.h
+++ b/libs/sidecar/src/config_reader.h
@@ -63,6 +63,9 @@
   void Refresh();
   // Handles a confirmation of the active configuration by another daemon.
   void OnConfirmed(const config_confirmation& confirmation);
+  // Handles a suspension of the machine: the configuration is older than the
+  // monotonic clock shows.
+  void OnSuspended(duration time);
   const config_confirmation& Confirmation() const { return confirmation_; }
 
  private:
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -30,6 +30,8 @@
 // Resolution of the queue timeouts of the dispatcher; well below the shortest
 // latency targets of a few hundred milliseconds.
 constexpr duration kTickInterval = std::chrono::milliseconds(50);
+// Shorter differences of the clocks are due to the time between their readings.
+constexpr duration kMinSuspension = std::chrono::milliseconds(100);
 // Ticks between checks for idle connections and for a silent backend server.
 constexpr std::int64_t kTicksPerSweep = 20;
 // Readiness is probed once a second; callers stop sending after two failed
@@ -344,6 +346,7 @@
     tick_timer_.async_wait([this](boost::system::error_code cancelled) {
       if (cancelled) return;
       const auto now = MonotonicNow();
+      CheckSuspension();
       if (!dispatcher_.IsIdle()) dispatcher_.Tick(now);
       if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
       FlushStdoutLog();
@@ -351,6 +354,16 @@
     });
   }
 
+  // What is confirmed by time has to be confirmed again after a suspension.
+  void CheckSuspension() {
+    const auto total = TotalSuspendedTime();
+    const auto suspended = total - std::exchange(suspended_time_, total);
+    if (suspended < kMinSuspension) return;
+    log_event(log_level::kWarning, "machine_suspended")
+        .With("ms", static_cast<std::uint64_t>(ToMillis(suspended)));
+    config_reader_.OnSuspended(suspended);
+  }
+
   void Sweep(instant now) {
     caller_listener_.Sweep(now);
     daemon_listener_.Sweep(now);
@@ -428,6 +441,7 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::int64_t ticks_ = 0;
+  duration suspended_time_ = TotalSuspendedTime();
   bool stopping_ = false;
   bool leaving_ = false;
   instant stop_deadline_;     // When all connections close.
--- a/libs/sidecar/tests/config_reader_test.cc
+++ b/libs/sidecar/tests/config_reader_test.cc
@@ -189,6 +189,20 @@
   reader.Stop();
 }
 
+// Guards against a daemon that believes its configuration to be confirmed after
+// its machine was suspended: the monotonic clock stood still meanwhile.
+TEST_CASE_METHOD(config_reader_fixture,
+                 "ConfigReader_MachineWasSuspended_ReadsAgain", "[sidecar]") {
+  reader_.Start();
+  RunFor(milliseconds(5));
+  Publish(5);
+  const auto confirmed_at = reader_.Confirmation().at;
+  reader_.OnSuspended(10 * kMaxAge);
+  CHECK(reader_.Confirmation().at == confirmed_at - 10 * kMaxAge);
+  RunFor(milliseconds(5));
+  CHECK(config_.Version() == 5);
+}
+
 // Guards against a fetch without an end that keeps a daemon from reading the
 // store.
 TEST_CASE_METHOD(config_reader_fixture,
--- a/libs/sidecar/tests/odd_message_test.cc
+++ b/libs/sidecar/tests/odd_message_test.cc
@@ -64,6 +64,13 @@
 // Guards against a report of load whose times are negative after conversion, or
 // whose sums overflow.
 TEST_CASE("LoadCodec_ValueOutOfRange_IsRefused", "[sidecar]") {
+  REQUIRE(DecodeHeldTime("1500") == std::chrono::microseconds(1500));
+  for (const auto* text : {"", "-1", "1.5", "x", "1500 ",
+                           "99999999999999999999999", "9223372036854775807"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeHeldTime(text));
+  }
+  CHECK(EncodeHeldTime(std::chrono::microseconds(-3)) == "0");
   REQUIRE(DecodeLoad("1,2,18,1000,0"));
   for (const char* text :
        {"18446744073709551615,2,18,1000,0", "1,18446744073709551615,18,1000,0",
