--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "answer_sender.h"
 #include "backend/connection_pool.h"
@@ -93,7 +94,10 @@
     int priority = 0;
     bool is_late = false;  // The target has been missed.
 
-    auto operator<=>(const offer_kind&) const = default;
+    bool operator<(const offer_kind& other) const {
+      return std::tie(service, priority, is_late) <
+             std::tie(other.service, other.priority, other.is_late);
+    }
   };
 
   boost::asio::io_context& io_;
