--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -108,8 +108,10 @@
           initial_time_left_);
   target_at_ =
       is_likely_retry ? received_at_ : received_at_ + route_->latency_target;
-  timeout_at_ = std::min(deadline_ + router_.options_.late_answer_time,
-                         received_at_ + usable + margin);
+  // Before the caller leaves, so that a member that does not answer is known.
+  timeout_at_ = std::max(deadline_ + margin,
+                         std::min(deadline_ + router_.options_.late_answer_time,
+                                  received_at_ + usable));
   if (router_.stop_) {
     LimitToStop();
   } else {
@@ -611,7 +613,9 @@
   finished_ = true;
   if (sent_) sent_->Cancel();
   last_failure_ = error(error_kind::kCancelled, "the caller disconnected");
-  EndOffer(send_outcome::kRefused);
+  // A member that did not answer until the deadline may be gone.
+  const bool overdue = route_ != nullptr && MonotonicNow() >= deadline_;
+  EndOffer(overdue ? send_outcome::kFailed : send_outcome::kRefused);
   Finish(0, "cancelled");
 }
 
