--- a/libs/sidecar/src/member_publisher.h
+++ b/libs/sidecar/src/member_publisher.h
@@ -65,10 +65,10 @@
   std::size_t failures_ = 0;
   bool operation_pending_ = false;
   bool writing_ = false;  // The first write is not delayed any more.
-  bool serving_ = false;  // The record to write has a backend server.
-  bool reported_ =
-      false;              // The stored record, or that there is none, is known.
   bool waiting_ = false;  // For the end of the start delay.
+  bool serving_ = false;  // The record to write has a backend server.
+  // The stored record, or that there is none, is known.
+  bool reported_ = false;
   bool stopped_ = false;
   callback_scope callbacks_;
 };
