--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -357,6 +357,8 @@
         self.backend = Backend(fleet, self, service)
         self.process = None
         self.started_at = 0.0
+        self.link = None
+        self.link_mbps = 1000.0
         self.settings = os.path.join(fleet.folder, self.name + ".json")
 
     def write_settings(self):
@@ -370,12 +372,21 @@
             "internalPorts": [self.ports["first"], self.ports["last"]],
             "platform": {
                 "address": f"{self.fleet.store_ip}:{self.store_port}"},
-            "limits": {"linkMbps": 1000.0}}
+            "limits": {"linkMbps": self.link_mbps}}
         with open(TEMPLATE, encoding="utf-8") as file:
             text = file.read()
+        settings = json.loads(re.sub(r"\{\{([^}|]+)(\|json)?\}\}",
+                                     lambda hit: render(values, hit), text))
+        if self.link:
+            settings["listeners"]["advertised"] = f"{self.ip}:{self.link.port}"
         with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(re.sub(r"\{\{([^}|]+)(\|json)?\}\}",
-                              lambda hit: render(values, hit), text))
+            json.dump(settings, file)
+
+    async def limit_link(self, mbps):
+        """Gives the machine a slow link; to be called before its start."""
+        self.link_mbps = mbps
+        self.link = Link(self, mbps)
+        await self.link.listen()
 
     def start_daemon(self):
         self.write_settings()
@@ -427,6 +438,52 @@
     return ports
 
 
+class Link:
+    """Carries what a machine sends to others, at the rate of its link.
+
+    Other machines reach the daemon through it. It changes and drops nothing.
+    """
+
+    PIECE_BYTES = 4096
+    BURST_S = 0.02  # Makes up for timers that fire late.
+
+    def __init__(self, machine, mbps):
+        self.machine = machine
+        self.bytes_per_s = mbps * 125_000
+        self.free_at = 0.0
+        self.port = free_ports(machine.ip, 1)[0]
+        self.server = None
+
+    async def listen(self):
+        self.server = await asyncio.start_server(
+            self.serve, self.machine.ip, self.port)
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.machine.ip, self.machine.ports["first"], limit=16384)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self.carry(reader, far_writer, False),
+                             self.carry(far_reader, writer, True))
+
+    async def carry(self, reader, writer, limited):
+        try:
+            while data := await reader.read(self.PIECE_BYTES):
+                if limited:
+                    now = time.monotonic()
+                    self.free_at = (max(self.free_at, now - self.BURST_S) +
+                                    len(data) / self.bytes_per_s)
+                    await asyncio.sleep(max(0, self.free_at - now))
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            writer.close()
+
+
 class Fleet:
     """Machines, the store, the clients and the record of a case."""
 
@@ -453,7 +510,7 @@
     def publish(self, version, routes):
         """Writes a configuration as the operator does.
 
-        `routes`: (name, prefix, kind, service) each.
+        `routes`: (name, prefix, kind, service) each, and further fields.
         """
         services = sorted({machine.service for machine in self.machines})
         self.store.put("config", "main", {
@@ -461,8 +518,8 @@
             "routes": [{
                 "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
                 "timeoutMs": 1500, "latencyTargetMs": 800, "priority": 1,
-                "service": service, "attempts": 2}
-                for name, prefix, kind, service in routes],
+                "service": service, "attempts": 2, **(more[0] if more else {})}
+                for name, prefix, kind, service, *more in routes],
             "services": [{"name": service, "healthPath": "/healthz",
                           "maxConns": 110, "protocol": "h1", "tls": False}
                          for service in services],
