--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -28,7 +28,7 @@
 CASE_LIMIT_S = 110
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
-# Bounds of lacerda-envelopes in SYSTEM.md.
+# Bounds of lacerda-envelopes in SYSTEM.md. A case on another site replaces some.
 DRAIN_S = 2.0
 CONTACT_S = 3.0
 HEARTBEAT_S = 1.5
@@ -367,7 +367,8 @@
         values = {
             "node": self.name, "zone": self.zone, "ip": self.ip,
             "app": f"{self.ip}:{self.ports['app']}", "service": self.service,
-            "heartbeatMs": int(HEARTBEAT_S * 1000), "bounds": BOUNDS,
+            "heartbeatMs": int(HEARTBEAT_S * 1000),
+            "bounds": self.fleet.bounds,
             "listen": listen,
             "internalPorts": [self.ports["first"], self.ports["last"]],
             "platform": {
@@ -487,9 +488,10 @@
 class Fleet:
     """Machines, the store, the clients and the record of a case."""
 
-    def __init__(self, folder, record, services):
+    def __init__(self, folder, record, services, bounds):
         self.folder = folder
         self.record = record
+        self.bounds = bounds
         self.store = Store()
         self.store_ip = "127.0.0.10"
         self.runs = []
@@ -615,8 +617,11 @@
                 machine.process.wait()
 
 
-def main(case_file, services, case):
-    """Runs `case(fleet, trouble)`, which returns whether the rule held."""
+def main(case_file, services, case, bounds=None):
+    """Runs `case(fleet, trouble)`, which returns whether the rule held.
+
+    `bounds` replaces some of BOUNDS.
+    """
     folder = os.path.dirname(os.path.abspath(case_file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
@@ -639,7 +644,7 @@
             await asyncio.sleep(0.2)  # For the ends of their connections.
 
     try:
-        fleet = Fleet(work, record, services)
+        fleet = Fleet(work, record, services, {**BOUNDS, **(bounds or {})})
         held = asyncio.run(run())
         record.write("the rule held" if held else "THE RULE WAS BROKEN")
         code = HELD if held else BROKEN
