Take the caller service from the settings, refuse foreign announcements

Cause: the listener for announcements is open to all programs on the VM. Any visible text was accepted as service, the announcement with the latest start replaced the backend server, and its service became the caller service. The settings name the service, but were used until the first announcement only.

Change: the caller service comes from the settings. An earlier start counts again as soon as the later one is contradicted (421, refused connection, leaving, silence).

--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -38,9 +38,23 @@
     {server_phase::kUnreachable, "unreachable"},
 }}};
 
+/// Result of an announcement.
+enum class announcement_outcome {
+  kAccepted,
+  kOutdated,  ///< A later one of the same server or of its successor is known.
+  kForeign,   ///< It is not of the backend server on this VM.
+};
+
+inline constexpr name_table<announcement_outcome, 3> kAnnouncementOutcomeNames{{{
+    {announcement_outcome::kAccepted, "accepted"},
+    {announcement_outcome::kOutdated, "outdated"},
+    {announcement_outcome::kForeign, "foreign"},
+}}};
+
 /// Settings of a local_server.
 struct local_server_options {
   std::string address;  ///< "ip:port" of the backend server on this VM.
+  std::string service;  ///< Service of that backend server.
   /// The backend server is considered unreachable if it sends no announcement
   /// for this time.
   duration announcement_timeout = std::chrono::seconds(10);
@@ -53,14 +67,16 @@
  public:
   explicit local_server(local_server_options options);
 
-  /// Changes the address after a reload of the settings.
-  void SetAddress(std::string address) {
-    options_.address = std::move(address);
-  }
+  /// Changes address and service after a reload of the settings. If one of them
+  /// differs, the backend server is unknown until it announces itself.
+  void SetServer(const std::string& address, const std::string& service,
+                 instant now);
 
-  /// Handles an announcement.
-  /// @return False if it is outdated or names another address.
-  bool OnAnnounced(const server_announcement& announcement, instant now);
+  /// Handles an announcement. Other programs may send announcements too: one
+  /// that names another address or service than the settings is not of the
+  /// backend server on this VM.
+  announcement_outcome OnAnnounced(const server_announcement& announcement,
+                                   instant now);
 
   /// Handles a withdrawal, which starts draining without an announcement.
   /// @param unix_ms Current time by the clock of this VM, which its backend
@@ -96,6 +112,7 @@
     std::int64_t unix_ms;
   };
 
+  bool IsForeign(const server_announcement& announcement) const;
   bool IsWithdrawn(const server_announcement& announcement) const;
   bool IsOutdated(const server_announcement& announcement, instant now) const;
   void SetPhase(server_phase phase, instant now);
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -7,25 +7,44 @@
 local_server::local_server(local_server_options options)
     : options_(std::move(options)) {}
 
+void local_server::SetServer(const std::string& address,
+                             const std::string& service, instant now) {
+  if (address == options_.address && service == options_.service) return;
+  options_.address = address;
+  options_.service = service;
+  last_announcement_.reset();
+  SetPhase(server_phase::kUnknown, now);
+}
+
+bool local_server::IsForeign(const server_announcement& announcement) const {
+  return announcement.address != options_.address ||
+         announcement.service != options_.service;
+}
+
+// The clock of the VM may have jumped back between two starts, and another
+// program may have announced a later start. So an earlier start is rejected
+// only while nothing contradicts the later one: it is announced, reachable and
+// not leaving.
 bool local_server::IsOutdated(const server_announcement& announcement,
                               instant now) const {
   if (!last_announcement_) return false;
-  if (announcement.instance == last_announcement_->instance) {
-    if (announcement.started_unix_ms != last_announcement_->started_unix_ms) {
-      return announcement.started_unix_ms < last_announcement_->started_unix_ms;
-    }
+  const bool same_instance =
+      announcement.instance == last_announcement_->instance;
+  if (same_instance &&
+      announcement.started_unix_ms == last_announcement_->started_unix_ms) {
     return announcement.sequence <= last_announcement_->sequence;
   }
-  // The clock of the VM may have jumped back between two starts, so an earlier
-  // start time is rejected only while the current instance sends announcements.
+  // A later start of the same instance ends the earlier one for certain.
+  const bool holds = phase_ == server_phase::kServing ||
+                     (same_instance && phase_ == server_phase::kLeaving);
   return announcement.started_unix_ms < last_announcement_->started_unix_ms &&
-         now - last_announced_at_ < options_.announcement_timeout;
+         holds && now - last_announced_at_ < options_.announcement_timeout;
 }
 
-bool local_server::OnAnnounced(const server_announcement& announcement,
-                               instant now) {
-  if (announcement.address != options_.address) return false;
-  if (IsOutdated(announcement, now)) return false;
+announcement_outcome local_server::OnAnnounced(
+    const server_announcement& announcement, instant now) {
+  if (IsForeign(announcement)) return announcement_outcome::kForeign;
+  if (IsOutdated(announcement, now)) return announcement_outcome::kOutdated;
   const bool same_start =
       last_announcement_ &&
       announcement.instance == last_announcement_->instance &&
@@ -37,7 +56,7 @@
   last_announcement_ = announcement;
   last_announced_at_ = now;
   SetPhase(leaving ? server_phase::kLeaving : server_phase::kServing, now);
-  return true;
+  return announcement_outcome::kAccepted;
 }
 
 bool local_server::IsWithdrawn(const server_announcement& announcement) const {
--- a/libs/mesh/tests/local_server_test.cc
+++ b/libs/mesh/tests/local_server_test.cc
@@ -11,13 +11,25 @@
  protected:
   local_server_fixture()
       : server_(
-            {.address = "10.0.0.1:80", .announcement_timeout = seconds(9)}) {}
+            {.address = "10.0.0.1:80",
+             .service = "shop",
+             .announcement_timeout = seconds(9)}) {}
 
   bool Announce(const std::string& instance, std::uint64_t sequence,
                 std::int64_t started = 1000, bool draining = false) {
+    return AnnounceFrom("10.0.0.1:80", "shop", instance, sequence, started,
+                        draining) == announcement_outcome::kAccepted;
+  }
+
+  announcement_outcome AnnounceFrom(const std::string& address,
+                                    const std::string& service,
+                                    const std::string& instance,
+                                    std::uint64_t sequence,
+                                    std::int64_t started,
+                                    bool draining = false) {
     return server_.OnAnnounced({.instance = instance,
-                                .service = "shop",
-                                .address = "10.0.0.1:80",
+                                .service = service,
+                                .address = address,
                                 .slots = 18,
                                 .draining = draining,
                                 .started_unix_ms = started,
@@ -100,16 +112,69 @@
   CHECK(server_.OfferedServer()->instance == "i-3");
 }
 
-// Guards against accepting the announcement of a server on another VM.
-TEST_CASE_METHOD(local_server_fixture, "LocalServer_OtherAddress_IsIgnored",
+// Guards against accepting the announcement of a server on another VM, or of a
+// program that is no backend server of this VM.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_OtherAddressOrService_IsForeign", "[mesh]") {
+  for (const bool draining : {false, true}) {
+    CHECK(AnnounceFrom("10.0.0.2:80", "shop", "i-9", 1, 2000, draining) ==
+          announcement_outcome::kForeign);
+    CHECK(AnnounceFrom("10.0.0.1:80", "unnamed", "i-9", 1, 2000, draining) ==
+          announcement_outcome::kForeign);
+    CHECK(AnnounceFrom("10.0.0.1:80", "unnamed", "i-1", 99, 9000, draining) ==
+          announcement_outcome::kForeign);
+  }
+  CHECK_FALSE(server_.LastAnnouncement());
+  CHECK(Announce("i-1", 1));
+  CHECK(AnnounceFrom("10.0.0.1:80", "unnamed", "i-9", 1, 2000) ==
+        announcement_outcome::kForeign);
+  CHECK(server_.OfferedServer()->instance == "i-1");
+}
+
+// Guards against an announcement of another program with a later start that
+// hides the backend server for good: nobody answers as that instance.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_LaterStartIsContradicted_EarlierOneCountsAgain",
+                 "[mesh]") {
+  Announce("i-1", 1);
+  CHECK(Announce("i-9", 1, 5000));
+  CHECK_FALSE(Announce("i-1", 2));
+  server_.OnUnreachable("i-9", now_);
+  CHECK(Announce("i-1", 3));
+  CHECK(Announce("i-9", 2, 6000, true));
+  CHECK(Announce("i-1", 4));
+  REQUIRE(server_.OfferedServer());
+  CHECK(server_.OfferedServer()->instance == "i-1");
+}
+
+// Guards against the same with the instance of the backend server, whose own
+// announcements would never count again.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_LaterStartOfSameInstanceEnds_EarlierCountsAgain",
                  "[mesh]") {
-  CHECK_FALSE(server_.OnAnnounced({.instance = "i-9",
-                                   .service = "shop",
-                                   .address = "10.0.0.2:80",
-                                   .started_unix_ms = 1,
-                                   .sequence = 1},
-                                  now_));
+  Announce("i-1", 1);
+  CHECK(Announce("i-1", 1, 5000));
+  CHECK_FALSE(Announce("i-1", 2));
+  now_ += seconds(9);
+  CHECK(Announce("i-1", 8));
+  CHECK(server_.OfferedServer());
+}
+
+// Guards against requests to the backend server of earlier settings, or with
+// its service.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_SettingsNameAnother_IsUnknownUntilAnnounced",
+                 "[mesh]") {
+  Announce("i-1", 1);
+  server_.SetServer("10.0.0.1:80", "shop", now_);
+  CHECK(server_.OfferedServer());
+  server_.SetServer("10.0.0.1:80", "books", now_);
   CHECK_FALSE(server_.OfferedServer());
+  CHECK(AnnounceFrom("10.0.0.1:80", "shop", "i-1", 2, 1000) ==
+        announcement_outcome::kForeign);
+  CHECK(AnnounceFrom("10.0.0.1:80", "books", "i-2", 1, 500) ==
+        announcement_outcome::kAccepted);
+  CHECK(server_.OfferedServer()->service == "books");
 }
 
 // Guards against a crashed server that is still offered, and against a
--- a/libs/sidecar/include/sidecar/sidecar.h
+++ b/libs/sidecar/include/sidecar/sidecar.h
@@ -60,8 +60,7 @@
 
   /// Handles an announcement of the backend server beside this daemon. A
   /// draining backend server gets no new requests.
-  /// @return False if the announcement is outdated or from another address.
-  bool OnAnnounced(const server_announcement& announcement);
+  announcement_outcome OnAnnounced(const server_announcement& announcement);
   /// Handles the withdrawal of the backend server: it stops and sends no
   /// further announcement.
   /// @return False if `instance` is not the current one.
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -42,6 +42,7 @@
       server_address_(options_.server_address),
       pool_(io, PoolOptions(options_)),
       server_({.address = options_.server_address,
+               .service = options_.server_service,
                .announcement_timeout = options_.announcement_timeout}),
       queue_({.max_wait = options_.max_wait,
               .check_interval = options_.tick_interval}) {}
@@ -121,16 +122,17 @@
   return local;
 }
 
-bool local_dispatcher::OnAnnounced(const server_announcement& announcement,
-                                   instant now) {
+announcement_outcome local_dispatcher::OnAnnounced(
+    const server_announcement& announcement, instant now) {
   const auto previous = server_.Phase();
   const auto offer = server_.OfferedServer();
-  if (!server_.OnAnnounced(announcement, now)) return false;
+  const auto outcome = server_.OnAnnounced(announcement, now);
+  if (outcome != announcement_outcome::kAccepted) return outcome;
   if (server_.OfferedServer() != offer) queue_.SetSlots(announcement.slots);
   LogPhaseChange(previous);
   if (server_.OfferedServer() != offer && on_offer_changed_)
     on_offer_changed_();
-  return true;
+  return outcome;
 }
 
 bool local_dispatcher::OnWithdrawn(const std::string& instance,
@@ -163,9 +165,16 @@
       .With("sequence", announced ? announced->sequence : 0);
 }
 
-void local_dispatcher::SetServerAddress(const std::string& address) {
+void local_dispatcher::SetServer(const std::string& address,
+                                 const std::string& service) {
+  const auto previous = server_.Phase();
   server_address_ = address;
-  server_.SetAddress(address);
+  server_.SetServer(address, service, MonotonicNow());
+  if (server_.Phase() == previous) return;
+  LogPhaseChange(previous);
+  Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
+         "the settings name another backend server");
+  if (on_offer_changed_) on_offer_changed_();
 }
 
 void local_dispatcher::LimitDeadlines(instant latest) {
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -38,6 +38,7 @@
 struct local_dispatcher_options {
   header_field_names fields;
   std::string server_address;  // "ip:port".
+  std::string server_service;
   std::size_t max_connections = 100;
   // Longest wait of an accepted request for a slot of the backend server.
   duration max_wait = duration::max();
@@ -76,13 +77,15 @@
   std::shared_ptr<exchange> Start(local_request request,
                                   exchange_events events);
 
-  // Handle announcements and withdrawals of the backend server. Return false if
-  // they are outdated or from another address or instance. `unix_ms` is the
-  // time of the VM's clock in milliseconds.
-  bool OnAnnounced(const server_announcement& announcement, instant now);
+  // Handles an announcement of the backend server.
+  announcement_outcome OnAnnounced(const server_announcement& announcement,
+                                   instant now);
+  // Handles a withdrawal of the backend server. Returns false if it is of
+  // another instance. `unix_ms` is the time of the VM's clock in milliseconds.
   bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
                    instant now);
-  void SetServerAddress(const std::string& address);
+  // Changes address and service of the backend server.
+  void SetServer(const std::string& address, const std::string& service);
 
   // Limits the deadlines of all requests, those in progress included: the
   // daemon stops soon after `latest`. A waiting request that cannot end by then
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -32,7 +32,7 @@
 struct request_router_options {
   header_field_names fields;
   std::string member;          // Name of this daemon.
-  std::string caller_service;  // Service of this VM until one is announced.
+  std::string caller_service;  // Service of this VM, from the settings.
   // Part of the caller's deadline that is reserved for the transport of the
   // answer.
   duration answer_margin = std::chrono::milliseconds(20);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -131,6 +131,7 @@
         dispatcher_(io,
                     {.fields = platform.fields,
                      .server_address = settings_.server_address,
+                     .server_service = settings_.server_service,
                      .max_wait = MaxSlotWait(settings_.stop_grace),
                      .tick_interval = kTickInterval,
                      // The other half is for requests in transit.
@@ -227,7 +228,7 @@
   void Reload(const sidecar_settings& settings) {
     settings_.server_address = settings.server_address;
     settings_.server_service = settings.server_service;
-    dispatcher_.SetServerAddress(settings.server_address);
+    dispatcher_.SetServer(settings.server_address, settings.server_service);
     router_.SetCallerService(settings.server_service);
     log_event(log_level::kInfo, "settings_reloaded")
         .With("backend_server", settings.server_address)
@@ -263,7 +264,7 @@
     RunAt(now + kReadinessLossTime, [this] { CloseListeners(); });
   }
 
-  bool OnAnnounced(const server_announcement& announcement) {
+  announcement_outcome OnAnnounced(const server_announcement& announcement) {
     return dispatcher_.OnAnnounced(announcement, MonotonicNow());
   }
 
@@ -337,8 +338,6 @@
     local_member.server = dispatcher_.OfferedServer();
     directory_.Put(local_member, MonotonicNow());
     publisher_.Publish(published_member_);
-    const auto& announced = dispatcher_.Server().LastAnnouncement();
-    if (announced) router_.SetCallerService(announced->service);
   }
 
   void ScheduleTick() {
@@ -466,7 +465,8 @@
 
 bool sidecar::IsReady() const { return impl_->IsReady(); }
 
-bool sidecar::OnAnnounced(const server_announcement& announcement) {
+announcement_outcome sidecar::OnAnnounced(
+    const server_announcement& announcement) {
   return impl_->OnAnnounced(announcement);
 }
 
