Store the departures of backend servers before they are acknowledged

Cause: what local_server acknowledged was in the memory of one process. The record in the store only lacked the server.

Change: the record of a daemon lists the departures. The next process takes them over from the record that its first, conditional write replaces, and offers its backend server only after that write; without the store only once the server has announced itself for longer than announcements are late.

Why it works: the write fails if the record has changed, so neither stale reads nor lost answers can hide an acknowledged departure.

--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/name_table.h"
 #include "base/time.h"
@@ -58,6 +59,11 @@
   /// The backend server is considered unreachable if it sends no announcement
   /// for this time.
   duration announcement_timeout = std::chrono::seconds(10);
+  /// Whether an earlier process of the daemon may have acknowledged a departure
+  /// that is not known yet. Until OnDeparturesKnown(), the backend server is
+  /// then only offered once it has announced itself for longer than
+  /// announcements can be late.
+  bool awaits_departures = false;
 };
 
 /// Tracks whether the backend server on this VM accepts requests, based on its
@@ -78,13 +84,24 @@
   announcement_outcome OnAnnounced(const server_announcement& announcement,
                                    instant now);
 
-  /// Handles a withdrawal, which starts draining without an announcement.
+  /// Handles a withdrawal, which starts draining without an announcement. A
+  /// daemon that was restarted may get it before an announcement that was sent
+  /// earlier.
   /// @param unix_ms Current time by the clock of this VM, which its backend
   ///     server shares, in milliseconds.
   /// @return False if `instance` is not the current one.
   bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
                    instant now);
 
+  /// Adds departures that an earlier process of the daemon acknowledged.
+  void AddDepartures(const std::vector<departed_server>& departed, instant now);
+
+  /// Handles that no further departure of an earlier process exists.
+  void OnDeparturesKnown() { knows_departures_ = true; }
+
+  /// Returns the backend servers that have left, the latest one last.
+  const std::vector<departed_server>& Departures() const { return departed_; }
+
   /// Handles a refused connection or a response from another instance.
   /// @param instance The instance that the request was sent to.
   void OnUnreachable(const std::string& instance, instant now);
@@ -99,21 +116,22 @@
     return last_announcement_;
   }
 
-  /// Returns the backend server as offered to other daemons, or nothing unless
-  /// it is serving.
+  /// Returns the backend server as it may be offered to other daemons, or
+  /// nothing unless it is serving and departures are known.
   std::optional<offered_server> OfferedServer() const;
 
+  /// Returns the backend server if it is serving as far as is known.
+  std::optional<offered_server> ServingServer() const;
+
   /// Returns when the current phase began.
   instant PhaseSince() const { return phase_since_; }
 
  private:
-  struct withdrawal {
-    std::string instance;
-    std::int64_t unix_ms;
-  };
-
   bool IsForeign(const server_announcement& announcement) const;
-  bool IsWithdrawn(const server_announcement& announcement) const;
+  bool HasLeft(const server_announcement& announcement) const;
+  void AddDeparture(const departed_server& departure);
+  /// Updates the phase if the current start has left.
+  void ApplyDepartures(instant now);
   bool IsOutdated(const server_announcement& announcement, instant now) const;
   void SetPhase(server_phase phase, instant now);
 
@@ -121,10 +139,10 @@
   server_phase phase_ = server_phase::kUnknown;
   instant phase_since_;
   std::optional<server_announcement> last_announcement_;
+  instant first_announced_at_;  ///< First announcement of the current start.
   instant last_announced_at_;
-  /// Withdrawal of an instance that is not the current one. A daemon that was
-  /// restarted may get it before an announcement that was sent earlier.
-  std::optional<withdrawal> early_withdrawal_;
+  std::vector<departed_server> departed_;
+  bool knows_departures_;
 };
 
 }  // namespace pomelohall
--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace pomelohall {
 
@@ -18,6 +19,17 @@
   bool operator==(const offered_server&) const = default;
 };
 
+/// Starts of a backend server that have left: it announced that it drains, or
+/// withdrew itself. They do not serve again, whatever is announced late.
+struct departed_server {
+  std::string instance;
+  /// The latest start that has left, by the clock of its VM. The instance may
+  /// start again later.
+  std::int64_t latest_start_unix_ms = 0;
+
+  bool operator==(const departed_server&) const = default;
+};
+
 /// Largest number of slots and link rate that a record may state. Far above
 /// those of any VM; a larger value would attract all requests of a service, or
 /// make a member the reader of its data centre although it is none.
@@ -35,6 +47,9 @@
   /// Rises with each change of the record in one incarnation.
   std::uint64_t sequence = 0;
   std::optional<offered_server> server;  ///< Nothing while it is not serving.
+  /// Backend servers of this VM that have left, the latest one last. Kept for
+  /// the next process of the daemon.
+  std::vector<departed_server> departed = {};
 
   bool operator==(const mesh_member&) const = default;
 
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -1,11 +1,20 @@
 #include "mesh/local_server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pomelohall {
+namespace {
+
+// Announcements are late by seconds, and a VM runs one backend server at a
+// time. Further departures are of programs that withdraw instances at random.
+constexpr std::size_t kMaxDepartures = 16;
+
+}  // namespace
 
 local_server::local_server(local_server_options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      knows_departures_(!options_.awaits_departures) {}
 
 void local_server::SetServer(const std::string& address,
                              const std::string& service, instant now) {
@@ -44,37 +53,80 @@
 announcement_outcome local_server::OnAnnounced(
     const server_announcement& announcement, instant now) {
   if (IsForeign(announcement)) return announcement_outcome::kForeign;
-  if (IsOutdated(announcement, now)) return announcement_outcome::kOutdated;
+  // Also counts if it is late: a server that drains does not serve again until
+  // it is restarted.
+  if (announcement.draining) {
+    AddDeparture({.instance = announcement.instance,
+                  .latest_start_unix_ms = announcement.started_unix_ms});
+  }
+  if (IsOutdated(announcement, now)) {
+    ApplyDepartures(now);
+    return announcement_outcome::kOutdated;
+  }
   const bool same_start =
       last_announcement_ &&
       announcement.instance == last_announcement_->instance &&
       announcement.started_unix_ms == last_announcement_->started_unix_ms;
-  // A draining server does not serve again until it is restarted.
-  const bool leaving = announcement.draining ||
-                       (same_start && phase_ == server_phase::kLeaving) ||
-                       IsWithdrawn(announcement);
+  if (!same_start) first_announced_at_ = now;
   last_announcement_ = announcement;
   last_announced_at_ = now;
-  SetPhase(leaving ? server_phase::kLeaving : server_phase::kServing, now);
+  if (now - first_announced_at_ >= options_.announcement_timeout)
+    knows_departures_ = true;
+  SetPhase(HasLeft(announcement) ? server_phase::kLeaving
+                                 : server_phase::kServing,
+           now);
   return announcement_outcome::kAccepted;
 }
 
-bool local_server::IsWithdrawn(const server_announcement& announcement) const {
-  return early_withdrawal_ &&
-         early_withdrawal_->instance == announcement.instance &&
-         announcement.started_unix_ms <= early_withdrawal_->unix_ms;
+void local_server::ApplyDepartures(instant now) {
+  if (last_announcement_ && HasLeft(*last_announcement_)) {
+    SetPhase(server_phase::kLeaving, now);
+  }
+}
+
+bool local_server::HasLeft(const server_announcement& announcement) const {
+  return std::any_of(departed_.begin(), departed_.end(),
+                     [&](const departed_server& departure) {
+                       return departure.instance == announcement.instance &&
+                              announcement.started_unix_ms <=
+                                  departure.latest_start_unix_ms;
+                     });
+}
+
+void local_server::AddDeparture(const departed_server& departure) {
+  auto latest = departure;
+  const auto known = std::find_if(
+      departed_.begin(), departed_.end(), [&](const departed_server& other) {
+        return other.instance == departure.instance;
+      });
+  if (known != departed_.end()) {
+    if (known->latest_start_unix_ms >= departure.latest_start_unix_ms) return;
+    departed_.erase(known);
+  }
+  departed_.push_back(std::move(latest));
+  if (departed_.size() > kMaxDepartures) departed_.erase(departed_.begin());
 }
 
 bool local_server::OnWithdrawn(const std::string& instance,
                                std::int64_t unix_ms, instant now) {
   if (!last_announcement_ || last_announcement_->instance != instance) {
-    early_withdrawal_ = {.instance = instance, .unix_ms = unix_ms};
+    AddDeparture({.instance = instance, .latest_start_unix_ms = unix_ms});
     return false;
   }
-  SetPhase(server_phase::kLeaving, now);
+  AddDeparture({.instance = instance,
+                .latest_start_unix_ms = last_announcement_->started_unix_ms});
+  ApplyDepartures(now);
   return true;
 }
 
+void local_server::AddDepartures(const std::vector<departed_server>& departed,
+                                 instant now) {
+  const auto later = std::exchange(departed_, {});
+  for (const auto& departure : departed) AddDeparture(departure);
+  for (const auto& departure : later) AddDeparture(departure);
+  ApplyDepartures(now);
+}
+
 void local_server::OnUnreachable(const std::string& instance, instant now) {
   if (!last_announcement_ || last_announcement_->instance != instance) return;
   if (phase_ == server_phase::kServing)
@@ -95,6 +147,10 @@
 }
 
 std::optional<offered_server> local_server::OfferedServer() const {
+  return knows_departures_ ? ServingServer() : std::nullopt;
+}
+
+std::optional<offered_server> local_server::ServingServer() const {
   if (phase_ != server_phase::kServing) return std::nullopt;
   return offered_server{.instance = last_announcement_->instance,
                         .service = last_announcement_->service,
--- a/libs/sidecar/include/sidecar/sidecar.h
+++ b/libs/sidecar/include/sidecar/sidecar.h
@@ -28,8 +28,9 @@
 
 /// Daemon that runs beside a backend server. Routes the requests of callers on
 /// its VM to backend servers, and controls admission to the backend server
-/// beside it. Keeps no state across restarts: configuration and members are in
-/// the platform's store. Runs on one thread.
+/// beside it. Keeps no state across restarts: the configuration, the members and
+/// the departures of backend servers are in the platform's store. Runs on one
+/// thread.
 class sidecar {
  public:
   /// @param io Must outlive the sidecar.
@@ -66,6 +67,13 @@
   /// @return False if `instance` is not the current one.
   bool OnWithdrawn(const std::string& instance);
 
+  /// Waits until the store has the departures of all backend servers that were
+  /// draining or withdrawn so far, so that the next process of this daemon
+  /// knows them.
+  /// @param done Called with false if that takes longer than a backend server
+  ///     waits for an acknowledgement; the departures are stored later then.
+  void AwaitDepartureStored(std::function<void(bool)> done);
+
   /// Address "ip:port" of the listener for callers; the actual port once
   /// started.
   const std::string& CallerAddress() const;
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -43,7 +43,8 @@
       pool_(io, PoolOptions(options_)),
       server_({.address = options_.server_address,
                .service = options_.server_service,
-               .announcement_timeout = options_.announcement_timeout}),
+               .announcement_timeout = options_.announcement_timeout,
+               .awaits_departures = true}),
       queue_({.max_wait = options_.max_wait,
               .check_interval = options_.tick_interval}) {}
 
@@ -122,59 +123,78 @@
   return local;
 }
 
+template <typename Change>
+void local_dispatcher::ChangeServer(Change change) {
+  const auto phase = server_.Phase();
+  const auto serving = server_.ServingServer();
+  const auto offered = server_.OfferedServer();
+  const auto departed = server_.Departures();
+  change();
+  const bool phase_changed = server_.Phase() != phase;
+  if (phase_changed) {
+    const auto& announced = server_.LastAnnouncement();
+    log_event(log_level::kInfo, "server_phase")
+        .With("from", kServerPhaseNames.Name(phase))
+        .With("to", kServerPhaseNames.Name(server_.Phase()))
+        .With("instance", announced ? announced->instance : "")
+        .With("service", announced ? announced->service : "")
+        .With("sequence", announced ? announced->sequence : 0);
+  }
+  if (on_server_changed_ &&
+      (phase_changed || server_.ServingServer() != serving ||
+       server_.OfferedServer() != offered ||
+       server_.Departures() != departed)) {
+    on_server_changed_();
+  }
+}
+
 announcement_outcome local_dispatcher::OnAnnounced(
     const server_announcement& announcement, instant now) {
-  const auto previous = server_.Phase();
-  const auto offer = server_.OfferedServer();
-  const auto outcome = server_.OnAnnounced(announcement, now);
-  if (outcome != announcement_outcome::kAccepted) return outcome;
-  if (server_.OfferedServer() != offer) queue_.SetSlots(announcement.slots);
-  LogPhaseChange(previous);
-  if (server_.OfferedServer() != offer && on_offer_changed_)
-    on_offer_changed_();
+  auto outcome = announcement_outcome::kOutdated;
+  ChangeServer([&] {
+    const auto serving = server_.ServingServer();
+    outcome = server_.OnAnnounced(announcement, now);
+    if (server_.ServingServer() != serving && server_.ServingServer()) {
+      queue_.SetSlots(announcement.slots);
+    }
+  });
   return outcome;
 }
 
 bool local_dispatcher::OnWithdrawn(const std::string& instance,
                                    std::int64_t unix_ms, instant now) {
-  const auto previous = server_.Phase();
-  if (!server_.OnWithdrawn(instance, unix_ms, now)) return false;
-  LogPhaseChange(previous);
-  if (on_offer_changed_) on_offer_changed_();
-  return true;
+  bool is_current = false;
+  ChangeServer([&] {
+    is_current = server_.OnWithdrawn(instance, unix_ms, now);
+  });
+  return is_current;
+}
+
+void local_dispatcher::AddDepartures(
+    const std::vector<departed_server>& departed) {
+  ChangeServer([&] { server_.AddDepartures(departed, MonotonicNow()); });
+}
+
+void local_dispatcher::OnDeparturesKnown() {
+  ChangeServer([&] { server_.OnDeparturesKnown(); });
 }
 
 void local_dispatcher::OnUnreachable(const std::string& instance) {
   const auto previous = server_.Phase();
-  server_.OnUnreachable(instance, MonotonicNow());
+  ChangeServer([&] { server_.OnUnreachable(instance, MonotonicNow()); });
   if (server_.Phase() == previous) return;
-  LogPhaseChange(previous);
   Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
          "the backend server is unreachable");
-  if (on_offer_changed_) on_offer_changed_();
-}
-
-void local_dispatcher::LogPhaseChange(server_phase previous) {
-  if (server_.Phase() == previous) return;
-  const auto& announced = server_.LastAnnouncement();
-  log_event(log_level::kInfo, "server_phase")
-      .With("from", kServerPhaseNames.Name(previous))
-      .With("to", kServerPhaseNames.Name(server_.Phase()))
-      .With("instance", announced ? announced->instance : "")
-      .With("service", announced ? announced->service : "")
-      .With("sequence", announced ? announced->sequence : 0);
 }
 
 void local_dispatcher::SetServer(const std::string& address,
                                  const std::string& service) {
   const auto previous = server_.Phase();
   server_address_ = address;
-  server_.SetServer(address, service, MonotonicNow());
+  ChangeServer([&] { server_.SetServer(address, service, MonotonicNow()); });
   if (server_.Phase() == previous) return;
-  LogPhaseChange(previous);
   Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
          "the settings name another backend server");
-  if (on_offer_changed_) on_offer_changed_();
 }
 
 void local_dispatcher::LimitDeadlines(instant latest) {
@@ -190,7 +210,7 @@
 
 void local_dispatcher::StopAccepting() {
   accepting_ = false;
-  if (on_offer_changed_) on_offer_changed_();
+  if (on_server_changed_) on_server_changed_();
 }
 
 std::optional<offered_server> local_dispatcher::OfferedServer() const {
@@ -229,11 +249,7 @@
 
 void local_dispatcher::Sweep(instant now) {
   pool_.Sweep(now);
-  const auto previous = server_.Phase();
-  server_.Tick(now);
-  if (server_.Phase() == previous) return;
-  LogPhaseChange(previous);
-  if (on_offer_changed_) on_offer_changed_();
+  ChangeServer([&] { server_.Tick(now); });
 }
 
 void local_dispatcher::Refuse(const std::vector<std::uint64_t>& ids,
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "backend/connection_pool.h"
 #include "backend/exchange.h"
@@ -84,6 +85,11 @@
   // another instance. `unix_ms` is the time of the VM's clock in milliseconds.
   bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
                    instant now);
+  // Adds departures that an earlier process of this daemon acknowledged.
+  void AddDepartures(const std::vector<departed_server>& departed);
+  // Handles that no further ones exist. The backend server is not offered
+  // before.
+  void OnDeparturesKnown();
   // Changes address and service of the backend server.
   void SetServer(const std::string& address, const std::string& service);
 
@@ -100,9 +106,10 @@
   // missing announcements.
   void Sweep(instant now);
 
-  // Called when OfferedServer() may have changed.
-  void SetOfferedServerObserver(std::function<void()> observer) {
-    on_offer_changed_ = std::move(observer);
+  // Called when OfferedServer(), or the serving server or the departures of
+  // Server(), may have changed.
+  void SetServerObserver(std::function<void()> observer) {
+    on_server_changed_ = std::move(observer);
   }
   std::optional<offered_server> OfferedServer() const;
   work_load Load() const;
@@ -113,6 +120,10 @@
   friend class local_exchange;
 
   std::optional<error> CheckAdmission(const local_request& request) const;
+  // Runs `change` on the state of the backend server, and calls the observer if
+  // it had an effect.
+  template <typename Change>
+  void ChangeServer(Change change);
   // Whether a request that starts now would end after the daemon has stopped.
   bool EndsAfterStop(const local_request& request, instant now) const;
   void OnFinished(std::uint64_t id, std::optional<duration> run_time);
@@ -123,7 +134,6 @@
   void Refuse(const std::vector<std::uint64_t>& ids, error_kind kind,
               const std::string& reason);
   void OnUnreachable(const std::string& instance);
-  void LogPhaseChange(server_phase previous);
 
   boost::asio::io_context& io_;
   const local_dispatcher_options options_;
@@ -134,7 +144,7 @@
   work_queue queue_;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<local_exchange>> exchanges_;
-  std::function<void()> on_offer_changed_;
+  std::function<void()> on_server_changed_;
   std::optional<instant> latest_deadline_;  // Set while the daemon stops.
   bool accepting_ = true;
 };
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "backend/http_message.h"
 #include "base/json_text.h"
@@ -25,6 +27,25 @@
   return found->get<std::uint64_t>();
 }
 
+// Returns std::nullopt if the list is malformed.
+std::optional<std::vector<departed_server>> Departures(const json& document) {
+  std::vector<departed_server> departed;
+  const auto list = document.find("departed");
+  if (list == document.end()) return departed;
+  if (!list->is_array()) return std::nullopt;
+  for (const auto& entry : *list) {
+    if (!entry.is_object()) return std::nullopt;
+    const auto instance = Text(entry, "instance");
+    const auto start = entry.find("latest_start_unix_ms");
+    if (!instance || start == entry.end() || !start->is_number_integer())
+      return std::nullopt;
+    departed.push_back(
+        {.instance = *instance,
+         .latest_start_unix_ms = start->get<std::int64_t>()});
+  }
+  return departed;
+}
+
 }  // namespace
 
 std::string EncodeMember(const mesh_member& member) {
@@ -38,6 +59,11 @@
                       {"service", member.server->service},
                       {"slots", member.server->slots}};
   }
+  for (const auto& departure : member.departed) {
+    spec["departed"].push_back(
+        {{"instance", departure.instance},
+         {"latest_start_unix_ms", departure.latest_start_unix_ms}});
+  }
   return spec.dump();
 }
 
@@ -68,6 +94,9 @@
                      // Daemons of older versions send none.
                      .sequence = Unsigned(document, "sequence").value_or(0),
                      .server = std::nullopt};
+  auto departed = Departures(document);
+  if (!departed) return malformed("a departed server is malformed");
+  member.departed = std::move(*departed);
   const auto server = document.find("server");
   if (server == document.end()) return member;
   if (!server->is_object()) return malformed("the server is not an object");
--- a/libs/sidecar/src/member_publisher.cc
+++ b/libs/sidecar/src/member_publisher.cc
@@ -21,7 +21,7 @@
                                    member_publisher_options options,
                                    std::uint64_t seed)
     : store_(store),
-      options_(options),
+      options_(std::move(options)),
       random_(seed),
       timer_(io),
       writing_(options_.start_delay.count() == 0) {}
@@ -30,7 +30,7 @@
   name_ = member.name;
   desired_spec_ = EncodeMember(member);
   // A server that leaves before the first write may be in an earlier record.
-  if (serving_ && !member.server) StartWriting();
+  if ((serving_ && !member.server) || !member.departed.empty()) StartWriting();
   serving_ = member.server.has_value();
   CheckStart();
   Reconcile();
@@ -66,18 +66,66 @@
   }
   if (revision_ && object.revision < *revision_) return;
   revision_ = deleted ? store_revision() : object.revision;
-  stored_spec_ = deleted ? std::string() : object.spec;
+  SetStored(deleted ? std::string() : object.spec);
   reported_ = true;
   CheckStart();
   Reconcile();
 }
 
+void member_publisher::SetStored(const std::string& spec) {
+  stored_spec_ = spec;
+  if (written_ || spec.empty()) return;
+  // The answer to the write may have been lost.
+  if (spec == desired_spec_) {
+    OnFirstWrite();
+  } else if (options_.on_earlier_record) {
+    options_.on_earlier_record(spec);
+  }
+}
+
+void member_publisher::OnFirstWrite() {
+  if (std::exchange(written_, true)) return;
+  if (options_.on_first_write) options_.on_first_write();
+}
+
+bool member_publisher::IsStored() const {
+  return !operation_pending_ && !desired_spec_.empty() &&
+         desired_spec_ == stored_spec_;
+}
+
+void member_publisher::AwaitStored(instant deadline,
+                                   std::function<void(bool)> done) {
+  if (IsStored() || stopped_) {
+    done(IsStored());
+  } else {
+    waiting_calls_.push_back({.deadline = deadline, .done = std::move(done)});
+  }
+}
+
+void member_publisher::Tick(instant now) {
+  if (waiting_calls_.empty()) return;
+  auto calls = std::exchange(waiting_calls_, {});
+  for (auto& call : calls) {
+    if (now < call.deadline) {
+      waiting_calls_.push_back(std::move(call));
+    } else {
+      call.done(false);
+    }
+  }
+}
+
+void member_publisher::EndWaitingCalls(bool stored) {
+  for (const auto& call : std::exchange(waiting_calls_, {})) call.done(stored);
+}
+
 void member_publisher::Stop() {
   stopped_ = true;
   timer_.cancel();
+  EndWaitingCalls(false);
 }
 
 void member_publisher::Reconcile() {
+  if (IsStored()) EndWaitingCalls(true);
   if (operation_pending_ || stopped_ || !writing_ ||
       desired_spec_ == stored_spec_) {
     return;
@@ -102,7 +150,7 @@
   const auto report = std::exchange(report_, std::nullopt);
   if (object) {
     revision_ = object->revision;
-    stored_spec_ = object->spec;
+    SetStored(object->spec);
     if (report) OnStored(report->object, report->deleted);
   } else if (object.error().kind == error_kind::kNotFound) {
     revision_ = store_revision();
@@ -141,6 +189,7 @@
     failures_ = 0;
     revision_ = object->revision;
     stored_spec_ = spec;
+    OnFirstWrite();
     // The store may have been restored after the write.
     if (report) OnStored(report->object, report->deleted);
     Reconcile();
--- a/libs/sidecar/src/member_publisher.h
+++ b/libs/sidecar/src/member_publisher.h
@@ -5,8 +5,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/callback_scope.h"
 #include "base/random.h"
@@ -19,6 +21,12 @@
   // Time after the first Publish() in which the first write waits until the
   // stored record and a backend server are known, to be the only one.
   duration start_delay{0};
+  // Called with the stored record of an earlier process of this daemon, maybe
+  // more than once, until `on_first_write`. May publish again.
+  std::function<void(const std::string& spec)> on_earlier_record = {};
+  // Called once when the store has a record of this process. The record that it
+  // replaced, if any, was reported before: writes are conditional on it.
+  std::function<void()> on_first_write = {};
 };
 
 // Keeps the record of this daemon in the store equal to its state. Every write
@@ -35,11 +43,26 @@
   // Handles the stored record as reported by a watch. If `deleted`, the
   // revision of `object` is one at which there was no record.
   void OnStored(const watched_object& object, bool deleted);
+  // Calls `done` with true as soon as the store has the record to write, or with
+  // false at `deadline` or when the publisher stops.
+  void AwaitStored(instant deadline, std::function<void(bool)> done);
+  // To be called regularly: ends calls of AwaitStored() whose deadline passed.
+  void Tick(instant now);
   void Stop();
   // Returns whether other daemons can know this one.
   bool IsPublished() const { return !stored_spec_.empty(); }
 
  private:
+  struct waiting_call {
+    instant deadline;
+    std::function<void(bool)> done;
+  };
+
+  // Handles a record that the store has; empty if it has none.
+  void SetStored(const std::string& spec);
+  void OnFirstWrite();
+  bool IsStored() const;
+  void EndWaitingCalls(bool stored);
   // Starts writing, or the delay of the first write.
   void CheckStart();
   void StartWriting();
@@ -69,6 +92,8 @@
   bool serving_ = false;  // The record to write has a backend server.
   // The stored record, or that there is none, is known.
   bool reported_ = false;
+  bool written_ = false;  // The store has or had a record of this process.
+  std::vector<waiting_call> waiting_calls_;
   bool stopped_ = false;
   callback_scope callbacks_;
 };
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -15,6 +15,7 @@
 #include "config_reader.h"
 #include "local_dispatcher.h"
 #include "logging/log_event.h"
+#include "member_codec.h"
 #include "member_observer.h"
 #include "member_publisher.h"
 #include "mesh/retry_budget.h"
@@ -65,6 +66,9 @@
 // A backend server announces itself every 1.5 seconds, so a daemon that starts
 // mostly hears of it within this time and needs a single write.
 constexpr duration kFirstRecordDelay = std::chrono::seconds(1);
+// A backend server waits up to a second for the acknowledgement that it may
+// leave, and asks again if there is none.
+constexpr duration kMaxDepartureWait = std::chrono::milliseconds(800);
 // Announcements that a backend server may miss before it is considered
 // unreachable; they can be seconds late.
 constexpr std::int64_t kMaxMissedAnnouncements = 6;
@@ -187,7 +191,14 @@
         caller_listener_(io, {.address = settings_.caller_address}, router_),
         daemon_listener_(io, {.address = settings_.forward_address},
                          mesh_endpoint_),
-        publisher_(io, *platform.store, {.start_delay = kFirstRecordDelay},
+        publisher_(io, *platform.store,
+                   {.start_delay = kFirstRecordDelay,
+                    .on_earlier_record =
+                        [this](const std::string& spec) {
+                          OnEarlierRecord(spec);
+                        },
+                    .on_first_write =
+                        [this] { dispatcher_.OnDeparturesKnown(); }},
                    RandomSeed()),
         member_observer_(settings_.name, directory_, budget_, publisher_),
         member_watch_(io, *platform.store, member_observer_,
@@ -199,7 +210,7 @@
                       RandomSeed()),
         tick_timer_(io),
         stop_timer_(io) {
-    dispatcher_.SetOfferedServerObserver([this] { OnOfferedServerChanged(); });
+    dispatcher_.SetServerObserver([this] { OnServerChanged(); });
   }
 
   result<void> Start() {
@@ -218,7 +229,7 @@
         .With("caller", settings_.caller_address)
         .With("forward", settings_.forward_address)
         .With("backend_server", settings_.server_address);
-    OnOfferedServerChanged();
+    OnServerChanged();
     config_reader_.Start();
     member_watch_.Start();
     ScheduleTick();
@@ -260,7 +271,7 @@
     caller_listener_.CloseAfterResponses();
     // Tells other daemons while requests in transit can still run.
     leaving_ = true;
-    OnOfferedServerChanged();
+    OnServerChanged();
     RunAt(now + kReadinessLossTime, [this] { CloseListeners(); });
   }
 
@@ -272,6 +283,10 @@
     return dispatcher_.OnWithdrawn(instance, UnixMillis(), MonotonicNow());
   }
 
+  void AwaitDepartureStored(std::function<void(bool)> done) {
+    publisher_.AwaitStored(MonotonicNow() + kMaxDepartureWait, std::move(done));
+  }
+
   std::string RenderMetrics() {
     const auto& confirmation = config_reader_.Confirmation();
     if (confirmation.revision.IsKnown()) {
@@ -321,15 +336,35 @@
     router_.SetTable(std::move(table));
   }
 
-  void OnOfferedServerChanged() {
-    const auto offer = leaving_ ? std::nullopt : dispatcher_.OfferedServer();
+  // The departures that an earlier process of this daemon acknowledged bind
+  // this one as well.
+  void OnEarlierRecord(const std::string& spec) {
+    const auto record = DecodeMember(settings_.name, spec);
+    if (!record) {
+      log_event(log_level::kWarning, "own_record_unreadable")
+          .With("reason", record.error().message);
+      return;
+    }
+    if (record->departed.empty()) return;
+    log_event(log_level::kInfo, "departures_restored")
+        .With("count", static_cast<std::uint64_t>(record->departed.size()))
+        .With("latest_instance", record->departed.back().instance);
+    dispatcher_.AddDepartures(record->departed);
+  }
+
+  void OnServerChanged() {
+    // Published before departures are known: the write fails if another process
+    // has stored one.
+    const auto offer =
+        leaving_ ? std::nullopt : dispatcher_.Server().ServingServer();
     mesh_member member{.name = settings_.name,
                        .data_centre = settings_.data_centre,
                        .address = settings_.advertised_address,
                        .link_mbps = settings_.link_mbps,
                        .incarnation = incarnation_,
                        .sequence = published_member_.sequence,
-                       .server = offer};
+                       .server = offer,
+                       .departed = dispatcher_.Server().Departures()};
     if (member != published_member_) ++member.sequence;
     published_member_ = member;
     // Requests of this VM may use the local backend server until the dispatcher
@@ -347,6 +382,7 @@
       const auto now = MonotonicNow();
       CheckSuspension();
       if (!dispatcher_.IsIdle()) dispatcher_.Tick(now);
+      publisher_.Tick(now);
       if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
       FlushStdoutLog();
       ScheduleTick();
@@ -474,6 +510,10 @@
   return impl_->OnWithdrawn(instance);
 }
 
+void sidecar::AwaitDepartureStored(std::function<void(bool)> done) {
+  impl_->AwaitDepartureStored(std::move(done));
+}
+
 const std::string& sidecar::CallerAddress() const {
   return impl_->CallerAddress();
 }
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -40,46 +40,57 @@
   io_.stop();
   io_thread_.join();
   nodes_.clear();
+  stopped_nodes_.clear();
+}
+
+std::unique_ptr<sidecar_fleet::sidecar_node> sidecar_fleet::StartNode(
+    std::size_t index, const std::string& server_address,
+    const std::string& service) {
+  auto node = std::make_unique<sidecar_node>();
+  node->server_address = server_address;
+  node->service = service;
+  sidecar_settings settings;
+  settings.name = "vm-" + std::to_string(index);
+  settings.data_centre = "near";
+  settings.server_address =
+      server_address.empty() ? "127.0.0.1:1" : server_address;
+  settings.server_service = service;
+  settings.caller_address = "127.0.0.1:0";
+  settings.forward_address = "127.0.0.1:0";
+  settings.link_mbps = link_mbps_;
+  settings.max_config_delay = max_config_delay_;
+  settings.stop_grace = stop_grace_;
+  if (forward_link_rate_ > 0) {
+    settings.forward_address = FreeLoopbackAddress(io_);
+    node->forward_link = std::make_unique<slow_link_proxy>(
+        io_, settings.forward_address, forward_link_rate_);
+    settings.advertised_address = node->forward_link->Address();
+  }
+  auto store_address = store_->Address();
+  if (store_link_rate_ > 0) {
+    node->store_link = std::make_unique<slow_link_proxy>(io_, store_address,
+                                                         store_link_rate_);
+    store_address = node->store_link->Address();
+  }
+  node->store = std::make_unique<http_watched_store>(io_, store_address);
+  node->daemon = std::make_unique<sidecar>(
+      io_, settings,
+      sidecar_platform{
+          .fields = platform_adapter::HeaderFieldNames(),
+          .store = node->store.get(),
+          .decode_config = platform_adapter::DecodeConfig,
+          .config_name = std::string(platform_adapter::kConfigName)});
+  if (const auto started = node->daemon->Start(); !started) {
+    throw std::runtime_error(started.error().message);
+  }
+  return node;
 }
 
 std::size_t sidecar_fleet::AddSidecarFor(const std::string& server_address,
                                          const std::string& service) {
   return RunOnIoThread([&] {
     const auto index = nodes_.size();
-    auto node = std::make_unique<sidecar_node>();
-    sidecar_settings settings;
-    settings.name = "vm-" + std::to_string(index);
-    settings.data_centre = "near";
-    settings.server_address =
-        server_address.empty() ? "127.0.0.1:1" : server_address;
-    settings.server_service = service;
-    settings.caller_address = "127.0.0.1:0";
-    settings.forward_address = "127.0.0.1:0";
-    settings.link_mbps = link_mbps_;
-    settings.max_config_delay = max_config_delay_;
-    if (forward_link_rate_ > 0) {
-      settings.forward_address = FreeLoopbackAddress(io_);
-      node->forward_link = std::make_unique<slow_link_proxy>(
-          io_, settings.forward_address, forward_link_rate_);
-      settings.advertised_address = node->forward_link->Address();
-    }
-    auto store_address = store_->Address();
-    if (store_link_rate_ > 0) {
-      node->store_link = std::make_unique<slow_link_proxy>(io_, store_address,
-                                                           store_link_rate_);
-      store_address = node->store_link->Address();
-    }
-    node->store = std::make_unique<http_watched_store>(io_, store_address);
-    node->daemon = std::make_unique<sidecar>(
-        io_, settings,
-        sidecar_platform{
-            .fields = platform_adapter::HeaderFieldNames(),
-            .store = node->store.get(),
-            .decode_config = platform_adapter::DecodeConfig,
-            .config_name = std::string(platform_adapter::kConfigName)});
-    if (const auto started = node->daemon->Start(); !started) {
-      throw std::runtime_error(started.error().message);
-    }
+    auto node = StartNode(index, server_address, service);
     if (!server_address.empty()) {
       node->announcement = {.instance = "i-" + std::to_string(index),
                             .service = service,
@@ -95,6 +106,30 @@
   });
 }
 
+void sidecar_fleet::Restart(std::size_t index) {
+  Stop(index).get();
+  RunOnIoThread([&] {
+    auto& node = nodes_[index];
+    auto next = StartNode(index, node->server_address, node->service);
+    next->announcement = node->announcement;
+    stopped_nodes_.push_back(std::exchange(node, std::move(next)));
+  });
+}
+
+bool sidecar_fleet::Withdraw(std::size_t index, const std::string& instance) {
+  RunOnIoThread([&] { nodes_[index]->daemon->OnWithdrawn(instance); });
+  return AwaitDepartureStored(index);
+}
+
+bool sidecar_fleet::AwaitDepartureStored(std::size_t index) {
+  std::promise<bool> acknowledged;
+  RunOnIoThread([&] {
+    nodes_[index]->daemon->AwaitDepartureStored(
+        [&acknowledged](bool stored) { acknowledged.set_value(stored); });
+  });
+  return acknowledged.get_future().get();
+}
+
 void sidecar_fleet::PublishConfig(int version, const std::string& added_prefix,
                                   const char* added_kind) {
   const auto route = [this](const std::string& prefix, const char* kind) {
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -57,6 +57,14 @@
   void AnnounceDraining(std::size_t index);
   /// Starts to stop a sidecar. The future becomes ready when it has stopped.
   std::future<void> Stop(std::size_t index);
+  /// Stops a sidecar and starts another process of it, which knows nothing of
+  /// before. Its backend server is not announced.
+  void Restart(std::size_t index);
+  /// Acknowledges the withdrawal of a backend server as the endpoints of the
+  /// sidecar do. Returns whether it was acknowledged.
+  bool Withdraw(std::size_t index, const std::string& instance);
+  /// Returns whether the store has all departures of a sidecar in time.
+  bool AwaitDepartureStored(std::size_t index);
 
   /// Sends a request to a sidecar on a new connection.
   raw_response Call(std::size_t index, const std::string& method,
@@ -86,6 +94,8 @@
   /// on receive from the store and send to other daemons; 0 for none.
   double store_link_rate_ = 0;
   double forward_link_rate_ = 0;
+  /// Grace of a stop of sidecars added from now on.
+  duration stop_grace_ = sidecar_settings().stop_grace;
   /// Bound on configuration of sidecars added from now on.
   duration max_config_delay_ = std::chrono::seconds(2);
   /// Slots that the backend servers of sidecars added from now on announce.
@@ -101,13 +111,21 @@
     std::unique_ptr<platform_adapter::http_watched_store> store;
     std::unique_ptr<sidecar> daemon;
     server_announcement announcement;
+    std::string server_address;  ///< Empty for none.
+    std::string service;
   };
 
+  std::unique_ptr<sidecar_node> StartNode(std::size_t index,
+                                          const std::string& server_address,
+                                          const std::string& service);
+
   boost::asio::io_context io_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard_;
   std::unique_ptr<platform_adapter::fake_store> store_;
   std::vector<std::unique_ptr<sidecar_node>> nodes_;
+  /// Their handlers may still be queued.
+  std::vector<std::unique_ptr<sidecar_node>> stopped_nodes_;
   std::thread io_thread_;
 };
 
