Refuse requests that crash the backend servers that run them

Cause: the sidecar remembered nothing of requests, and could not tell a crash from the loss of a connection.

Change: a lost connection makes the daemon probe its backend server. If nothing listens, the requests that it ran are suspects of this crash (crash_history). After three crashes a request is refused at once, after two the daemons do not repeat it. A request that completes is cleared, and crashes within a second count once. The crashes are in the record of the daemon beside the server, for its next process and all others, and travel with requests that come again.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -16,6 +16,13 @@
 
 namespace pomelohall {
 
+/// Result of a probe for a listening process.
+enum class probe_result {
+  kAccepted,  ///< The connection opened and stayed open for some milliseconds.
+  kRefused,   ///< No process listens at the address.
+  kUnclear,   ///< The connection was closed at once, or did not open in time.
+};
+
 /// Settings of a connection_pool.
 struct pool_options {
   /// Maximum number of connections per address; further calls are queued.
@@ -80,9 +87,9 @@
                                   outgoing_request request,
                                   exchange_events events);
 
-  /// Checks whether a process listens on `address`. Calls `done` with true if a
-  /// connection opens and stays open for some milliseconds.
-  void Probe(const std::string& address, std::function<void(bool)> done);
+  /// Checks whether a process listens on `address` with a new connection.
+  void Probe(const std::string& address,
+             std::function<void(probe_result)> done);
 
   /// Closes idle connections that timed out or that the peer closed, and fails
   /// stalled calls. Call it about once a second.
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -60,13 +60,13 @@
 // Checks whether a connection opens and stays open.
 class connect_probe : public std::enable_shared_from_this<connect_probe> {
  public:
-  connect_probe(asio::io_context& io, std::function<void(bool)> done)
+  connect_probe(asio::io_context& io, std::function<void(probe_result)> done)
       : socket_(io), timer_(io), done_(std::move(done)) {}
 
   void Start(const asio::ip::tcp::endpoint& endpoint, duration timeout) {
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](error_code failure) {
-      if (!failure) self->Finish(false);
+      if (!failure) self->Finish(probe_result::kUnclear);
     });
     socket_.async_connect(endpoint,
                           [self = shared_from_this()](error_code failure) {
@@ -77,30 +77,32 @@
  private:
   void OnConnected(error_code failure) {
     if (failure) {
-      Finish(false);
+      Finish(failure == asio::error::connection_refused
+                 ? probe_result::kRefused
+                 : probe_result::kUnclear);
       return;
     }
     timer_.expires_after(kProbeHoldTime);
     timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      if (!cancelled) self->Finish(true);
+      if (!cancelled) self->Finish(probe_result::kAccepted);
     });
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this()](error_code cancelled) {
-                         if (!cancelled) self->Finish(false);
+                         if (!cancelled) self->Finish(probe_result::kUnclear);
                        });
   }
 
-  void Finish(bool alive) {
+  void Finish(probe_result result) {
     if (const auto done = std::exchange(done_, nullptr)) {
       timer_.cancel();
       CloseSocket(socket_);
-      done(alive);
+      done(result);
     }
   }
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
-  std::function<void(bool)> done_;
+  std::function<void(probe_result)> done_;
 };
 
 }  // namespace
@@ -113,7 +115,8 @@
   std::shared_ptr<exchange> Start(const std::string& address,
                                   outgoing_request request,
                                   exchange_events events);
-  void Probe(const std::string& address, std::function<void(bool)> done);
+  void Probe(const std::string& address,
+             std::function<void(probe_result)> done);
   void Sweep(instant now);
   void CloseIdle();
   std::size_t OpenConnections(const std::string& address) const;
@@ -346,10 +349,10 @@
 }
 
 void connection_pool::impl::Probe(const std::string& address,
-                                  std::function<void(bool)> done) {
+                                  std::function<void(probe_result)> done) {
   const auto endpoint = ParseTcpEndpoint(address);
   if (!endpoint) {
-    asio::post(io_, [done = std::move(done)] { done(false); });
+    asio::post(io_, [done = std::move(done)] { done(probe_result::kUnclear); });
     return;
   }
   std::make_shared<connect_probe>(io_, std::move(done))
@@ -374,7 +377,7 @@
 }
 
 void connection_pool::Probe(const std::string& address,
-                            std::function<void(bool)> done) {
+                            std::function<void(probe_result)> done) {
   impl_->Probe(address, std::move(done));
 }
 
--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -4,6 +4,7 @@
 #include <time.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace pomelohall {
 
@@ -20,6 +21,14 @@
       std::chrono::steady_clock::now());
 }
 
+/// Reads the time of day in milliseconds. It may jump, and differs between VMs.
+/// Only code that does I/O calls this.
+inline std::int64_t UnixMillisNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// Returns the time for which the machine was suspended since its start. The
 /// monotonic clock does not count it.
 inline duration TotalSuspendedTime() {
--- a/libs/caller/src/owner_dispatcher.cc
+++ b/libs/caller/src/owner_dispatcher.cc
@@ -124,7 +124,9 @@
     crash_check_->group.push_back(other);
   }
   context_.backend.Probe(context_.options.backend().address,
-                         [this, context](bool alive) { OnProbed(alive); });
+                         [this, context](probe_result result) {
+                           OnProbed(result == probe_result::kAccepted);
+                         });
 }
 
 void owner_dispatcher::OnProbed(bool alive) {
--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -8,6 +8,8 @@
 #include <tuple>
 #include <vector>
 
+#include "quarantine/crash_history.h"
+
 namespace pomelohall {
 
 /// The backend server on the VM of a daemon, as offered to other daemons.
@@ -50,6 +52,9 @@
   /// Backend servers of this VM that have left, the latest one last. Kept for
   /// the next process of the daemon.
   std::vector<departed_server> departed = {};
+  /// Crashes of backend servers of this VM, for all daemons and the next
+  /// process of this one.
+  std::vector<crash_report> crashes = {};
 
   bool operator==(const mesh_member&) const = default;
 
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -72,9 +72,9 @@
   last_announced_at_ = now;
   if (now - first_announced_at_ >= options_.announcement_timeout)
     knows_departures_ = true;
-  SetPhase(HasLeft(announcement) ? server_phase::kLeaving
-                                 : server_phase::kServing,
-           now);
+  SetPhase(
+      HasLeft(announcement) ? server_phase::kLeaving : server_phase::kServing,
+      now);
   return announcement_outcome::kAccepted;
 }
 
@@ -95,10 +95,10 @@
 
 void local_server::AddDeparture(const departed_server& departure) {
   auto latest = departure;
-  const auto known = std::find_if(
-      departed_.begin(), departed_.end(), [&](const departed_server& other) {
-        return other.instance == departure.instance;
-      });
+  const auto known = std::find_if(departed_.begin(), departed_.end(),
+                                  [&](const departed_server& other) {
+                                    return other.instance == departure.instance;
+                                  });
   if (known != departed_.end()) {
     if (known->latest_start_unix_ms >= departure.latest_start_unix_ms) return;
     departed_.erase(known);
--- a/libs/mesh/tests/local_server_test.cc
+++ b/libs/mesh/tests/local_server_test.cc
@@ -10,10 +10,9 @@
 class local_server_fixture {
  protected:
   local_server_fixture()
-      : server_(
-            {.address = "10.0.0.1:80",
-             .service = "shop",
-             .announcement_timeout = seconds(9)}) {}
+      : server_({.address = "10.0.0.1:80",
+                 .service = "shop",
+                 .announcement_timeout = seconds(9)}) {}
 
   bool Announce(const std::string& instance, std::uint64_t sequence,
                 std::int64_t started = 1000, bool draining = false) {
--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -51,12 +51,17 @@
 /// to its answer. The rest of the time until the answer arrives is delay.
 inline constexpr std::string_view kMeshHeldField = "Pomelohall-Mesh-Held";
 
+/// Crashes of backend servers that the request may have caused: "ID:TIME,..."
+/// with hexadecimal IDs and Unix milliseconds. On requests and error responses.
+inline constexpr std::string_view kMeshCrashesField = "Pomelohall-Mesh-Crashes";
+
 /// All header fields between daemons.
 inline constexpr std::array kMeshFields{
-    kMeshConfirmedField, kMeshInstanceField, kMeshClassField,
-    kMeshKindField,      kMeshPriorityField, kMeshTargetField,
-    kMeshMaxWaitField,   kMeshVersionField,  kMeshSenderField,
-    kMeshFetchField,     kMeshLoadField,     kMeshHeldField};
+    kMeshCrashesField, kMeshConfirmedField, kMeshInstanceField,
+    kMeshClassField,   kMeshKindField,      kMeshPriorityField,
+    kMeshTargetField,  kMeshMaxWaitField,   kMeshVersionField,
+    kMeshSenderField,  kMeshFetchField,     kMeshLoadField,
+    kMeshHeldField};
 
 }  // namespace pomelohall
 
--- /dev/null
+++ b/libs/sidecar/src/crash_codec.cc
@@ -0,0 +1,138 @@
+#include "crash_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include "backend/http_message.h"
+#include "base/digest.h"
+#include "quarantine/quarantine.h"
+
+namespace pomelohall {
+namespace {
+
+using nlohmann::json;
+
+// A header field or a record of another program may have more.
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxReports = 64;
+constexpr std::size_t kMaxRequests = 256;
+
+std::string EncodeId(std::uint64_t id) {
+  char text[16];
+  const auto end = std::to_chars(text, text + sizeof text, id, 16).ptr;
+  return {text, end};
+}
+
+std::optional<std::uint64_t> DecodeId(std::string_view text) {
+  std::uint64_t id = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, id, 16);
+  if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end)
+    return std::nullopt;
+  return id;
+}
+
+std::optional<std::uint64_t> DecodeId(const json& value) {
+  if (!value.is_string()) return std::nullopt;
+  return DecodeId(std::string_view(value.get_ref<const std::string&>()));
+}
+
+std::optional<std::int64_t> DecodeTime(std::string_view text) {
+  const auto number = ParseNumber(text);
+  if (!number || *number > std::numeric_limits<std::int64_t>::max())
+    return std::nullopt;
+  return static_cast<std::int64_t>(*number);
+}
+
+std::optional<crash_report> DecodeReport(const json& entry) {
+  if (!entry.is_object() || !entry.contains("id") || !entry.contains("at") ||
+      !entry.contains("requests")) {
+    return std::nullopt;
+  }
+  const auto id = DecodeId(entry.at("id"));
+  const auto& at = entry.at("at");
+  const auto& requests = entry.at("requests");
+  if (!id || !at.is_number_integer() || !requests.is_array() ||
+      requests.size() > kMaxRequests) {
+    return std::nullopt;
+  }
+  crash_report report{
+      .crash = {.id = *id, .at_unix_ms = at.get<std::int64_t>()},
+      .requests = {}};
+  // Differences of times do not overflow.
+  if (report.crash.at_unix_ms < 0) return std::nullopt;
+  for (const auto& request : requests) {
+    const auto fingerprint = DecodeId(request);
+    if (!fingerprint) return std::nullopt;
+    report.requests.push_back(*fingerprint);
+  }
+  return report;
+}
+
+}  // namespace
+
+std::uint64_t FingerprintOf(const request_head& head, const body_prefix& body,
+                            const header_field_names& names) {
+  // The length of a longer body may not be known yet.
+  const auto length = body.complete ? body.bytes->size()
+                                    : std::numeric_limits<std::uint64_t>::max();
+  auto hash = RequestFingerprint(head.method, head.target, length, *body.bytes);
+  for (const auto& name : {std::string("Host"), names.caller_service}) {
+    const auto* value = FindField(head.fields, name);
+    hash = FastHash(value == nullptr ? "" : *value, hash);
+  }
+  return hash;
+}
+
+std::string EncodeCrashes(const std::vector<server_crash>& crashes) {
+  std::string text;
+  for (const auto& crash : crashes) {
+    if (!text.empty()) text += ',';
+    text += EncodeId(crash.id) + ':' + std::to_string(crash.at_unix_ms);
+  }
+  return text;
+}
+
+std::optional<std::vector<server_crash>> DecodeCrashes(std::string_view text) {
+  std::vector<server_crash> crashes;
+  while (true) {
+    const auto item = text.substr(0, text.find(','));
+    const auto colon = item.find(':');
+    if (colon == std::string_view::npos || crashes.size() == kMaxCrashes)
+      return std::nullopt;
+    const auto id = DecodeId(item.substr(0, colon));
+    const auto at = DecodeTime(item.substr(colon + 1));
+    if (!id || !at) return std::nullopt;
+    crashes.push_back({.id = *id, .at_unix_ms = *at});
+    if (item.size() == text.size()) return crashes;
+    text.remove_prefix(item.size() + 1);
+  }
+}
+
+json EncodeReports(const std::vector<crash_report>& reports) {
+  auto list = json::array();
+  for (const auto& report : reports) {
+    auto requests = json::array();
+    for (const auto fingerprint : report.requests)
+      requests.push_back(EncodeId(fingerprint));
+    list.push_back({{"id", EncodeId(report.crash.id)},
+                    {"at", report.crash.at_unix_ms},
+                    {"requests", std::move(requests)}});
+  }
+  return list;
+}
+
+std::optional<std::vector<crash_report>> DecodeReports(const json& reports) {
+  if (!reports.is_array() || reports.size() > kMaxReports) return std::nullopt;
+  std::vector<crash_report> decoded;
+  for (const auto& entry : reports) {
+    auto report = DecodeReport(entry);
+    if (!report) return std::nullopt;
+    decoded.push_back(std::move(*report));
+  }
+  return decoded;
+}
+
+}  // namespace pomelohall
--- /dev/null
+++ b/libs/sidecar/src/crash_codec.h
@@ -0,0 +1,37 @@
+#ifndef POMELOHALL_SIDECAR_SRC_CRASH_CODEC_H_
+#define POMELOHALL_SIDECAR_SRC_CRASH_CODEC_H_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "backend/exchange.h"
+#include "caller/body_prefix.h"
+#include "quarantine/crash_history.h"
+#include "sidecar/header_field_names.h"
+
+namespace pomelohall {
+
+// Returns the fingerprint of a request: it is the same whenever a request with
+// the same method, host, path, caller service and body comes, at any daemon and
+// in any framing.
+std::uint64_t FingerprintOf(const request_head& head, const body_prefix& body,
+                            const header_field_names& names);
+
+// Returns the value of kMeshCrashesField, "ID:TIME,ID:TIME" with hexadecimal
+// IDs.
+std::string EncodeCrashes(const std::vector<server_crash>& crashes);
+// Returns std::nullopt if the text is malformed.
+std::optional<std::vector<server_crash>> DecodeCrashes(std::string_view text);
+
+// Returns the crashes of a member's record as JSON, and reads them. Malformed
+// ones are std::nullopt.
+nlohmann::json EncodeReports(const std::vector<crash_report>& reports);
+std::optional<std::vector<crash_report>> DecodeReports(
+    const nlohmann::json& reports);
+
+}  // namespace pomelohall
+
+#endif  // POMELOHALL_SIDECAR_SRC_CRASH_CODEC_H_
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <set>
 #include <utility>
 #include <vector>
 
+#include "base/digest.h"
 #include "local_exchange.h"
 #include "logging/log_event.h"
 
@@ -26,6 +28,9 @@
           .allow_close_delimited = true};
 }
 
+// Probes for a crashed server whose connections are closed at once.
+constexpr std::size_t kMaxUnclearProbes = 5;
+
 }  // namespace
 
 bool IsRefusal(const response_head& head, const header_field_names& fields) {
@@ -35,7 +40,7 @@
 
 local_dispatcher::local_dispatcher(boost::asio::io_context& io,
                                    local_dispatcher_options options,
-                                   transmit_queue& link)
+                                   transmit_queue& link, crash_history& crashes)
     : io_(io),
       options_(std::move(options)),
       link_(link),
@@ -46,7 +51,8 @@
                .announcement_timeout = options_.announcement_timeout,
                .awaits_departures = true}),
       queue_({.max_wait = options_.max_wait,
-              .check_interval = options_.tick_interval}) {}
+              .check_interval = options_.tick_interval}),
+      crashes_(crashes) {}
 
 local_dispatcher::~local_dispatcher() = default;
 
@@ -70,6 +76,11 @@
                  "the backend server is " + offer->instance + " now",
                  run_state::kNotRun);
   }
+  if (crashes_.IsCulprit(request.fingerprint)) {
+    return error(error_kind::kPoisonSuspected,
+                 "the request crashed several backend servers",
+                 run_state::kNotRun);
+  }
   return std::nullopt;
 }
 
@@ -164,9 +175,8 @@
 bool local_dispatcher::OnWithdrawn(const std::string& instance,
                                    std::int64_t unix_ms, instant now) {
   bool is_current = false;
-  ChangeServer([&] {
-    is_current = server_.OnWithdrawn(instance, unix_ms, now);
-  });
+  ChangeServer(
+      [&] { is_current = server_.OnWithdrawn(instance, unix_ms, now); });
   return is_current;
 }
 
@@ -187,6 +197,58 @@
          "the backend server is unreachable");
 }
 
+void local_dispatcher::OnConnectionLost(std::uint64_t fingerprint,
+                                        std::function<void()> done) {
+  // A server that leaves ends by itself.
+  if (server_.Phase() == server_phase::kLeaving) {
+    if (done) boost::asio::post(io_, std::move(done));
+    return;
+  }
+  const bool is_checking = !lost_requests_.empty();
+  lost_requests_.push_back(fingerprint);
+  if (done) awaiting_probe_.push_back(std::move(done));
+  if (is_checking) return;
+  unclear_probes_ = 0;
+  pool_.Probe(server_address_,
+              probes_.Bind([this](probe_result result) { OnProbed(result); }));
+}
+
+void local_dispatcher::OnProbed(probe_result result) {
+  // The listening socket of a process that ends may accept for a moment.
+  if (result == probe_result::kUnclear &&
+      ++unclear_probes_ < kMaxUnclearProbes) {
+    pool_.Probe(server_address_,
+                probes_.Bind([this](probe_result next) { OnProbed(next); }));
+    return;
+  }
+  if (result == probe_result::kRefused) RecordCrash();
+  lost_requests_.clear();
+  for (const auto& done : std::exchange(awaiting_probe_, {})) done();
+}
+
+void local_dispatcher::RecordCrash() {
+  const auto snapshot = in_flight_.TakeAll(MonotonicNow());
+  std::set<std::uint64_t> requests(lost_requests_.begin(),
+                                   lost_requests_.end());
+  requests.insert(snapshot.running.begin(), snapshot.running.end());
+  requests.insert(snapshot.cancelled.begin(), snapshot.cancelled.end());
+  const auto& announced = server_.LastAnnouncement();
+  if (!announced) return;
+  const auto now = UnixMillisNow();
+  const server_crash crash{
+      .id = FastHash(announced->instance,
+                     static_cast<std::uint64_t>(announced->started_unix_ms)),
+      .at_unix_ms = now};
+  log_event(log_level::kWarning, "server_crashed")
+      .With("instance", announced->instance)
+      .With("requests", static_cast<std::uint64_t>(requests.size()));
+  crashes_.OnCrash(
+      {.crash = crash, .requests = {requests.begin(), requests.end()}}, now);
+  const auto phase = server_.Phase();
+  OnUnreachable(announced->instance);
+  if (server_.Phase() == phase && on_server_changed_) on_server_changed_();
+}
+
 void local_dispatcher::SetServer(const std::string& address,
                                  const std::string& service) {
   const auto previous = server_.Phase();
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -13,10 +13,13 @@
 
 #include "backend/connection_pool.h"
 #include "backend/exchange.h"
+#include "base/callback_scope.h"
 #include "mesh/local_server.h"
 #include "mesh/mesh_config.h"
 #include "mesh/transmit_queue.h"
 #include "mesh/work_queue.h"
+#include "quarantine/crash_history.h"
+#include "quarantine/in_flight_tracker.h"
 #include "sidecar/header_field_names.h"
 
 namespace pomelohall {
@@ -26,8 +29,9 @@
 // A request to the backend server beside this daemon.
 struct local_request {
   outgoing_request request;
-  std::string attempt_id;  // Used in log lines only.
-  std::string instance;    // Instance that the sender chose.
+  std::string attempt_id;         // Used in log lines only.
+  std::string instance;           // Instance that the sender chose.
+  std::uint64_t fingerprint = 0;  // See FingerprintOf().
   std::string work_class;
   request_kind kind = request_kind::kUnsafe;
   int priority = 0;
@@ -64,17 +68,18 @@
 // run.
 class local_dispatcher {
  public:
-  // `io` and `link` must outlive the dispatcher.
+  // `io`, `link` and `crashes` must outlive the dispatcher.
   local_dispatcher(boost::asio::io_context& io,
-                   local_dispatcher_options options, transmit_queue& link);
+                   local_dispatcher_options options, transmit_queue& link,
+                   crash_history& crashes);
   ~local_dispatcher();
   local_dispatcher(const local_dispatcher&) = delete;
   local_dispatcher& operator=(const local_dispatcher&) = delete;
 
   // Admits, queues or refuses a request. Errors with run_state::kNotRun:
-  // `kOverloaded`, `kDraining` and `kNoBackendServer` if the dispatcher refused
-  // it, `kBackendFailed` if the backend server reported that it did not run it.
-  // After any other error the request may have run.
+  // `kOverloaded`, `kDraining`, `kNoBackendServer` and `kPoisonSuspected` if
+  // the dispatcher refused it, `kBackendFailed` if the backend server reported
+  // that it did not run it. After any other error the request may have run.
   std::shared_ptr<exchange> Start(local_request request,
                                   exchange_events events);
 
@@ -106,8 +111,8 @@
   // missing announcements.
   void Sweep(instant now);
 
-  // Called when OfferedServer(), or the serving server or the departures of
-  // Server(), may have changed.
+  // Called when OfferedServer(), the serving server or the departures of
+  // Server(), or its crashes may have changed.
   void SetServerObserver(std::function<void()> observer) {
     on_server_changed_ = std::move(observer);
   }
@@ -134,6 +139,11 @@
   void Refuse(const std::vector<std::uint64_t>& ids, error_kind kind,
               const std::string& reason);
   void OnUnreachable(const std::string& instance);
+  // Handles a request whose connection was lost while it ran. Checks whether
+  // the backend server has crashed, and then calls `done`, which may be empty.
+  void OnConnectionLost(std::uint64_t fingerprint, std::function<void()> done);
+  void OnProbed(probe_result result);
+  void RecordCrash();
 
   boost::asio::io_context& io_;
   const local_dispatcher_options options_;
@@ -145,6 +155,13 @@
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<local_exchange>> exchanges_;
   std::function<void()> on_server_changed_;
+  crash_history& crashes_;
+  in_flight_tracker in_flight_;
+  // A possible crash that is being checked.
+  std::vector<std::uint64_t> lost_requests_;
+  std::vector<std::function<void()>> awaiting_probe_;
+  std::size_t unclear_probes_ = 0;
+  callback_scope probes_;
   std::optional<instant> latest_deadline_;  // Set while the daemon stops.
   bool accepting_ = true;
 };
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -43,6 +43,7 @@
   SetField(fields, names.deadline,
            std::to_string(std::max<std::int64_t>(time_left.count(), 1)));
   SetField(fields, names.expected_instance, request_.instance);
+  dispatcher_->in_flight_.Start(id_, request_.fingerprint, false);
   sent_ = dispatcher_->pool_.Start(
       dispatcher_->server_address_, std::move(request_.request),
       {.on_sent = std::exchange(events_.on_sent, nullptr),
@@ -106,10 +107,19 @@
     dispatcher->OnUnreachable(instance);
     NotifyAnswer(tl::unexpected(error(error_kind::kNoBackendServer,
                                       failure.message, run_state::kNotRun)));
-  } else {
-    NotifyAnswer(tl::unexpected(error(error_kind::kBackendFailed,
-                                      failure.message, run_state::kUnknown)));
+    return;
   }
+  const error reported(error_kind::kBackendFailed, failure.message,
+                       run_state::kUnknown);
+  if (failure.kind != error_kind::kBackendFailed) {
+    NotifyAnswer(tl::unexpected(reported));
+    return;
+  }
+  // The sender decides by the crashes of the request whether to repeat it.
+  dispatcher->OnConnectionLost(request_.fingerprint,
+                               [self = shared_from_this(), reported] {
+                                 self->NotifyAnswer(tl::unexpected(reported));
+                               });
 }
 
 // Rejects successful answers without a signature: they may not come from a
@@ -166,6 +176,7 @@
     dispatcher_->link_.OnResponseSize(request_.work_class, *answer.head.length);
   }
   if (!answer.body) {
+    dispatcher_->crashes_.OnCompleted(request_.fingerprint);
     End(run_time);
     NotifyAnswer(std::move(answer));
     return;
@@ -190,8 +201,12 @@
                                 const body_source::callback& forward) {
   if (part) body_bytes_ += part->bytes.size();
   if (!part) {
+    if (dispatcher_ != nullptr)
+      dispatcher_->OnConnectionLost(request_.fingerprint, nullptr);
     End(std::nullopt);
   } else if (part->last) {
+    if (dispatcher_ != nullptr)
+      dispatcher_->crashes_.OnCompleted(request_.fingerprint);
     if (counts_bytes_ && dispatcher_ != nullptr) {
       dispatcher_->link_.OnResponseSize(request_.work_class, body_bytes_);
     }
@@ -223,12 +238,16 @@
                       run_state::kUnknown);
   Log("server_failed", failure);
   sent_->Cancel();
+  dispatcher_->in_flight_.Cancel(id_, now);
   End(std::nullopt);
   NotifyAnswer(tl::unexpected(failure));
 }
 
 void local_exchange::Cancel() {
-  if (dispatcher_ == nullptr) return;
+  if (dispatcher_ == nullptr) {
+    events_ = {};  // A probe may be in progress.
+    return;
+  }
   const auto keep_alive = shared_from_this();
   events_ = {};
   Log("gate_cancelled",
@@ -242,13 +261,17 @@
     abandoned_ = true;
     return;
   }
-  if (sent_) sent_->Cancel();
+  if (sent_) {
+    sent_->Cancel();
+    dispatcher_->in_flight_.Cancel(id_, MonotonicNow());
+  }
   End(std::nullopt);
 }
 
 void local_exchange::End(std::optional<duration> run_time) {
   if (dispatcher_ == nullptr) return;
   const auto keep_alive = shared_from_this();
+  dispatcher_->in_flight_.End(id_);
   std::exchange(dispatcher_, nullptr)->OnFinished(id_, run_time);
 }
 
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -7,6 +7,7 @@
 
 #include "backend/http_message.h"
 #include "base/json_text.h"
+#include "crash_codec.h"
 
 namespace pomelohall {
 
@@ -39,9 +40,8 @@
     const auto start = entry.find("latest_start_unix_ms");
     if (!instance || start == entry.end() || !start->is_number_integer())
       return std::nullopt;
-    departed.push_back(
-        {.instance = *instance,
-         .latest_start_unix_ms = start->get<std::int64_t>()});
+    departed.push_back({.instance = *instance,
+                        .latest_start_unix_ms = start->get<std::int64_t>()});
   }
   return departed;
 }
@@ -64,6 +64,7 @@
         {{"instance", departure.instance},
          {"latest_start_unix_ms", departure.latest_start_unix_ms}});
   }
+  if (!member.crashes.empty()) spec["crashes"] = EncodeReports(member.crashes);
   return spec.dump();
 }
 
@@ -97,6 +98,11 @@
   auto departed = Departures(document);
   if (!departed) return malformed("a departed server is malformed");
   member.departed = std::move(*departed);
+  if (const auto list = document.find("crashes"); list != document.end()) {
+    auto crashes = DecodeReports(*list);
+    if (!crashes) return malformed("a crash is malformed");
+    member.crashes = std::move(*crashes);
+  }
   const auto server = document.find("server");
   if (server == document.end()) return member;
   if (!server->is_object()) return malformed("the server is not an object");
--- a/libs/sidecar/src/member_observer.cc
+++ b/libs/sidecar/src/member_observer.cc
@@ -12,11 +12,13 @@
 member_observer::member_observer(std::string own_name,
                                  server_directory& directory,
                                  retry_budget& budget,
-                                 member_publisher& publisher)
+                                 member_publisher& publisher,
+                                 crash_history& crashes)
     : own_name_(std::move(own_name)),
       directory_(directory),
       budget_(budget),
-      publisher_(publisher) {}
+      publisher_(publisher),
+      crashes_(crashes) {}
 
 void member_observer::OnListed(const object_listing& listing) {
   std::set<std::string> names{own_name_};
@@ -95,6 +97,7 @@
       .With("service", member->server ? member->server->service : "")
       .With("instance", member->server ? member->server->instance : "");
   directory_.Put(*member, MonotonicNow());
+  crashes_.OnReported(member->name, member->crashes, UnixMillisNow());
 }
 
 void member_observer::UpdateRetryBudget() {
--- a/libs/sidecar/src/member_observer.h
+++ b/libs/sidecar/src/member_observer.h
@@ -5,6 +5,7 @@
 #include "member_publisher.h"
 #include "mesh/retry_budget.h"
 #include "mesh/server_directory.h"
+#include "quarantine/crash_history.h"
 
 namespace pomelohall {
 
@@ -14,7 +15,8 @@
  public:
   // All references must outlive the observer.
   member_observer(std::string own_name, server_directory& directory,
-                  retry_budget& budget, member_publisher& publisher);
+                  retry_budget& budget, member_publisher& publisher,
+                  crash_history& crashes);
 
   void OnListed(const object_listing& listing) override;
   void OnRestored(const object_listing& listing) override;
@@ -33,6 +35,7 @@
   server_directory& directory_;
   retry_budget& budget_;
   member_publisher& publisher_;
+  crash_history& crashes_;
   // Revision at which the last restoration of the store was noticed. Records up
   // to it may come from the copy.
   store_revision restored_at_;
--- a/libs/sidecar/src/member_publisher.h
+++ b/libs/sidecar/src/member_publisher.h
@@ -43,8 +43,8 @@
   // Handles the stored record as reported by a watch. If `deleted`, the
   // revision of `object` is one at which there was no record.
   void OnStored(const watched_object& object, bool deleted);
-  // Calls `done` with true as soon as the store has the record to write, or with
-  // false at `deadline` or when the publisher stops.
+  // Calls `done` with true as soon as the store has the record to write, or
+  // with false at `deadline` or when the publisher stops.
   void AwaitStored(instant deadline, std::function<void(bool)> done);
   // To be called regularly: ends calls of AwaitStored() whose deadline passed.
   void Tick(instant now);
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -8,6 +8,7 @@
 #include "caller/body_prefix.h"
 #include "caller/error_response.h"
 #include "caller/prefixed_body.h"
+#include "crash_codec.h"
 #include "load_codec.h"
 
 namespace pomelohall {
@@ -31,10 +32,11 @@
 mesh_endpoint::mesh_endpoint(local_dispatcher& dispatcher,
                              answer_sender& sender,
                              peer_config_sync& config_sync,
-                             header_field_names fields)
+                             crash_history& crashes, header_field_names fields)
     : dispatcher_(dispatcher),
       sender_(sender),
       config_sync_(config_sync),
+      crashes_(crashes),
       fields_(std::move(fields)) {}
 
 void mesh_endpoint::OnRequest(std::shared_ptr<incoming_request> request) {
@@ -47,7 +49,8 @@
   RemoveHopByHopFields(outgoing.head.fields);
   const auto body = request->Body();
   if (!body) {
-    Forward(request, std::move(outgoing));
+    Forward(request, std::move(outgoing),
+            {.bytes = std::make_shared<const std::string>(), .complete = true});
     return;
   }
   // The body is buffered before the request is queued, so that a closed
@@ -64,12 +67,13 @@
         } else {
           outgoing.body = std::make_shared<prefixed_body>(start->bytes, body);
         }
-        Forward(request, std::move(outgoing));
+        Forward(request, std::move(outgoing), *start);
       });
 }
 
 void mesh_endpoint::Forward(const std::shared_ptr<incoming_request>& request,
-                            outgoing_request outgoing) {
+                            outgoing_request outgoing,
+                            const body_prefix& body) {
   auto& fields = outgoing.head.fields;
   const auto now = request->ReceivedAt();
   // Requests are sent without delay, unlike answers.
@@ -77,6 +81,11 @@
   RemoveField(fields, kMeshVersionField);
   RemoveField(fields, kMeshConfirmedField);
   local_request local;
+  local.fingerprint = FingerprintOf(outgoing.head, body, fields_);
+  if (const auto crashes =
+          DecodeCrashes(TakeField(fields, kMeshCrashesField))) {
+    crashes_.Add(local.fingerprint, *crashes, UnixMillisNow());
+  }
   local.instance = TakeField(fields, kMeshInstanceField);
   local.work_class = TakeField(fields, kMeshClassField);
   local.kind = kRequestKindNames.Find(TakeField(fields, kMeshKindField))
@@ -94,21 +103,39 @@
   local.request = std::move(outgoing);
   const answer_times times{.target_at = local.target_at,
                            .deadline = local.deadline};
+  const auto fingerprint = local.fingerprint;
   const auto started = dispatcher_.Start(
       std::move(local),
       {.on_sent = nullptr,
-       .on_response = [this, request, times](result<incoming_response> answer) {
-         OnResponse(request, times, std::move(answer));
+       .on_response = [this, request, times,
+                       fingerprint](result<incoming_response> answer) {
+         if (!answer) {
+           Refuse(request, times, fingerprint, answer.error());
+         } else {
+           OnResponse(request, times, std::move(*answer));
+         }
        }});
   request->SetDisconnectHandler([started] { started->Cancel(); });
 }
 
+// The daemon that sent the request may offer it to other servers.
+void mesh_endpoint::Refuse(const std::shared_ptr<incoming_request>& request,
+                           const answer_times& times, std::uint64_t fingerprint,
+                           const error& failure) {
+  auto answer = MakeErrorResponse(failure);
+  const auto crashes = crashes_.Crashes(fingerprint);
+  if (!crashes.empty()) {
+    SetField(answer.head.fields, kMeshCrashesField, EncodeCrashes(crashes));
+  }
+  Send(request, times, std::move(answer));
+}
+
 void mesh_endpoint::OnResponse(const std::shared_ptr<incoming_request>& request,
                                const answer_times& times,
-                               result<incoming_response> answer) {
-  if (answer && answer->body && answer->head.length &&
-      sender_.Queue().IsPaced(*answer->head.length)) {
-    BufferAnswer(request, times, std::move(*answer));
+                               incoming_response answer) {
+  if (answer.body && answer.head.length &&
+      sender_.Queue().IsPaced(*answer.head.length)) {
+    BufferAnswer(request, times, std::move(answer));
   } else {
     Answer(request, times, std::move(answer));
   }
@@ -123,8 +150,9 @@
       [this, request, times,
        answer = std::move(answer)](const result<body_prefix>& start) mutable {
         if (!start) {
-          Answer(request, times,
-                 Fail(error_kind::kBackendFailed, start.error().message));
+          Send(request, times,
+               MakeErrorResponse(
+                   {error_kind::kBackendFailed, start.error().message}));
           return;
         }
         if (start->complete) {
@@ -139,19 +167,21 @@
 
 void mesh_endpoint::Answer(const std::shared_ptr<incoming_request>& request,
                            const answer_times& times,
-                           result<incoming_response> answer) {
-  auto outgoing =
-      answer ? std::move(*answer) : MakeErrorResponse(answer.error());
-  auto& fields = outgoing.head.fields;
-  if (answer) {
-    RemoveHopByHopFields(fields);
-    RemoveField(fields, kErrorField);
-  }
+                           incoming_response answer) {
+  RemoveHopByHopFields(answer.head.fields);
+  RemoveField(answer.head.fields, kErrorField);
+  RemoveField(answer.head.fields, kMeshCrashesField);
+  Send(request, times, std::move(answer));
+}
+
+void mesh_endpoint::Send(const std::shared_ptr<incoming_request>& request,
+                         const answer_times& times, incoming_response answer) {
+  auto& fields = answer.head.fields;
   SetField(fields, kMeshLoadField, EncodeLoad(dispatcher_.Load()));
   SetField(fields, kMeshHeldField,
            EncodeHeldTime(MonotonicNow() - request->ReceivedAt()));
   config_sync_.AddState(fields);
-  sender_.Send(request, std::move(outgoing), times);
+  sender_.Send(request, std::move(answer), times);
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -6,9 +6,11 @@
 #include <string>
 
 #include "answer_sender.h"
+#include "caller/body_prefix.h"
 #include "caller/call_server.h"
 #include "local_dispatcher.h"
 #include "peer_config_sync.h"
+#include "quarantine/crash_history.h"
 #include "sidecar/header_field_names.h"
 
 namespace pomelohall {
@@ -18,25 +20,33 @@
  public:
   // All references must outlive the endpoint.
   mesh_endpoint(local_dispatcher& dispatcher, answer_sender& sender,
-                peer_config_sync& config_sync, header_field_names fields);
+                peer_config_sync& config_sync, crash_history& crashes,
+                header_field_names fields);
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
  private:
   void Forward(const std::shared_ptr<incoming_request>& request,
-               outgoing_request outgoing);
+               outgoing_request outgoing, const body_prefix& body);
+  void Refuse(const std::shared_ptr<incoming_request>& request,
+              const answer_times& times, std::uint64_t fingerprint,
+              const error& failure);
   void OnResponse(const std::shared_ptr<incoming_request>& request,
-                  const answer_times& times, result<incoming_response> answer);
+                  const answer_times& times, incoming_response answer);
   // Reads a large answer into memory, which frees its slot on the backend
   // server while the answer waits for the network link.
   void BufferAnswer(const std::shared_ptr<incoming_request>& request,
                     const answer_times& times, incoming_response answer);
   void Answer(const std::shared_ptr<incoming_request>& request,
-              const answer_times& times, result<incoming_response> answer);
+              const answer_times& times, incoming_response answer);
+  // Adds the state of this daemon.
+  void Send(const std::shared_ptr<incoming_request>& request,
+            const answer_times& times, incoming_response answer);
 
   local_dispatcher& dispatcher_;
   answer_sender& sender_;
   peer_config_sync& config_sync_;
+  crash_history& crashes_;
   const header_field_names fields_;
 };
 
--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -6,14 +6,12 @@
 
 namespace pomelohall {
 
-request_router::request_router(boost::asio::io_context& io,
-                               request_router_options options,
-                               local_dispatcher& dispatcher,
-                               answer_sender& sender,
-                               server_directory& directory,
-                               retry_budget& budget, connection_pool& peers,
-                               config_version_gossip& versions,
-                               sidecar_metrics& metrics, std::uint64_t seed)
+request_router::request_router(
+    boost::asio::io_context& io, request_router_options options,
+    local_dispatcher& dispatcher, answer_sender& sender,
+    server_directory& directory, retry_budget& budget, connection_pool& peers,
+    config_version_gossip& versions, crash_history& crashes,
+    sidecar_metrics& metrics, std::uint64_t seed)
     : io_(io),
       options_(std::move(options)),
       dispatcher_(dispatcher),
@@ -22,6 +20,7 @@
       budget_(budget),
       peers_(peers),
       versions_(versions),
+      crashes_(crashes),
       metrics_(metrics),
       random_(seed) {}
 
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -22,6 +22,7 @@
 #include "mesh/server_directory.h"
 #include "mesh_endpoint.h"
 #include "peer_config_sync.h"
+#include "quarantine/crash_history.h"
 #include "sidecar/header_field_names.h"
 #include "sidecar_metrics.h"
 
@@ -67,7 +68,8 @@
                  local_dispatcher& dispatcher, answer_sender& sender,
                  server_directory& directory, retry_budget& budget,
                  connection_pool& peers, config_version_gossip& versions,
-                 sidecar_metrics& metrics, std::uint64_t seed);
+                 crash_history& crashes, sidecar_metrics& metrics,
+                 std::uint64_t seed);
 
   void SetTable(std::shared_ptr<route_table> table);
   const std::shared_ptr<route_table>& Table() const { return table_; }
@@ -108,6 +110,7 @@
   retry_budget& budget_;
   connection_pool& peers_;
   config_version_gossip& versions_;
+  crash_history& crashes_;
   sidecar_metrics& metrics_;
   random_source random_;
   std::shared_ptr<route_table> table_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -8,6 +8,7 @@
 #include "caller/error_response.h"
 #include "caller/prefixed_body.h"
 #include "caller/time_limited_body.h"
+#include "crash_codec.h"
 #include "load_codec.h"
 #include "logging/log_event.h"
 #include "mesh/retry_hint.h"
@@ -183,6 +184,12 @@
   for (const auto name : kMeshFields) RemoveField(head_.fields, name);
   SetField(head_.fields, router_.options_.fields.caller_service,
            router_.options_.caller_service);
+  fingerprint_ = FingerprintOf(head_, *start, router_.options_.fields);
+  if (router_.crashes_.IsCulprit(fingerprint_)) {
+    Fail({error_kind::kPoisonSuspected,
+          "the request crashed several backend servers", run_state::kNotRun});
+    return;
+  }
   plan_ = Planner().Plan(MonotonicNow());
   OfferNext();
 }
@@ -258,6 +265,7 @@
       {.request = BuildRequest(),
        .attempt_id = attempt_id_,
        .instance = choice.member.server->instance,
+       .fingerprint = fingerprint_,
        .work_class = route_->name,
        .kind = route_->kind,
        .priority = route_->priority,
@@ -288,6 +296,10 @@
   SetField(fields, kMeshTargetField, FormatMillis(target_at_ - now));
   if (IsShortWait())
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
+  const auto crashes = router_.crashes_.Crashes(fingerprint_);
+  if (!crashes.empty()) {
+    SetField(fields, kMeshCrashesField, EncodeCrashes(crashes));
+  }
   router_.versions_.AddState(fields);
   SetField(fields, kMeshSenderField, router_.versions_.LocalAddress());
   sent_ = router_.peers_.Start(
@@ -317,6 +329,12 @@
                                 offered_at_);
   RemoveField(head.fields, kMeshVersionField);
   RemoveField(head.fields, kMeshConfirmedField);
+  if (const auto* text = FindField(head.fields, kMeshCrashesField)) {
+    if (const auto crashes = DecodeCrashes(*text)) {
+      router_.crashes_.Add(fingerprint_, *crashes, UnixMillisNow());
+    }
+    RemoveField(head.fields, kMeshCrashesField);
+  }
   auto failure = ErrorFromResponse(head);
   RemoveField(head.fields, kMeshLoadField);
   RemoveField(head.fields, kMeshHeldField);
@@ -397,6 +415,10 @@
       ++busy_refusals_;
       EndOffer(send_outcome::kRefused);
       break;
+    case error_kind::kPoisonSuspected:  // At all other servers too.
+      EndOffer(send_outcome::kRefused);
+      Fail(*last_failure_);
+      return;
     case error_kind::kDraining:
     case error_kind::kNoBackendServer:
       router_.directory_.OnNotServing(offer_->member.name, MonotonicNow());
@@ -418,6 +440,7 @@
                ? send_outcome::kUnreachable
                : send_outcome::kFailed);
   if (IsIdempotent(route_->kind) && MayOffer() &&
+      !router_.crashes_.IsSuspect(fingerprint_) &&
       AcquireRetry(run_state::kUnknown)) {
     OfferNext();
   } else {
@@ -503,6 +526,7 @@
     OfferNext();
     return;
   }
+  if (answer_is_complete_) router_.crashes_.OnCompleted(fingerprint_);
   delivering_ = true;
   EndOffer(status < 500 ? send_outcome::kServed : send_outcome::kFailed);
   Answer(std::move(*answer_), "");
@@ -530,7 +554,8 @@
     // stop has to wait for the next start, about as long as for an overload to
     // end.
     auto cause = refusal_cause::kNoServer;
-    if (reported.kind == error_kind::kOverloaded || router_.stop_) {
+    if (reported.kind == error_kind::kOverloaded ||
+        reported.kind == error_kind::kPoisonSuspected || router_.stop_) {
       cause = refused_by_server_ && busy_refusals_ == 0 && !router_.stop_
                   ? refusal_cause::kServerFault
                   : refusal_cause::kOverload;
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -2,6 +2,7 @@
 #define POMELOHALL_SIDECAR_SRC_ROUTED_REQUEST_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -87,6 +88,7 @@
   // A large body; it can be sent only once.
   std::shared_ptr<class prefixed_body> streamed_body_;
 
+  std::uint64_t fingerprint_ = 0;  // See FingerprintOf().
   server_demand demand_;
   std::optional<server_choice> offer_;
   instant offered_at_;
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -114,12 +114,6 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
-std::int64_t UnixMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 class sidecar::impl {
@@ -127,7 +121,7 @@
   impl(boost::asio::io_context& io, sidecar_settings settings,
        const sidecar_platform& platform)
       : settings_(std::move(settings)),
-        incarnation_(static_cast<std::uint64_t>(UnixMillis())),
+        incarnation_(static_cast<std::uint64_t>(UnixMillisNow())),
         sender_(io,
                 {.bytes_per_second = PacedBytesPerSecond(settings_.link_mbps),
                  .max_wait = MaxLinkWait(settings_.stop_grace)},
@@ -142,7 +136,7 @@
                      .leaving_grace = settings_.drain_time / 2,
                      .announcement_timeout =
                          settings_.announce_interval * kMaxMissedAnnouncements},
-                    sender_.Queue()),
+                    sender_.Queue(), crashes_),
         directory_(
             {.member = settings_.name, .data_centre = settings_.data_centre},
             RandomSeed()),
@@ -186,21 +180,21 @@
                  .member = settings_.name,
                  .caller_service = settings_.server_service},
                 dispatcher_, sender_, directory_, budget_, peers_, config_sync_,
-                metrics_, RandomSeed()),
-        mesh_endpoint_(dispatcher_, sender_, config_sync_, platform.fields),
+                crashes_, metrics_, RandomSeed()),
+        mesh_endpoint_(dispatcher_, sender_, config_sync_, crashes_,
+                       platform.fields),
         caller_listener_(io, {.address = settings_.caller_address}, router_),
         daemon_listener_(io, {.address = settings_.forward_address},
                          mesh_endpoint_),
-        publisher_(io, *platform.store,
-                   {.start_delay = kFirstRecordDelay,
-                    .on_earlier_record =
-                        [this](const std::string& spec) {
-                          OnEarlierRecord(spec);
-                        },
-                    .on_first_write =
-                        [this] { dispatcher_.OnDeparturesKnown(); }},
-                   RandomSeed()),
-        member_observer_(settings_.name, directory_, budget_, publisher_),
+        publisher_(
+            io, *platform.store,
+            {.start_delay = kFirstRecordDelay,
+             .on_earlier_record =
+                 [this](const std::string& spec) { OnEarlierRecord(spec); },
+             .on_first_write = [this] { dispatcher_.OnDeparturesKnown(); }},
+            RandomSeed()),
+        member_observer_(settings_.name, directory_, budget_, publisher_,
+                         crashes_),
         member_watch_(io, *platform.store, member_observer_,
                       {.collection = store_collection::kMembers,
                        // A stale record costs only a refused offer.
@@ -211,6 +205,7 @@
         tick_timer_(io),
         stop_timer_(io) {
     dispatcher_.SetServerObserver([this] { OnServerChanged(); });
+    crashes_.SetObserver([this] { crashes_changed_ = true; });
   }
 
   result<void> Start() {
@@ -280,7 +275,7 @@
   }
 
   bool OnWithdrawn(const std::string& instance) {
-    return dispatcher_.OnWithdrawn(instance, UnixMillis(), MonotonicNow());
+    return dispatcher_.OnWithdrawn(instance, UnixMillisNow(), MonotonicNow());
   }
 
   void AwaitDepartureStored(std::function<void(bool)> done) {
@@ -337,7 +332,7 @@
   }
 
   // The departures that an earlier process of this daemon acknowledged bind
-  // this one as well.
+  // this one as well, and the crashes that it saw count.
   void OnEarlierRecord(const std::string& spec) {
     const auto record = DecodeMember(settings_.name, spec);
     if (!record) {
@@ -345,11 +340,22 @@
           .With("reason", record.error().message);
       return;
     }
-    if (record->departed.empty()) return;
-    log_event(log_level::kInfo, "departures_restored")
-        .With("count", static_cast<std::uint64_t>(record->departed.size()))
-        .With("latest_instance", record->departed.back().instance);
+    for (const auto& report : record->crashes)
+      crashes_.OnCrash(report, UnixMillisNow());
+    if (!record->departed.empty() || !record->crashes.empty()) {
+      log_event(log_level::kInfo, "state_restored")
+          .With("departures",
+                static_cast<std::uint64_t>(record->departed.size()))
+          .With("crashes", static_cast<std::uint64_t>(record->crashes.size()));
+    }
     dispatcher_.AddDepartures(record->departed);
+    PublishChangedCrashes();
+  }
+
+  // Changes are collected for up to a second: requests that complete after
+  // crashes are many.
+  void PublishChangedCrashes() {
+    if (crashes_changed_) OnServerChanged();
   }
 
   void OnServerChanged() {
@@ -364,7 +370,9 @@
                        .incarnation = incarnation_,
                        .sequence = published_member_.sequence,
                        .server = offer,
-                       .departed = dispatcher_.Server().Departures()};
+                       .departed = dispatcher_.Server().Departures(),
+                       .crashes = crashes_.OwnReports()};
+    crashes_changed_ = false;
     if (member != published_member_) ++member.sequence;
     published_member_ = member;
     // Requests of this VM may use the local backend server until the dispatcher
@@ -404,6 +412,8 @@
     daemon_listener_.Sweep(now);
     peers_.Sweep(now);
     dispatcher_.Sweep(now);
+    crashes_.Expire(UnixMillisNow());
+    PublishChangedCrashes();
     member_watch_.SetPauseAfterChange(MemberWatchPause(directory_.Size()));
   }
 
@@ -458,6 +468,8 @@
   const std::uint64_t incarnation_;
   sidecar_metrics metrics_;
   answer_sender sender_;
+  crash_history crashes_;
+  bool crashes_changed_ = false;  // Since the last record.
   local_dispatcher dispatcher_;
   server_directory directory_;
   retry_budget budget_;
--- a/libs/sidecar/tests/odd_message_test.cc
+++ b/libs/sidecar/tests/odd_message_test.cc
@@ -203,7 +203,8 @@
   server_directory directory_{{.member = "own", .data_centre = "near"}, 1};
   retry_budget budget_{{}};
   member_publisher publisher_{io_, store_, {}, 1};
-  member_observer observer_{"own", directory_, budget_, publisher_};
+  crash_history crashes_;
+  member_observer observer_{"own", directory_, budget_, publisher_, crashes_};
 };
 
 // Guards against requests to a backend server whose record is no longer valid,
--- a/libs/sidecar/tests/restored_store_test.cc
+++ b/libs/sidecar/tests/restored_store_test.cc
@@ -53,7 +53,8 @@
   server_directory directory_{{.member = "vm-1", .data_centre = "near"}, 1};
   retry_budget budget_{{}};
   member_publisher publisher_{io_, store_, {}, 1};
-  member_observer observer_{"vm-1", directory_, budget_, publisher_};
+  crash_history crashes_;
+  member_observer observer_{"vm-1", directory_, budget_, publisher_, crashes_};
   collection_watch watch_{
       io_,
       store_,
--- a/tests/sidecar/departure_test.cc
+++ b/tests/sidecar/departure_test.cc
@@ -37,9 +37,8 @@
 
   /// Delivers an announcement that was sent before the backend server left.
   void AnnounceLate() {
-    RunOnIoThread([&] {
-      nodes_[0]->daemon->OnAnnounced(nodes_[0]->announcement);
-    });
+    RunOnIoThread(
+        [&] { nodes_[0]->daemon->OnAnnounced(nodes_[0]->announcement); });
   }
 
   void CheckThatServerGetsNoRequests() {
--- a/tests/sidecar/foreign_announcement_test.cc
+++ b/tests/sidecar/foreign_announcement_test.cc
@@ -31,8 +31,7 @@
     AnnounceAgain();
     for (int i = 0; i < 5; ++i) {
       CHECK(Call(0, "GET", "/safe/1").status == 200);
-      CHECK(Call(0, "POST", "/order/1", "", "{}").status ==
-            200);
+      CHECK(Call(0, "POST", "/order/1", "", "{}").status == 200);
       CHECK(Call(0, "GET", "/file/1").status == 200);
     }
     CHECK(other_services_ == 0);
@@ -63,8 +62,9 @@
   auto foreign = LaterAnnouncement(instance);
   foreign.service = "unnamed";
   foreign.draining = draining;
-  CHECK(RunOnIoThread([&] { return nodes_[0]->daemon->OnAnnounced(foreign); }) ==
-        announcement_outcome::kForeign);
+  CHECK(RunOnIoThread([&] {
+          return nodes_[0]->daemon->OnAnnounced(foreign);
+        }) == announcement_outcome::kForeign);
   CheckThatRequestsRunAsOwnService();
 }
 
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -68,8 +68,8 @@
   }
   auto store_address = store_->Address();
   if (store_link_rate_ > 0) {
-    node->store_link = std::make_unique<slow_link_proxy>(io_, store_address,
-                                                         store_link_rate_);
+    node->store_link =
+        std::make_unique<slow_link_proxy>(io_, store_address, store_link_rate_);
     store_address = node->store_link->Address();
   }
   node->store = std::make_unique<http_watched_store>(io_, store_address);
