Limit the bytes that wait for the end of a chunk extension or a trailer

Cause: the HTTP parser limits heads and bodies, but parses a chunk extension or a trailer only once it is complete, and the buffers of connections had no limit. A watch line and the pages of a listing had none either, and an object of pomelohalld's platform could have 64 MB.

Change: buffers hold 64 KiB beside a head; objects, watch lines and listings have limits.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -35,6 +35,9 @@
 // Reserved buffer space per read: Beast reads no more than the spare capacity,
 // or 512 bytes if there is none.
 constexpr std::size_t kReadBytes = 4096;
+// Bytes that are kept beside a header. The parser has no limit of its own for a
+// chunk extension or a trailer, which it parses only once they are complete.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 // Time for which input is read and discarded after the last response. Closing a
 // socket with unread input resets the connection, and the caller may lose the
 // response.
@@ -163,6 +166,7 @@
   parser_->header_limit(static_cast<std::uint32_t>(
       std::min(options_.max_header_bytes, kMaxLimit)));
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  buffer_.max_size(options_.max_header_bytes + kMaxUnparsedBytes);
 }
 
 void call_session::ReadHeader() {
--- a/libs/http/src/client_core.cc
+++ b/libs/http/src/client_core.cc
@@ -22,7 +22,9 @@
 }  // namespace
 
 client_connection_ptr client_core::NewConnection() const {
-  return std::make_unique<client_connection>(io_);
+  auto connection = std::make_unique<client_connection>(io_);
+  connection->buffer.max_size(options_.max_header_bytes + kMaxUnparsedBytes);
+  return connection;
 }
 
 client_connection_ptr client_core::TakeIdle(const std::string& address) {
--- a/libs/http/src/server_session.cc
+++ b/libs/http/src/server_session.cc
@@ -28,7 +28,10 @@
 constexpr std::chrono::seconds kLingerTimeout{1};
 
 error_kind ToErrorKind(const boost::system::error_code& code) {
-  if (code == http::error::header_limit) return error_kind::kHeadersTooLarge;
+  if (code == http::error::header_limit ||
+      code == http::error::buffer_overflow) {
+    return error_kind::kHeadersTooLarge;
+  }
   if (code == http::error::body_limit) return error_kind::kBodyTooLarge;
   return error_kind::kInvalidRequest;
 }
@@ -40,6 +43,7 @@
     : tcp_stream_(std::move(socket)),
       linger_timer_(tcp_stream_.get_executor()),
       core_(std::move(core)) {
+  buffer_.max_size(core_->Options().max_header_bytes + kMaxUnparsedBytes);
   boost::system::error_code ignored;
   tcp_stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
--- a/libs/peer/src/websocket/websocket_engine_impl.cc
+++ b/libs/peer/src/websocket/websocket_engine_impl.cc
@@ -106,6 +106,8 @@
   server_.set_user_agent("");
   server_.set_reuse_addr(true);
   server_.set_max_message_size(options_.max_frame_bytes);
+  // A handshake has no body.
+  server_.set_max_http_body_size(0);
   server_.set_open_handshake_timeout(options_.connect_timeout_ms);
   server_.set_tcp_pre_init_handler(
       [this](const connection_handle& handle) { OnAcceptedSocket(handle); });
--- a/libs/platform/src/http_object_store.cc
+++ b/libs/platform/src/http_object_store.cc
@@ -17,7 +17,11 @@
 
 constexpr int kListPageSize = 250;  // objects in one response
 // Fits a page of 250 objects of 256 KB each. Larger objects are never listed.
-constexpr std::size_t kMaxResponseBytes = 67'108'864;
+constexpr std::size_t kMaxPageBytes = 67'108'864;
+// Sum of the pages of one listing.
+constexpr std::size_t kMaxListBytes = 268'435'456;
+// An object or the event of a watch. Daemons read several at a time.
+constexpr std::size_t kMaxObjectBytes = 2'097'152;
 constexpr std::uint32_t kMillisPerSecond = 1000;
 
 std::string StatusMessage(const http_response& response) {
@@ -84,11 +88,16 @@
   impl(boost::asio::io_context& io, http_object_store_options options)
       : options_(std::move(options)),
         client_(std::make_unique<http_client>(
-            io, http_client_options{.max_body_bytes = kMaxResponseBytes})) {}
+            io, http_client_options{.max_body_bytes = kMaxObjectBytes})),
+        list_client_(std::make_unique<http_client>(
+            io, http_client_options{.max_body_bytes = kMaxPageBytes})) {}
 
   // Cancels the calls in progress; their callbacks may still refer to this
   // object.
-  void Close() { client_.reset(); }
+  void Close() {
+    client_.reset();
+    list_client_.reset();
+  }
 
   void Call(std::string method, const std::string& plural,
             const std::string& name, std::string body, object_callback done) {
@@ -123,20 +132,22 @@
                   });
   }
 
-  void ListPage(const std::string& plural, std::vector<stored_object> found,
+  // @param bytes Of the earlier pages.
+  void ListPage(const std::string& plural, std::size_t bytes,
+                std::vector<stored_object> found,
                 const std::string& continue_token, list_callback done) {
-    if (!client_) return done(ClosedError());
+    if (!list_client_) return done(ClosedError());
     std::string target =
         Path(plural, "") + "?limit=" + std::to_string(kListPageSize);
     if (!continue_token.empty())
       target += "&continue=" + PercentEncode(continue_token);
-    client_->Send(options_.address, {.target = std::move(target)},
-                  options_.timeout,
-                  [self = shared_from_this(), plural, found = std::move(found),
-                   done = std::move(done)](result<http_response> got) mutable {
-                    self->OnPage(plural, std::move(found), std::move(got),
-                                 std::move(done));
-                  });
+    list_client_->Send(
+        options_.address, {.target = std::move(target)}, options_.timeout,
+        [self = shared_from_this(), plural, bytes, found = std::move(found),
+         done = std::move(done)](result<http_response> got) mutable {
+          self->OnPage(plural, bytes, std::move(found), std::move(got),
+                       std::move(done));
+        });
   }
 
   void Wait(const std::string& plural, const std::string& name,
@@ -185,9 +196,16 @@
 
   // Returns false once the first event is complete.
   static bool OnChunk(wait& waiting, std::string_view chunk) {
+    const auto searched = waiting.line.size();
     waiting.line += chunk;
-    const auto end = waiting.line.find('\n');
-    if (end == std::string::npos) return true;
+    const auto end = waiting.line.find('\n', searched);
+    if (end == std::string::npos) {
+      if (waiting.line.size() <= kMaxObjectBytes) return true;
+      waiting.changed =
+          Fail(error_kind::kPlatformUnavailable,
+               "the platform sent a watch event that is too long");
+      return false;
+    }
     waiting.changed = ParseEvent(waiting, waiting.line.substr(0, end));
     return false;
   }
@@ -243,10 +261,16 @@
     waiting.done(std::move(got));
   }
 
-  void OnPage(const std::string& plural, std::vector<stored_object> found,
-              result<http_response> got, list_callback done) {
+  void OnPage(const std::string& plural, std::size_t bytes,
+              std::vector<stored_object> found, result<http_response> got,
+              list_callback done) {
     const auto body = ToBody(std::move(got));
     if (!body) return done(tl::unexpected(body.error()));
+    bytes += body->size();
+    if (bytes > kMaxListBytes) {
+      return done(Fail(error_kind::kPlatformUnavailable,
+                       "the list of " + plural + " is too long"));
+    }
     const json_members list(*body);
     const auto items = JsonElements(list.Find("items"));
     if (!items) {
@@ -263,12 +287,13 @@
     if (!token.is_string() || token.get<std::string>().empty()) {
       return done(std::move(found));
     }
-    ListPage(plural, std::move(found), token.get<std::string>(),
+    ListPage(plural, bytes, std::move(found), token.get<std::string>(),
              std::move(done));
   }
 
   http_object_store_options options_;
   std::unique_ptr<http_client> client_;
+  std::unique_ptr<http_client> list_client_;
   std::map<std::pair<std::string, std::string>, stored_object> last_seen_;
 };
 
@@ -284,7 +309,7 @@
 }
 
 void http_object_store::List(const std::string& plural, list_callback done) {
-  impl_->ListPage(plural, {}, "", std::move(done));
+  impl_->ListPage(plural, 0, {}, "", std::move(done));
 }
 
 void http_object_store::Create(const stored_object& object,
