--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -12,6 +12,7 @@
 
 ATTEMPT_ID_FIELD = "pomelohall-attempt-id"
 ANNOUNCE_INTERVAL_S = 0.5
+CRASHING_NAME = "crash-"  # Part of the targets of requests that crash servers.
 SMALL_BYTES = 100  # Body of a response whose request asks for no size.
 
 
@@ -40,6 +41,8 @@
         self.cut_head_share = 0.0
         self.doubled_refusal_share = 0.0
         self.drained_at = None
+        # Called for a request that crashes the server, with its target.
+        self.on_crashing_request = None
         self.running = set()  # Attempt IDs of the requests that run.
         self.server = None
         self.writers = set()
@@ -69,6 +72,7 @@
 
         Announces the state "draining", or deletes its announcement.
         """
+        late_report = self.report()
         self.state = "draining"
         self.announce_task.cancel()
         acknowledged = False
@@ -80,6 +84,9 @@
             await asyncio.sleep(0.2)
         if acknowledged:
             self.drained_at = time.monotonic()
+            if self.random.random() < 0.7:  # Sent before, arrives now.
+                await asyncio.sleep(self.random.uniform(0.1, 4))
+                await self.send_to_daemon("PUT", late_report)
         # Keeps serving, so that a new request after the drain is detected.
         await asyncio.sleep(drain_s + self.random.uniform(1, 5))
         await self.crash()
@@ -91,24 +98,43 @@
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def announce(self):
+        return await self.send_to_daemon("PUT", self.report())
+
+    def report(self):
+        """Returns the next announcement."""
         self.sequence += 1
-        return await self.send_to_daemon("PUT", {
+        return {
             "service": self.service, "address": f"127.0.0.1:{self.port}",
             "zone": "near", "version": "v1", "slots": self.SLOTS,
             "state": self.state, "coldLeftMs": 0, "seq": self.sequence,
-            "born": self.started_unix_ms})
+            "born": self.started_unix_ms}
+
+    async def announce_as_other(self):
+        """Sends an announcement as another program on this VM may."""
+        report = {**self.report(), "born": self.started_unix_ms + 5000,
+                  "state": self.random.choice(("ready", "draining"))}
+        field = self.random.choice(("service", "state", "address", "zone",
+                                    "slots", "seq", "coldLeftMs"))
+        if field in ("service", "state", "address"):
+            report[field] = self.random.choice(("unnamed", "10.9.9.9:80"))
+        elif self.random.random() < 0.5:
+            del report[field]
+        else:
+            report[field] = [report[field]]
+        await self.send_to_daemon(
+            "PUT", report, self.random.choice(("i-other", self.instance)))
 
     async def withdraw(self):
         return await self.send_to_daemon("DELETE", None)
 
-    async def send_to_daemon(self, method, body):
+    async def send_to_daemon(self, method, body, instance=None):
         """Returns whether the daemon acknowledged within a second."""
         writer = None
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(
                 "127.0.0.1", self.local_port), 1)
             writer.write(encode_request(
-                method, f"/pomelohall/instances/{self.instance}",
+                method, f"/pomelohall/instances/{instance or self.instance}",
                 {"Host": "local", "Content-Type": "application/json"},
                 json.dumps(body).encode() if body else b""))
             response = await asyncio.wait_for(read_message(reader), 1)
@@ -172,6 +198,9 @@
             return True
         self.checks.on_execution(self, message)
         self.running.add(attempt_id)
+        if self.on_crashing_request and CRASHING_NAME in message.target:
+            await self.on_crashing_request(message.target)
+            return False
         query = urllib.parse.urlsplit(message.target).query
         wanted = {name: float(value)
                   for name, value in urllib.parse.parse_qsl(query)}
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -233,21 +233,21 @@
         except (ValueError, IndexError, asyncio.LimitOverrunError):
             return None, "malformed"
 
-    async def probe(self, target):
-        """Sends a GET request on a new connection; returns the status.
+    async def probe(self, target, kind="safe", method="GET"):
+        """Sends a request on a new connection; returns the status.
 
         Returns 0 if there is no response.
         """
         number = next(Caller.request_numbers)
         sent = SentRequest(f"p{number:x}", self.vm.name, self.vm.service,
-                           "shop", "safe", "GET", target, b"", SMALL_BYTES,
+                           "shop", kind, method, target, b"", SMALL_BYTES,
                            ROUTES[0].timeout_s, 1.5, time.monotonic())
         self.checks.sent_requests[sent.attempt_id] = sent
         writer = None
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(
                 "127.0.0.1", self.vm.caller_port), 1)
-            writer.write(encode_request("GET", target, {
+            writer.write(encode_request(method, target, {
                 "Host": "test", "Pomelohall-Attempt-Id": sent.attempt_id,
                 "Pomelohall-Request-Deadline": "1500"}))
             response = await asyncio.wait_for(read_message(reader), 3)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,6 +21,10 @@
 # Consecutive probes of an added route that may be refused while a route that
 # all versions have is served: a server may have no slot at times.
 MAX_REFUSED_PROBES = 5
+# After a request has crashed this many servers and CONTACT_S have passed, it may
+# reach this many more.
+MAX_CRASHES = 3
+MAX_LATE_CRASHES = 3
 # Added to bounds, as the soak's own single process delays measurements.
 SLACK_S = 0.5
 
@@ -58,6 +62,8 @@
         self.refused_probes = collections.Counter()        # By daemon process.
         # When a backend server last got a request, and when the store last had
         # its daemon's record, or when they were disrupted; by VM.
+        self.crash_times = collections.defaultdict(list)  # By target.
+        self.late_crashes = collections.Counter()          # By target.
         self.last_request_at = {}
         self.last_record_at = {}
 
@@ -144,6 +150,22 @@
         self.running[attempt_id] -= 1
         self.execution_ends[attempt_id] = time.monotonic()
 
+    def on_crash(self, vm, target):
+        """Checks how often a request crashes servers that was sent at `vm`."""
+        now = time.monotonic()
+        self.crash_times[target].append(now)
+        times = self.crash_times[target]
+        if (len(times) <= MAX_CRASHES or
+                now < times[MAX_CRASHES - 1] + CONTACT_S + SLACK_S or
+                not self.is_undisrupted(vm, times[MAX_CRASHES - 1])):
+            return
+        self.check_counts["BUDGET"] += 1
+        self.late_crashes[target] += 1
+        if self.late_crashes[target] == MAX_LATE_CRASHES + 1:
+            self.report_violation(
+                "BUDGET", f"{target} crashed {len(times)} servers, "
+                f"{self.late_crashes[target]} of them late")
+
     # Callers -----------------------------------------------------------------
 
     def on_response(self, sent, response, ending):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 """Runs sidecar daemons under random faults and checks their guarantees.
 
 Usage: soak.py BIN_DIR [--seed N] [--minutes M] [--vms N] [--keep] [--calm]
-               [--store-faults restored|odd|all]
+               [--store-faults restored|odd|all] [--crashing-requests]
 
 Each daemon is a process of its own. The store, the backend servers, the callers
 and the proxies (in front of the store and between the daemons) run in this
@@ -14,6 +14,7 @@
 
 import argparse
 import asyncio
+import functools
 import json
 import os
 import random
@@ -26,7 +27,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "process"))
 
-from backend import Backend, ANNOUNCE_INTERVAL_S
+from backend import ANNOUNCE_INTERVAL_S, CRASHING_NAME, Backend
 from callers import ROUTES, Caller, Load
 from checks import CONTACT_S, DRAIN_S, STOP_GRACE_S, Checks
 from fleet_control import PortBlock
@@ -189,6 +190,11 @@
         self.rolling = False
         self.operator = asyncio.Lock()  # Held while the operator can't write.
         self.odd_entries = 0
+        self.crashing_requests = 0
+        self.crashing_senders = {}  # Name of the VM that sent it last.
+        for vm in self.vms:
+            vm.backend.on_crashing_request = functools.partial(
+                self.on_crashing_request, vm)
         # At most some tens of probes a second of all VMs.
         self.probe_interval_s = max(1.0, 0.05 * len(self.vms))
         # About 20 requests of a server, of which some wait for a link.
@@ -506,12 +512,80 @@
 
     async def replace_backend(self):
         delete_announcement = self.random.random() < 0.3
+        restarts = self.random.random() < 0.5
 
         async def replace(vm):
+            restart = (asyncio.create_task(self.restart_when_drained(vm))
+                       if restarts else None)
             await vm.backend.stop_gracefully(delete_announcement, DRAIN_S)
+            if restart:
+                await restart
             await vm.backend.start()
         await self.on_random_backend(replace)
 
+    async def restart_when_drained(self, vm):
+        """Restarts the daemon whose backend server leaves, once or twice."""
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            if vm.backend.drained_at:
+                break
+        for _ in range(self.random.choice((1, 1, 2))):
+            await self.restart(vm)
+
+    async def announce_as_others(self):
+        """Lets other programs announce themselves to some daemons."""
+        vms = self.random.sample(self.vms, self.random.randint(1, 3))
+        for _ in range(3):
+            await asyncio.gather(*(
+                vm.backend.announce_as_other() for vm in vms
+                if vm.backend.state == "ready"))
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+
+    async def send_crashing_requests(self):
+        """Sends requests again and again that crash each server they reach.
+
+        Daemons are restarted or killed meanwhile.
+        """
+        requests = []
+        for _ in range(self.random.choice((1, 1, 2))):
+            self.crashing_requests += 1
+            route = self.random.choice([r for r in ROUTES
+                                        if r.kind != "download"])
+            requests.append((route, f"{route.prefix}{CRASHING_NAME}"
+                             f"{self.crashing_requests}"))
+        service = self.random.choice(("shop", "files"))
+        vms = [vm for vm in self.vms if vm.service == service]
+        companions = []
+        for _ in range(10):
+            for route, target in requests:
+                vm = self.random.choice(vms)
+                self.crashing_senders[target] = vm.name
+                await Caller(vm, self.checks, 0, self.load).probe(
+                    target, route.kind, route.method)
+            if self.random.random() < 0.3:
+                companions.append(asyncio.create_task(self.random.choice(
+                    (self.stop_daemon, self.kill_daemons))()))
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+        await asyncio.gather(*companions)
+
+    async def on_crashing_request(self, vm, target):
+        print(f"{target} crashes the server of {vm.name}", flush=True)
+        self.checks.on_crash(self.crashing_senders[target], target)
+        task = asyncio.create_task(self.crash_and_start(vm))
+        self.tasks.add(task)
+        task.add_done_callback(self.on_action_done)
+
+    async def crash_and_start(self, vm):
+        if vm.backend_busy:
+            return
+        vm.backend_busy = True
+        self.checks.begin_disruption("backend")
+        await vm.backend.crash()
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        await vm.backend.start()
+        self.checks.end_disruption("backend")
+        vm.backend_busy = False
+
     # Run ----------------------------------------------------------------------
 
     async def run(self):
@@ -529,8 +603,10 @@
                    self.reload_daemon, self.replace_backend)
         actions = 2 * planned + (
             self.disrupt_store, self.disrupt_peer, self.clear_store_history,
-            self.pause_daemon, self.kill_daemons, self.crash_backend) + 3 * (
-                self.degrade_backend,)
+            self.pause_daemon, self.kill_daemons, self.crash_backend,
+            self.announce_as_others) + 3 * (self.degrade_backend,)
+        if self.options.crashing_requests:
+            actions += 3 * (self.send_crashing_requests,)
         store_faults = {
             "restored": (self.restore_store,), "odd": (self.write_odd_entries,),
             "all": (self.restore_store, self.write_odd_entries)}.get(
@@ -564,6 +640,8 @@
                 action = self.random.choice(planned)
             elif was_calm:
                 action = (self.random.choice(store_faults) if store_faults
+                          else self.send_crashing_requests
+                          if self.options.crashing_requests
                           else self.refuse_twice)
             else:
                 action = self.random.choice(actions)
@@ -608,6 +686,9 @@
     parser.add_argument("--keep", action="store_true", help="keeps the logs")
     parser.add_argument("--calm", action="store_true",
                         help="planned work only, no faults")
+    parser.add_argument("--crashing-requests", action="store_true",
+                        help="also sends requests that crash the backend "
+                        "servers which run them")
     parser.add_argument("--known-check", action="append", default=[],
                         help="check whose violations do not count as a "
                         "failure, see KNOWN-RED.txt")
