--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -28,8 +28,9 @@
           .allow_close_delimited = true};
 }
 
-// Probes for a crashed server whose connections are closed at once.
-constexpr std::size_t kMaxUnclearProbes = 5;
+// Time for probes of a server that closes each connection at once: the
+// listening socket of a process that ends may accept for a moment.
+constexpr duration kMaxProbeTime = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -208,17 +209,19 @@
   lost_requests_.push_back(fingerprint);
   if (done) awaiting_probe_.push_back(std::move(done));
   if (is_checking) return;
-  unclear_probes_ = 0;
+  probing_since_ = MonotonicNow();
+  Probe();
+}
+
+void local_dispatcher::Probe() {
   pool_.Probe(server_address_,
               probes_.Bind([this](probe_result result) { OnProbed(result); }));
 }
 
 void local_dispatcher::OnProbed(probe_result result) {
-  // The listening socket of a process that ends may accept for a moment.
   if (result == probe_result::kUnclear &&
-      ++unclear_probes_ < kMaxUnclearProbes) {
-    pool_.Probe(server_address_,
-                probes_.Bind([this](probe_result next) { OnProbed(next); }));
+      MonotonicNow() - probing_since_ < kMaxProbeTime) {
+    Probe();
     return;
   }
   if (result == probe_result::kRefused) RecordCrash();
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -142,6 +142,7 @@
   // Handles a request whose connection was lost while it ran. Checks whether
   // the backend server has crashed, and then calls `done`, which may be empty.
   void OnConnectionLost(std::uint64_t fingerprint, std::function<void()> done);
+  void Probe();
   void OnProbed(probe_result result);
   void RecordCrash();
 
@@ -160,7 +161,7 @@
   // A possible crash that is being checked.
   std::vector<std::uint64_t> lost_requests_;
   std::vector<std::function<void()>> awaiting_probe_;
-  std::size_t unclear_probes_ = 0;
+  instant probing_since_;
   callback_scope probes_;
   std::optional<instant> latest_deadline_;  // Set while the daemon stops.
   bool accepting_ = true;
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -287,6 +287,7 @@
     if (confirmation.revision.IsKnown()) {
       metrics_.SetConfirmationAge(MonotonicNow() - confirmation.at);
     }
+    metrics_.SetCrashRequests(crashes_.RequestCount(), crashes_.CulpritCount());
     metrics_.SetOldestQueuedAnswer(sender_.OldestWait(MonotonicNow()));
     return metrics_.Render();
   }
--- a/libs/sidecar/src/sidecar_metrics.cc
+++ b/libs/sidecar/src/sidecar_metrics.cc
@@ -23,6 +23,12 @@
           "pomelohall_oldest_queued_answer_milliseconds",
           "Longest time that a queued answer has waited for the network "
           "link.")),
+      crash_suspects_(
+          registry_.Gauge("pomelohall_crash_suspects",
+                          "Requests that ran when backend servers crashed.")),
+      crash_culprits_(registry_.Gauge(
+          "pomelohall_crash_culprits",
+          "Requests that are refused because they crash backend servers.")),
       dropped_lines_(registry_.Counter("pomelohall_log_lines_dropped_total",
                                        "Log lines above the rate limit.")) {}
 
@@ -59,6 +65,12 @@
   oldest_queued_answer_.Set(static_cast<std::int64_t>(ToMillis(wait)));
 }
 
+void sidecar_metrics::SetCrashRequests(std::size_t suspects,
+                                       std::size_t culprits) {
+  crash_suspects_.Set(static_cast<std::int64_t>(suspects));
+  crash_culprits_.Set(static_cast<std::int64_t>(culprits));
+}
+
 std::string sidecar_metrics::Render() {
   dropped_lines_.SetTotal(DroppedLogLines());
   return registry_.Render();
--- a/libs/sidecar/src/sidecar_metrics.h
+++ b/libs/sidecar/src/sidecar_metrics.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_SIDECAR_SRC_SIDECAR_METRICS_H_
 #define POMELOHALL_SIDECAR_SRC_SIDECAR_METRICS_H_
 
+#include <cstddef>
 #include <string>
 
 #include "base/time.h"
@@ -24,6 +25,10 @@
   // Longest time that a queued answer has waited for the network link.
   void SetOldestQueuedAnswer(duration wait);
 
+  // Requests that ran when backend servers crashed, and those of them that are
+  // refused.
+  void SetCrashRequests(std::size_t suspects, std::size_t culprits);
+
   std::string Render();
 
  private:
@@ -31,6 +36,8 @@
   gauge& version_;
   gauge& confirmation_age_;
   gauge& oldest_queued_answer_;
+  gauge& crash_suspects_;
+  gauge& crash_culprits_;
   counter& dropped_lines_;
 };
 
