--- a/libs/quarantine/tests/crash_history_test.cc
+++ b/libs/quarantine/tests/crash_history_test.cc
@@ -75,7 +75,7 @@
                  "CrashHistory_CompletedRequest_IsClearedOfKnownCrashes",
                  "[quarantine]") {
   const auto at_other = NextCrash({kOther}, kStart);
-  for (int i = 0; i < 20; ++i) {
+  for (std::int64_t i = 0; i < 20; ++i) {
     const auto now = kStart + i * 2 * kSecond;
     history_.OnCrash(NextCrash({kOther}, now), now);
     history_.OnReported("a", {at_other}, now);
@@ -90,7 +90,7 @@
 TEST_CASE_METHOD(crash_history_fixture,
                  "CrashHistory_ClearedByTheReportingDaemon_IsCleared",
                  "[quarantine]") {
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     const auto now = kStart + i * 2 * kSecond;
     const auto member = std::to_string(i);
     auto report = NextCrash({kOther, kPoison}, now);
@@ -134,8 +134,9 @@
   history_.Add(kPoison, {NextCrash({}, kStart - 5 * kSecond).crash}, kStart);
   history_.OnCrash(NextCrash({kPoison, kOther}, kStart), kStart);
   std::vector<std::uint64_t> requests(100);
-  for (int i = 1; i <= 100; ++i) {
-    std::iota(requests.begin(), requests.end(), i * 1'000);
+  for (std::int64_t i = 1; i <= 100; ++i) {
+    std::iota(requests.begin(), requests.end(),
+              static_cast<std::uint64_t>(i) * 1'000);
     history_.OnCrash(NextCrash(requests, kStart + i * kSecond),
                      kStart + i * kSecond);
   }
--- a/libs/sidecar/src/crash_codec.cc
+++ b/libs/sidecar/src/crash_codec.cc
@@ -1,6 +1,6 @@
 #include "crash_codec.h"
 
-#include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -20,9 +20,10 @@
 constexpr std::size_t kMaxRequests = 256;
 
 std::string EncodeId(std::uint64_t id) {
-  char text[16];
-  const auto end = std::to_chars(text, text + sizeof text, id, 16).ptr;
-  return {text, end};
+  std::array<char, 16> text{};
+  const auto* const end =
+      std::to_chars(text.data(), text.data() + text.size(), id, 16).ptr;
+  return {text.data(), static_cast<std::size_t>(end - text.data())};
 }
 
 std::optional<std::uint64_t> DecodeId(std::string_view text) {
@@ -36,7 +37,8 @@
 
 std::optional<std::uint64_t> DecodeId(const json& value) {
   if (!value.is_string()) return std::nullopt;
-  return DecodeId(std::string_view(value.get_ref<const std::string&>()));
+  const std::string_view text = value.get_ref<const std::string&>();
+  return DecodeId(text);
 }
 
 std::optional<std::int64_t> DecodeTime(std::string_view text) {
