Check the departures and crashes of a record when it is decoded

Cause: a departure of another writer's record could have any name, which the daemon would have kept and written again. Change: visible names of up to 256 characters, 64 at most.

--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -15,6 +15,10 @@
 
 using nlohmann::json;
 
+// Limits of the departures in a record, above what daemons write.
+constexpr std::size_t kMaxDepartures = 64;
+constexpr std::size_t kMaxInstanceBytes = 256;
+
 std::optional<std::string> Text(const json& object, const char* field) {
   const auto found = object.find(field);
   if (found == object.end() || !found->is_string()) return std::nullopt;
@@ -33,13 +37,16 @@
   std::vector<departed_server> departed;
   const auto list = document.find("departed");
   if (list == document.end()) return departed;
-  if (!list->is_array()) return std::nullopt;
+  if (!list->is_array() || list->size() > kMaxDepartures) return std::nullopt;
   for (const auto& entry : *list) {
     if (!entry.is_object()) return std::nullopt;
     const auto instance = Text(entry, "instance");
     const auto start = entry.find("latest_start_unix_ms");
-    if (!instance || start == entry.end() || !start->is_number_integer())
+    if (!instance || !IsVisibleText(*instance) ||
+        instance->size() > kMaxInstanceBytes || start == entry.end() ||
+        !start->is_number_integer()) {
       return std::nullopt;
+    }
     departed.push_back({.instance = *instance,
                         .latest_start_unix_ms = start->get<std::int64_t>()});
   }
--- a/libs/sidecar/tests/odd_message_test.cc
+++ b/libs/sidecar/tests/odd_message_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "config_codec.h"
+#include "crash_codec.h"
 #include "fake_watched_store.h"
 #include "load_codec.h"
 #include "member_codec.h"
@@ -18,7 +19,9 @@
 const std::string kRecord =
     R"({"address":"10.0.0.1:7600","data_centre":"near","incarnation":5,
         "link_mbps":100.0,
-        "server":{"instance":"i-1","service":"shop","slots":18}})";
+        "server":{"instance":"i-1","service":"shop","slots":18},
+        "departed":[{"instance":"i-0","latest_start_unix_ms":77}],
+        "crashes":[{"id":"ab12","at":99,"requests":["c3","d4"]}]})";
 
 std::string WithValue(std::string text, const std::string& from,
                       const std::string& to) {
@@ -37,22 +40,51 @@
   for (const auto& text :
        {WithValue(kRecord, "10.0.0.1:7600", "a"),
         WithValue(kRecord, "10.0.0.1:7600", "10.0.0.1"),
-        WithValue(kRecord, "7600", "0"), WithValue(kRecord, "7600", "65536"),
-        WithValue(kRecord, "7600", "-1"), WithValue(kRecord, "7600", "1e3"),
+        WithValue(kRecord, "7600", "0"),
+        WithValue(kRecord, "7600", "65536"),
+        WithValue(kRecord, "7600", "-1"),
+        WithValue(kRecord, "7600", "1e3"),
         WithValue(kRecord, "10.0.0.1", "10.0.0.256"),
         WithValue(kRecord, "18", "9223372036854775808"),
         WithValue(kRecord, "18", "18446744073709551615"),
         WithValue(kRecord, "18", "18446744073709551616"),
-        WithValue(kRecord, "18", "1e308"), WithValue(kRecord, "18", "-1"),
-        WithValue(kRecord, "100.0", "1e308"), WithValue(kRecord, "100.0", "-1"),
+        WithValue(kRecord, "18", "1e308"),
+        WithValue(kRecord, "18", "-1"),
+        WithValue(kRecord, "100.0", "1e308"),
+        WithValue(kRecord, "100.0", "-1"),
         WithValue(kRecord, "100.0", "\"fast\""),
         WithValue(kRecord, "\"i-1\"", R"("i\r\nX: y")"),
-        WithValue(kRecord, "5,", "\"5\","), WithValue(kRecord, "5,", "-5,")}) {
+        WithValue(kRecord, "5,", "\"5\","),
+        WithValue(kRecord, "5,", "-5,"),
+        WithValue(kRecord, "\"i-0\"", "\"\""),
+        WithValue(kRecord, "\"i-0\"", "\"" + std::string(300, 'i') + "\""),
+        WithValue(kRecord, "77", "7.5"),
+        WithValue(kRecord, "99", "-1"),
+        WithValue(kRecord, "ab12", "xy"),
+        WithValue(kRecord, "\"c3\"", "3"),
+        WithValue(kRecord, "c3", "11112222333344445")}) {
     INFO(text);
     CHECK_FALSE(DecodeMember("x", text));
   }
 }
 
+// Guards against a header field of another program that ends a daemon or counts
+// as a crash.
+TEST_CASE("CrashCodec_MalformedField_IsRefused", "[sidecar]") {
+  const std::vector<server_crash> crashes{{.id = 0xab12, .at_unix_ms = 99},
+                                          {.id = ~0ULL, .at_unix_ms = 0}};
+  CHECK(DecodeCrashes(EncodeCrashes(crashes)) == crashes);
+  for (const char* text :
+       {"", ",", "ab12", ":", "ab12:", ":99", "ab12:-1", "ab12:99,", "xy:1",
+        "ab12:18446744073709551615", "11112222333344445:1"}) {
+    INFO(text);
+    CHECK_FALSE(DecodeCrashes(text));
+  }
+  std::string many = "1:1";
+  for (int i = 0; i < 100; ++i) many += ",1:1";
+  CHECK_FALSE(DecodeCrashes(many));
+}
+
 // Guards against a stack overflow and against exceptions.
 TEST_CASE("MemberCodec_DeeplyNested_IsRefused", "[sidecar]") {
   const auto deep = Nested(200'000);
