--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -157,7 +157,7 @@
         times = self.crash_times[target]
         if (len(times) <= MAX_CRASHES or
                 now < times[MAX_CRASHES - 1] + CONTACT_S + SLACK_S or
-                not self.is_undisrupted(vm, times[MAX_CRASHES - 1])):
+                not self.is_undisrupted(vm, now)):
             return
         self.check_counts["BUDGET"] += 1
         self.late_crashes[target] += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -556,7 +556,7 @@
         service = self.random.choice(("shop", "files"))
         vms = [vm for vm in self.vms if vm.service == service]
         companions = []
-        for _ in range(10):
+        for _ in range(16):
             for route, target in requests:
                 vm = self.random.choice(vms)
                 self.crashing_senders[target] = vm.name
