Pass on that a suspected request has completed

Cause: a completion cleared a request only at the daemons that took and ran it; others counted its crashes on. Change: the record of a daemon lists the suspects that completed there for a minute. A request that crashes servers never does.

--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -55,6 +55,8 @@
   /// Crashes of backend servers of this VM, for all daemons and the next
   /// process of this one.
   std::vector<crash_report> crashes = {};
+  /// Fingerprints of suspects that have completed at this daemon.
+  std::vector<std::uint64_t> cleared = {};
 
   bool operator==(const mesh_member&) const = default;
 
--- a/libs/quarantine/include/quarantine/crash_history.h
+++ b/libs/quarantine/include/quarantine/crash_history.h
@@ -45,6 +45,9 @@
   /// reported to others, and of requests of each.
   std::size_t max_reports = 8;
   std::size_t max_reported_requests = 64;
+  /// Maximum number of cleared requests that are reported, and for how long.
+  std::size_t max_cleared_requests = 32;
+  std::int64_t cleared_lifetime_ms = 60'000;
 };
 
 /// Which requests may have crashed backend servers, by fingerprint. Each daemon
@@ -64,8 +67,10 @@
 
   /// Applies the reports in the record of another daemon. A request that is no
   /// longer reported for a crash that still is has been cleared of it there.
+  /// @param cleared Suspects that have completed at that daemon.
   void OnReported(const std::string& member,
                   const std::vector<crash_report>& reports,
+                  const std::vector<std::uint64_t>& cleared,
                   std::int64_t now_unix_ms);
 
   /// Adds crashes that another daemon knows for a request.
@@ -91,7 +96,12 @@
   /// Returns the crashes of the server beside this daemon, for its record.
   std::vector<crash_report> OwnReports() const;
 
-  /// Called when OwnReports() has changed in a way that others should know.
+  /// Returns the suspects that have completed here lately, for the record of
+  /// this daemon: others may not have seen any of them complete.
+  std::vector<std::uint64_t> ClearedRequests() const;
+
+  /// Called when OwnReports() or ClearedRequests() has changed in a way that
+  /// others should know.
   void SetObserver(std::function<void()> observer) {
     on_change_ = std::move(observer);
   }
@@ -108,17 +118,24 @@
     bool cleared = false;
   };
 
+  struct cleared_request {
+    std::uint64_t fingerprint = 0;
+    std::int64_t since_unix_ms = 0;  ///< 0 until the next Expire().
+  };
+
   std::size_t Count(std::uint64_t fingerprint) const;
   std::size_t Count(const std::vector<suspicion>& suspicions) const;
   bool IsExpired(const server_crash& crash, std::int64_t now_unix_ms) const;
   void AddSuspicion(std::uint64_t fingerprint, const server_crash& crash);
   void Clear(std::uint64_t fingerprint, std::uint64_t crash_id);
+  void ClearAll(std::uint64_t fingerprint);
   void EvictOne();
   void Notify();
 
   crash_history_options options_;
   std::unordered_map<std::uint64_t, std::vector<suspicion>> requests_;
-  std::vector<crash_report> own_;  ///< The latest one last.
+  std::vector<crash_report> own_;         ///< The latest one last.
+  std::vector<cleared_request> cleared_;  ///< The latest one last.
   /// What the records of the other daemons reported last.
   std::map<std::string, std::vector<crash_report>> reported_;
   std::function<void()> on_change_;
--- a/libs/quarantine/src/crash_history.cc
+++ b/libs/quarantine/src/crash_history.cc
@@ -46,8 +46,9 @@
 
 void crash_history::OnReported(const std::string& member,
                                const std::vector<crash_report>& reports,
+                               const std::vector<std::uint64_t>& cleared,
                                std::int64_t now_unix_ms) {
-  if (reports.empty() && reported_.empty()) return;
+  if (requests_.empty() && reports.empty() && reported_.empty()) return;
   auto& known = reported_[member];
   for (const auto& earlier : known) {
     const auto* now_reported = Find(reports, earlier.crash.id);
@@ -65,6 +66,7 @@
   }
   known = reports;
   if (known.empty()) reported_.erase(member);
+  for (const auto fingerprint : cleared) ClearAll(fingerprint);
 }
 
 void crash_history::Add(std::uint64_t fingerprint,
@@ -113,18 +115,33 @@
   }
 }
 
+// Suspicions are kept, so that the same crash does not count again when it is
+// reported.
+void crash_history::ClearAll(std::uint64_t fingerprint) {
+  const auto found = requests_.find(fingerprint);
+  if (found == requests_.end()) return;
+  for (auto& suspicion : found->second) suspicion.cleared = true;
+}
+
 void crash_history::OnCompleted(std::uint64_t fingerprint) {
   const auto found = requests_.find(fingerprint);
   if (found == requests_.end()) return;
   const bool was_suspect = Count(found->second) >= options_.suspect_crashes;
-  // Kept, so that the same crash does not count again when it is reported.
-  for (auto& suspicion : found->second) suspicion.cleared = true;
+  ClearAll(fingerprint);
   if (!was_suspect) return;
-  const bool is_own =
-      std::any_of(own_.begin(), own_.end(), [&](const crash_report& report) {
-        return Contains(report.requests, fingerprint);
-      });
-  if (is_own) Notify();
+  std::erase_if(cleared_, [&](const cleared_request& entry) {
+    return entry.fingerprint == fingerprint;
+  });
+  cleared_.push_back({.fingerprint = fingerprint});
+  if (cleared_.size() > options_.max_cleared_requests)
+    cleared_.erase(cleared_.begin());
+  Notify();
+}
+
+std::vector<std::uint64_t> crash_history::ClearedRequests() const {
+  std::vector<std::uint64_t> requests;
+  for (const auto& entry : cleared_) requests.push_back(entry.fingerprint);
+  return requests;
 }
 
 std::size_t crash_history::Count(
@@ -188,6 +205,12 @@
 }
 
 void crash_history::Expire(std::int64_t now_unix_ms) {
+  for (auto& entry : cleared_) {
+    if (entry.since_unix_ms == 0) entry.since_unix_ms = now_unix_ms;
+  }
+  std::erase_if(cleared_, [&](const cleared_request& entry) {
+    return now_unix_ms - entry.since_unix_ms >= options_.cleared_lifetime_ms;
+  });
   std::erase_if(own_, [&](const crash_report& report) {
     return IsExpired(report.crash, now_unix_ms);
   });
--- a/libs/quarantine/tests/crash_history_test.cc
+++ b/libs/quarantine/tests/crash_history_test.cc
@@ -22,7 +22,7 @@
   /// Crashes of the servers beside three daemons, of which this is one.
   void CrashThrice(std::int64_t interval) {
     history_.OnCrash(NextCrash({kPoison, kOther}, kStart), kStart);
-    history_.OnReported("a", {NextCrash({kPoison}, kStart + interval)},
+    history_.OnReported("a", {NextCrash({kPoison}, kStart + interval)}, {},
                         kStart + interval);
     history_.Add(kPoison, {NextCrash({kPoison}, kStart + 2 * interval).crash},
                  kStart + 2 * interval);
@@ -53,7 +53,7 @@
   history_.OnCrash(report, kStart);
   for (int i = 0; i < 3; ++i) {
     history_.OnCrash(report, kStart);
-    history_.OnReported("a", {report}, kStart);
+    history_.OnReported("a", {report}, {}, kStart);
     history_.Add(kPoison, {report.crash}, kStart);
   }
   CHECK_FALSE(history_.IsSuspect(kPoison));
@@ -78,7 +78,7 @@
   for (std::int64_t i = 0; i < 20; ++i) {
     const auto now = kStart + i * 2 * kSecond;
     history_.OnCrash(NextCrash({kOther}, now), now);
-    history_.OnReported("a", {at_other}, now);
+    history_.OnReported("a", {at_other}, {}, now);
     CHECK_FALSE(history_.IsCulprit(kOther));
     history_.OnCompleted(kOther);
   }
@@ -94,21 +94,45 @@
     const auto now = kStart + i * 2 * kSecond;
     const auto member = std::to_string(i);
     auto report = NextCrash({kOther, kPoison}, now);
-    history_.OnReported(member, {report}, now);
+    history_.OnReported(member, {report}, {}, now);
     report.requests = {kPoison};
-    history_.OnReported(member, {report}, now);
+    history_.OnReported(member, {report}, {}, now);
   }
   CHECK_FALSE(history_.IsSuspect(kOther));
   CHECK(history_.IsCulprit(kPoison));
 }
 
+// Guards against a correct request that is refused everywhere but where it has
+// completed: it ran at crashes that others caused.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_CompletedAtAnotherDaemon_IsCleared",
+                 "[quarantine]") {
+  crash_history other;
+  std::vector<crash_report> reports;
+  for (std::int64_t i = 0; i < 3; ++i) {
+    const auto now = kStart + i * 2 * kSecond;
+    reports.push_back(NextCrash({kOther, kPoison}, now));
+    history_.OnReported("a", reports, {}, now);
+    other.OnReported("a", reports, {}, now);
+  }
+  CHECK(history_.IsCulprit(kOther));
+  other.OnCompleted(kOther);
+  history_.OnReported("b", {}, other.ClearedRequests(), kStart + 5 * kSecond);
+  CHECK_FALSE(history_.IsSuspect(kOther));
+  CHECK(history_.IsCulprit(kPoison));
+  other.Expire(kStart + 5 * kSecond);
+  CHECK(other.ClearedRequests().size() == 1);
+  other.Expire(kStart + 70 * kSecond);
+  CHECK(other.ClearedRequests().empty());
+}
+
 // Guards against a culprit that runs again because its daemons restarted or
 // their records no longer list old crashes.
 TEST_CASE_METHOD(crash_history_fixture,
                  "CrashHistory_RecordWithoutTheCrash_KeepsTheCulprit",
                  "[quarantine]") {
   CrashThrice(2 * kSecond);
-  history_.OnReported("a", {}, kStart + 10 * kSecond);
+  history_.OnReported("a", {}, {}, kStart + 10 * kSecond);
   CHECK(history_.IsCulprit(kPoison));
   crash_history next_process;
   for (const auto& report : history_.OwnReports())
--- a/libs/sidecar/src/crash_codec.cc
+++ b/libs/sidecar/src/crash_codec.cc
@@ -55,21 +55,13 @@
   }
   const auto id = DecodeId(entry.at("id"));
   const auto& at = entry.at("at");
-  const auto& requests = entry.at("requests");
-  if (!id || !at.is_number_integer() || !requests.is_array() ||
-      requests.size() > kMaxRequests) {
-    return std::nullopt;
-  }
+  auto requests = DecodeRequests(entry.at("requests"));
+  if (!id || !at.is_number_integer() || !requests) return std::nullopt;
   crash_report report{
       .crash = {.id = *id, .at_unix_ms = at.get<std::int64_t>()},
-      .requests = {}};
+      .requests = std::move(*requests)};
   // Differences of times do not overflow.
   if (report.crash.at_unix_ms < 0) return std::nullopt;
-  for (const auto& request : requests) {
-    const auto fingerprint = DecodeId(request);
-    if (!fingerprint) return std::nullopt;
-    report.requests.push_back(*fingerprint);
-  }
   return report;
 }
 
@@ -116,16 +108,31 @@
 json EncodeReports(const std::vector<crash_report>& reports) {
   auto list = json::array();
   for (const auto& report : reports) {
-    auto requests = json::array();
-    for (const auto fingerprint : report.requests)
-      requests.push_back(EncodeId(fingerprint));
     list.push_back({{"id", EncodeId(report.crash.id)},
                     {"at", report.crash.at_unix_ms},
-                    {"requests", std::move(requests)}});
+                    {"requests", EncodeRequests(report.requests)}});
   }
   return list;
 }
 
+json EncodeRequests(const std::vector<std::uint64_t>& requests) {
+  auto list = json::array();
+  for (const auto fingerprint : requests) list.push_back(EncodeId(fingerprint));
+  return list;
+}
+
+std::optional<std::vector<std::uint64_t>> DecodeRequests(const json& requests) {
+  if (!requests.is_array() || requests.size() > kMaxRequests)
+    return std::nullopt;
+  std::vector<std::uint64_t> decoded;
+  for (const auto& request : requests) {
+    const auto fingerprint = DecodeId(request);
+    if (!fingerprint) return std::nullopt;
+    decoded.push_back(*fingerprint);
+  }
+  return decoded;
+}
+
 std::optional<std::vector<crash_report>> DecodeReports(const json& reports) {
   if (!reports.is_array() || reports.size() > kMaxReports) return std::nullopt;
   std::vector<crash_report> decoded;
--- a/libs/sidecar/src/crash_codec.h
+++ b/libs/sidecar/src/crash_codec.h
@@ -31,6 +31,10 @@
 nlohmann::json EncodeReports(const std::vector<crash_report>& reports);
 std::optional<std::vector<crash_report>> DecodeReports(
     const nlohmann::json& reports);
+// The same for fingerprints of requests.
+nlohmann::json EncodeRequests(const std::vector<std::uint64_t>& requests);
+std::optional<std::vector<std::uint64_t>> DecodeRequests(
+    const nlohmann::json& requests);
 
 }  // namespace pomelohall
 
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -72,6 +72,7 @@
          {"latest_start_unix_ms", departure.latest_start_unix_ms}});
   }
   if (!member.crashes.empty()) spec["crashes"] = EncodeReports(member.crashes);
+  if (!member.cleared.empty()) spec["cleared"] = EncodeRequests(member.cleared);
   return spec.dump();
 }
 
@@ -110,6 +111,11 @@
     if (!crashes) return malformed("a crash is malformed");
     member.crashes = std::move(*crashes);
   }
+  if (const auto list = document.find("cleared"); list != document.end()) {
+    auto cleared = DecodeRequests(*list);
+    if (!cleared) return malformed("a cleared request is malformed");
+    member.cleared = std::move(*cleared);
+  }
   const auto server = document.find("server");
   if (server == document.end()) return member;
   if (!server->is_object()) return malformed("the server is not an object");
--- a/libs/sidecar/src/member_observer.cc
+++ b/libs/sidecar/src/member_observer.cc
@@ -97,7 +97,8 @@
       .With("service", member->server ? member->server->service : "")
       .With("instance", member->server ? member->server->instance : "");
   directory_.Put(*member, MonotonicNow());
-  crashes_.OnReported(member->name, member->crashes, UnixMillisNow());
+  crashes_.OnReported(member->name, member->crashes, member->cleared,
+                      UnixMillisNow());
 }
 
 void member_observer::UpdateRetryBudget() {
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -372,7 +372,8 @@
                        .sequence = published_member_.sequence,
                        .server = offer,
                        .departed = dispatcher_.Server().Departures(),
-                       .crashes = crashes_.OwnReports()};
+                       .crashes = crashes_.OwnReports(),
+                       .cleared = crashes_.ClearedRequests()};
     crashes_changed_ = false;
     if (member != published_member_) ++member.sequence;
     published_member_ = member;
--- a/libs/sidecar/tests/odd_message_test.cc
+++ b/libs/sidecar/tests/odd_message_test.cc
@@ -21,7 +21,8 @@
         "link_mbps":100.0,
         "server":{"instance":"i-1","service":"shop","slots":18},
         "departed":[{"instance":"i-0","latest_start_unix_ms":77}],
-        "crashes":[{"id":"ab12","at":99,"requests":["c3","d4"]}]})";
+        "crashes":[{"id":"ab12","at":99,"requests":["c3","d4"]}],
+        "cleared":["e5"]})";
 
 std::string WithValue(std::string text, const std::string& from,
                       const std::string& to) {
@@ -61,6 +62,7 @@
         WithValue(kRecord, "77", "7.5"),
         WithValue(kRecord, "99", "-1"),
         WithValue(kRecord, "ab12", "xy"),
+        WithValue(kRecord, "e5", "zz"),
         WithValue(kRecord, "\"c3\"", "3"),
         WithValue(kRecord, "c3", "11112222333344445")}) {
     INFO(text);
