--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -34,16 +34,9 @@
 // Allows the last frames, which announce that this member left, to be sent.
 constexpr std::uint32_t kTransportStopTimeoutMs = 500;
 
-std::uint64_t UnixMillis() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 std::int64_t UnixSeconds() {
-  constexpr std::uint64_t kMillisPerSecond = 1000;
-  return static_cast<std::int64_t>(UnixMillis() / kMillisPerSecond);
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  return UnixMillisNow() / kMillisPerSecond;
 }
 
 // Returns the configured address, or the bound one if none is configured.
@@ -64,7 +57,7 @@
   impl(boost::asio::io_context& io, daemon_settings settings)
       : io_(io),
         settings_(std::move(settings)),
-        incarnation_(UnixMillis()),
+        incarnation_(static_cast<std::uint64_t>(UnixMillisNow())),
         store_(io, {.address = settings_.platform_address,
                     .name_space = settings_.platform_namespace}),
         gateway_(store_),
@@ -415,7 +408,7 @@
          .highest = summary.highest_version,
          .at_highest = static_cast<std::uint32_t>(summary.members_at_highest),
          .backend_servers = local_server_counts_,
-         .updated_unix_ms = static_cast<std::int64_t>(UnixMillis())});
+         .updated_unix_ms = UnixMillisNow()});
   }
 
   void Publish(const published_state& state) override {
@@ -429,7 +422,7 @@
     CountServers(*state.routes);
     if (state.routes->version == version_in_force_) return;
     version_in_force_ = state.routes->version;
-    in_force_since_ms_ = UnixMillis();
+    in_force_since_ms_ = static_cast<std::uint64_t>(UnixMillisNow());
     log_event(log_level::kInfo, "config_in_force")
         .With("member", Name())
         .With("version", version_in_force_);
--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -46,13 +46,6 @@
   kForeign,   ///< It is not of the backend server on this VM.
 };
 
-inline constexpr name_table<announcement_outcome, 3> kAnnouncementOutcomeNames{
-    {{
-        {announcement_outcome::kAccepted, "accepted"},
-        {announcement_outcome::kOutdated, "outdated"},
-        {announcement_outcome::kForeign, "foreign"},
-    }}};
-
 /// Settings of a local_server.
 struct local_server_options {
   std::string address;  ///< "ip:port" of the backend server on this VM.
--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -32,6 +32,9 @@
   bool operator==(const departed_server&) const = default;
 };
 
+/// Longest instance of a server that is kept after it has left.
+constexpr std::size_t kMaxInstanceBytes = 256;
+
 /// Largest number of slots and link rate that a record may state. Far above
 /// those of any VM; a larger value would attract all requests of a service, or
 /// make a member the reader of its data centre although it is none.
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -94,7 +94,6 @@
 }
 
 void local_server::AddDeparture(const departed_server& departure) {
-  auto latest = departure;
   const auto known = std::find_if(departed_.begin(), departed_.end(),
                                   [&](const departed_server& other) {
                                     return other.instance == departure.instance;
@@ -103,7 +102,7 @@
     if (known->latest_start_unix_ms >= departure.latest_start_unix_ms) return;
     departed_.erase(known);
   }
-  departed_.push_back(std::move(latest));
+  departed_.push_back(departure);
   if (departed_.size() > kMaxDepartures) departed_.erase(departed_.begin());
 }
 
--- a/libs/sidecar/include/sidecar/sidecar.h
+++ b/libs/sidecar/include/sidecar/sidecar.h
@@ -28,9 +28,9 @@
 
 /// Daemon that runs beside a backend server. Routes the requests of callers on
 /// its VM to backend servers, and controls admission to the backend server
-/// beside it. Keeps no state across restarts: the configuration, the members
-/// and the departures of backend servers are in the platform's store. Runs on
-/// one thread.
+/// beside it. Keeps no state across restarts: the configuration, and the
+/// members with the departures and crashes of their backend servers, are in the
+/// platform's store. Runs on one thread.
 class sidecar {
  public:
   /// @param io Must outlive the sidecar.
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -28,7 +28,7 @@
           .allow_close_delimited = true};
 }
 
-// Time for probes of a server that closes each connection at once: the
+// Time for repeated probes of a server that closes each connection at once: the
 // listening socket of a process that ends may accept for a moment.
 constexpr duration kMaxProbeTime = std::chrono::milliseconds(50);
 
@@ -39,6 +39,11 @@
          FindField(head.fields, fields.not_executed) != nullptr;
 }
 
+error CulpritError() {
+  return {error_kind::kPoisonSuspected,
+          "the request crashed several backend servers", run_state::kNotRun};
+}
+
 local_dispatcher::local_dispatcher(boost::asio::io_context& io,
                                    local_dispatcher_options options,
                                    transmit_queue& link, crash_history& crashes)
@@ -78,9 +83,7 @@
                  run_state::kNotRun);
   }
   if (crashes_.IsCulprit(request.fingerprint)) {
-    return error(error_kind::kPoisonSuspected,
-                 "the request crashed several backend servers",
-                 run_state::kNotRun);
+    return CulpritError();
   }
   return std::nullopt;
 }
@@ -164,11 +167,9 @@
     const server_announcement& announcement, instant now) {
   auto outcome = announcement_outcome::kOutdated;
   ChangeServer([&] {
-    const auto serving = server_.ServingServer();
     outcome = server_.OnAnnounced(announcement, now);
-    if (server_.ServingServer() != serving && server_.ServingServer()) {
+    if (outcome == announcement_outcome::kAccepted)
       queue_.SetSlots(announcement.slots);
-    }
   });
   return outcome;
 }
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -62,6 +62,9 @@
 // Returns whether a backend server reports that it did not run the request.
 bool IsRefusal(const response_head& head, const header_field_names& fields);
 
+// Returns the refusal of a request that crashes backend servers.
+error CulpritError();
+
 // Admission control and dispatch for the backend server beside this daemon, for
 // requests of this daemon and of others. Nothing else sends requests to that
 // backend server, so a request that the dispatcher refuses has certainly not
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -111,7 +111,10 @@
   }
   const error reported(error_kind::kBackendFailed, failure.message,
                        run_state::kUnknown);
-  if (failure.kind != error_kind::kBackendFailed) {
+  // Lost connections have this kind. An odd status has it too; the probe then
+  // finds the server.
+  const bool may_have_crashed = failure.kind == error_kind::kBackendFailed;
+  if (!may_have_crashed) {
     NotifyAnswer(tl::unexpected(reported));
     return;
   }
@@ -200,14 +203,12 @@
 void local_exchange::OnBodyPart(result<body_part> part,
                                 const body_source::callback& forward) {
   if (part) body_bytes_ += part->bytes.size();
-  if (!part) {
-    if (dispatcher_ != nullptr)
-      dispatcher_->OnConnectionLost(request_.fingerprint, nullptr);
+  if (dispatcher_ != nullptr && !part) {
+    dispatcher_->OnConnectionLost(request_.fingerprint, nullptr);
     End(std::nullopt);
-  } else if (part->last) {
-    if (dispatcher_ != nullptr)
-      dispatcher_->crashes_.OnCompleted(request_.fingerprint);
-    if (counts_bytes_ && dispatcher_ != nullptr) {
+  } else if (dispatcher_ != nullptr && part->last) {
+    dispatcher_->crashes_.OnCompleted(request_.fingerprint);
+    if (counts_bytes_) {
       dispatcher_->link_.OnResponseSize(request_.work_class, body_bytes_);
     }
     End(MonotonicNow() - sent_at_);
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -15,9 +15,8 @@
 
 using nlohmann::json;
 
-// Limits of the departures in a record, above what daemons write.
+// Limit of the departures in a record, above what daemons write.
 constexpr std::size_t kMaxDepartures = 64;
-constexpr std::size_t kMaxInstanceBytes = 256;
 
 std::optional<std::string> Text(const json& object, const char* field) {
   const auto found = object.find(field);
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -186,8 +186,7 @@
            router_.options_.caller_service);
   fingerprint_ = FingerprintOf(head_, *start, router_.options_.fields);
   if (router_.crashes_.IsCulprit(fingerprint_)) {
-    Fail({error_kind::kPoisonSuspected,
-          "the request crashed several backend servers", run_state::kNotRun});
+    Fail(CulpritError());
     return;
   }
   plan_ = Planner().Plan(MonotonicNow());
