Tests: let concurrent_server crash, start sidecars in one place

crashing_server repeated concurrent_server but for the crash, and endless_bytes_test the start of a sidecar in process_test. Assertions are unchanged.

--- a/tests/process/endless_bytes_test.py
+++ b/tests/process/endless_bytes_test.py
@@ -146,24 +146,6 @@
         check_memory(program, f"{form} from the store")
 
 
-def start_sidecar(fleet, store_address):
-    names = ("caller", "forward", "local", "ready", "metrics")
-    ports = fleet.port_block.allocate(len(names) + 1)
-    listeners = {name: f"127.0.0.1:{port}"
-                 for name, port in zip(names, ports)}
-    path = fleet.write_config({
-        "name": "vm-1", "data_centre": "dc1",
-        "backend_server": {"address": f"127.0.0.1:{ports[-1]}",
-                           "service": "orders"},
-        "listeners": listeners, "store": {"address": store_address}},
-        "sidecar.json")
-    program = fleet.start_program("sidecar", "pomelohall-sidecar",
-                                  "--settings", path)
-    wait_until(lambda: send_http("GET", listeners["metrics"], "/metrics"),
-               "the sidecar serves its metrics")
-    return program, listeners
-
-
 def start_pomelohalld(fleet, platform_address):
     names = ("caller", "forward", "peer", "local")
     listeners = {name: f"127.0.0.1:{port}" for name, port in
@@ -181,14 +163,14 @@
 
 def sidecar_listeners_endless_bytes_memory_bounded(fleet):
     """Guards against a peer that fills the memory of a sidecar."""
-    program, listeners = start_sidecar(fleet, "127.0.0.1:1")
+    program, listeners = fleet.start_sidecar("127.0.0.1:1")
     attack_listeners(program, listeners)
 
 
 def sidecar_store_endless_bytes_memory_bounded(fleet):
     """Guards against a store that fills the memory of a sidecar."""
     store = EndlessStore()
-    program, _ = start_sidecar(fleet, store.address)
+    program, _ = fleet.start_sidecar(store.address)
     attack_from_store(program, store, [*RESPONSES, "pages"])
 
 
--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -245,6 +245,26 @@
         daemon.program = self.start_program(
             daemon.name, "pomelohalld", "--settings", path)
 
+    def start_sidecar(self, store_address):
+        """Starts a sidecar without a backend server.
+
+        Returns the program and the addresses of its listeners by name.
+        """
+        names = ("caller", "forward", "local", "ready", "metrics")
+        server, *addresses = (f"127.0.0.1:{port}" for port in
+                              self.port_block.allocate(1 + len(names)))
+        listeners = dict(zip(names, addresses))
+        path = self.write_config({
+            "name": "vm-1", "data_centre": "dc1",
+            "backend_server": {"address": server, "service": "orders"},
+            "listeners": listeners, "store": {"address": store_address}},
+            "sidecar.json")
+        program = self.start_program("sidecar", "pomelohall-sidecar",
+                                     "--settings", path)
+        wait_until(lambda: send_http("GET", listeners["metrics"], "/metrics"),
+                   "the sidecar serves its metrics")
+        return program, listeners
+
     def start_backend(self, daemon):
         if daemon.service is None:
             return
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -250,30 +250,14 @@
     assert owner.program.stop() == 0
 
 
-def start_sidecar(fleet):
-    """Starts a sidecar whose platform is not reachable."""
-    addresses = [f"127.0.0.1:{port}" for port in fleet.port_block.allocate(7)]
-    settings = {
-        "name": "vm-1", "data_centre": "dc1",
-        "backend_server": {"address": addresses[0], "service": "orders"},
-        "listeners": dict(zip(("caller", "forward", "local", "ready",
-                               "metrics"), addresses[1:6])),
-        "store": {"address": addresses[6]}}
-    path = fleet.write_config(settings, "sidecar.json")
-    sidecar = fleet.start_program("sidecar", "pomelohall-sidecar",
-                                  "--settings", path)
-    wait_until(lambda: send_http("GET", addresses[5], "/metrics"),
-               "the sidecar serves its metrics")
-    return sidecar
-
-
 def sigterm_repeated_until_the_end_exit_code_0(fleet):
     """Guards against a second signal that kills a process while it stops."""
     for index in range(3):
         fleet.add(f"dc1-{index}", "dc1", service="orders")
     fleet.start_all()
     fleet.wait_members(len(fleet.daemons))
-    for program in [start_sidecar(fleet), *fleet.programs()]:
+    sidecar, _ = fleet.start_sidecar("127.0.0.1:1")  # No store there.
+    for program in [sidecar, *fleet.programs()]:
         signals = itertools.cycle((signal.SIGTERM, signal.SIGHUP))
         if program.name != "sidecar":  # Others do not reload settings.
             signals = itertools.repeat(signal.SIGTERM)
--- a/tests/sidecar/concurrent_server.cc
+++ b/tests/sidecar/concurrent_server.cc
@@ -12,11 +12,24 @@
 #include <string_view>
 #include <utility>
 
+#include "run_on_io.h"
+
 namespace pomelohall {
 
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+// A close with a linger time of 0 resets the connection.
+void Reset(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+}  // namespace
+
 struct concurrent_server::connection {
   explicit connection(tcp::socket accepted)
       : socket(std::move(accepted)), timer(socket.get_executor()) {}
@@ -29,9 +42,11 @@
 
 concurrent_server::concurrent_server(script respond)
     : respond_(std::move(respond)),
-      acceptor_(io_,
-                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
-  Accept();
+      work_guard_(boost::asio::make_work_guard(io_)),
+      acceptor_(io_),
+      endpoint_(boost::asio::ip::address_v4::loopback(), 0) {
+  Listen();
+  endpoint_ = acceptor_.local_endpoint();
   thread_ = std::thread([this] { io_.run(); });
 }
 
@@ -42,18 +57,50 @@
 
 std::string concurrent_server::Address() const {
   std::ostringstream text;
-  text << acceptor_.local_endpoint();
+  text << endpoint_;
   return text.str();
 }
 
+void concurrent_server::Listen() {
+  acceptor_.open(tcp::v4());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint_);
+  acceptor_.listen();
+  Accept();
+}
+
+void concurrent_server::Start() {
+  RunOnIo(io_, [this] {
+    Listen();
+    down_ = false;
+  });
+}
+
+void concurrent_server::Crash() {
+  RunOnIo(io_, [this] { CrashOnThread(); });
+}
+
+void concurrent_server::CrashOnThread() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& accepted : accepted_) {
+    if (const auto open = accepted.lock()) Reset(open->socket);
+  }
+  accepted_.clear();
+  down_ = true;
+}
+
 void concurrent_server::Accept() {
   acceptor_.async_accept([this](error_code failure, tcp::socket socket) {
+    if (!acceptor_.is_open()) return;
     if (!failure) {
       ++connections_;
       // Otherwise bytes after a response wait for its acknowledgement, which a
       // client may delay until it sends the next request.
       socket.set_option(tcp::no_delay(true), failure);
-      ReadHeader(std::make_shared<connection>(std::move(socket)));
+      const auto served = std::make_shared<connection>(std::move(socket));
+      accepted_.push_back(served);
+      ReadHeader(served);
     }
     Accept();
   });
@@ -94,6 +141,10 @@
                             const std::string& header) {
   ++requests_;
   auto reply = respond_(header);
+  if (reply.crash) {
+    CrashOnThread();
+    return;
+  }
   reply.bytes.insert(0, served->reply.before_next_response);
   served->reply = std::move(reply);
   served->timer.expires_after(served->reply.delay);
@@ -109,13 +160,12 @@
 }
 
 void concurrent_server::OnResponded(const std::shared_ptr<connection>& served) {
-  error_code ignored;
   if (served->reply.reset) {
-    // A close with a linger time of 0 resets the connection.
-    served->socket.set_option(boost::asio::socket_base::linger(true, 0),
-                              ignored);
+    Reset(served->socket);
+    return;
   }
-  if (served->reply.reset || served->reply.close) {
+  if (served->reply.close) {
+    error_code ignored;
     served->socket.close(ignored);
     return;
   }
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -2,6 +2,7 @@
 #define POMELOHALL_TESTS_SIDECAR_CONCURRENT_SERVER_H_
 
 #include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace pomelohall {
 
@@ -19,6 +21,8 @@
   std::chrono::milliseconds delay{0};  ///< Time before the bytes are sent.
   bool close = false;  ///< Whether the connection is closed after them.
   bool reset = false;  ///< Whether it is reset instead of closed.
+  /// Whether the server crashes instead of sending anything, see Crash().
+  bool crash = false;
   /// Bytes that are sent when the next request on the connection has arrived,
   /// directly before the response to it.
   std::string before_next_response{};
@@ -43,6 +47,13 @@
   concurrent_server& operator=(const concurrent_server&) = delete;
 
   std::string Address() const;
+  /// Resets all connections and refuses new ones until Start().
+  void Crash();
+  /// Listens again after a crash.
+  void Start();
+  /// Whether the server has crashed and was not started again.
+  bool IsDown() const { return down_; }
+
   /// Number of requests that arrived.
   int Requests() const { return requests_; }
   /// Number of connections that were accepted.
@@ -53,6 +64,8 @@
  private:
   struct connection;
 
+  void Listen();
+  void CrashOnThread();
   void Accept();
   void ReadHeader(const std::shared_ptr<connection>& served);
   void ReadBody(const std::shared_ptr<connection>& served,
@@ -66,8 +79,14 @@
   std::atomic<int> requests_{0};
   std::atomic<int> connections_{0};
   std::atomic<int> late_writes_{0};
+  std::atomic<bool> down_{false};
   boost::asio::io_context io_{1};
+  // There is no other work while the server is down.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_guard_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint endpoint_;  ///< Kept over crashes.
+  std::vector<std::weak_ptr<connection>> accepted_;
   std::thread thread_;
 };
 
--- a/tests/sidecar/crashing_request_test.cc
+++ b/tests/sidecar/crashing_request_test.cc
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "crashing_server.h"
+#include "concurrent_server.h"
 #include "sidecar_fleet.h"
 
 namespace pomelohall {
@@ -34,13 +34,8 @@
     stop_grace_ = milliseconds(2500);
     PublishConfig(3);
     for (std::size_t i = 0; i < kServers; ++i) {
-      servers_.push_back(std::make_unique<crashing_server>(
-          [this](const std::string& header) {
-            return header.find("poison") != std::string::npos &&
-                   HeaderValue(header, "Pomelohall-Caller-Service") ==
-                       crashing_caller_.load();
-          },
-          milliseconds(30)));
+      servers_.push_back(std::make_unique<concurrent_server>(
+          [this](const std::string& header) { return Respond(header); }));
       AddSidecar(servers_.back().get());
     }
     AddSidecar(nullptr, "front");
@@ -48,12 +43,6 @@
     WaitUntilOffered(kServers);
   }
 
-  int Crashes() const {
-    int crashes = 0;
-    for (const auto& server : servers_) crashes += server->Crashes();
-    return crashes;
-  }
-
   /// Starts the servers that are down as new instances. The others announce
   /// themselves again.
   void StartCrashedServers() {
@@ -112,21 +101,32 @@
     SendForAWhile(requests, 3);
     std::this_thread::sleep_for(kContactTime);
     StartCrashedServers();
-    const int before = Crashes();
+    const int before = crashes_;
     SendForAWhile(requests, 4);
-    CHECK(Crashes() - before <=
+    CHECK(crashes_ - before <=
           kMaxLateCrashes * static_cast<int>(requests.size()));
     CHECK(last_status_ == 503);
     std::this_thread::sleep_for(kInterval);
     for (auto& other : SendOthers()) CHECK(other.get().status == 200);
   }
 
-  std::vector<std::unique_ptr<crashing_server>> servers_;
+  std::vector<std::unique_ptr<concurrent_server>> servers_;
   std::atomic<const char*> crashing_caller_{"front"};
   std::function<void(int round)> on_round_;
   int last_status_ = 0;
 
  private:
+  scripted_reply Respond(const std::string& header) {
+    if (header.find("poison") != std::string::npos &&
+        HeaderValue(header, "Pomelohall-Caller-Service") ==
+            crashing_caller_.load()) {
+      ++crashes_;
+      return {.bytes = "", .crash = true};
+    }
+    return {.bytes = OkResponse(header), .delay = milliseconds(30)};
+  }
+
+  std::atomic<int> crashes_{0};
   std::atomic<int> last_other_{0};
   std::size_t next_vm_ = 0;
 };
