Pass on completions between crashes too

Cause: a daemon listed a completed request only if several crashes counted for it there; its own completions between the crashes kept that from happening. Change: crashes that are cleared already count for what is listed.

Evidence: CrashHistory_CompletedBetweenCrashesElsewhere_IsCleared failed before.

--- a/libs/quarantine/include/quarantine/crash_history.h
+++ b/libs/quarantine/include/quarantine/crash_history.h
@@ -67,7 +67,7 @@
 
   /// Applies the reports in the record of another daemon. A request that is no
   /// longer reported for a crash that still is has been cleared of it there.
-  /// @param cleared Suspects that have completed at that daemon.
+  /// @param cleared ClearedRequests() of that daemon.
   void OnReported(const std::string& member,
                   const std::vector<crash_report>& reports,
                   const std::vector<std::uint64_t>& cleared,
@@ -96,8 +96,9 @@
   /// Returns the crashes of the server beside this daemon, for its record.
   std::vector<crash_report> OwnReports() const;
 
-  /// Returns the suspects that have completed here lately, for the record of
-  /// this daemon: others may not have seen any of them complete.
+  /// Returns the requests that ran at several crashes and have completed here
+  /// lately, for the record of this daemon: others may not have seen any of
+  /// them complete.
   std::vector<std::uint64_t> ClearedRequests() const;
 
   /// Called when OwnReports() or ClearedRequests() has changed in a way that
@@ -124,7 +125,10 @@
   };
 
   std::size_t Count(std::uint64_t fingerprint) const;
+  /// Returns the crashes that the request is not cleared of.
   std::size_t Count(const std::vector<suspicion>& suspicions) const;
+  /// Counts crashes within `separation_ms` of each other once.
+  std::size_t CountSeparate(std::vector<std::int64_t> times) const;
   bool IsExpired(const server_crash& crash, std::int64_t now_unix_ms) const;
   void AddSuspicion(std::uint64_t fingerprint, const server_crash& crash);
   void Clear(std::uint64_t fingerprint, std::uint64_t crash_id);
--- a/libs/quarantine/src/crash_history.cc
+++ b/libs/quarantine/src/crash_history.cc
@@ -126,9 +126,17 @@
 void crash_history::OnCompleted(std::uint64_t fingerprint) {
   const auto found = requests_.find(fingerprint);
   if (found == requests_.end()) return;
-  const bool was_suspect = Count(found->second) >= options_.suspect_crashes;
+  const auto& suspicions = found->second;
+  const bool was_cleared = Count(suspicions) == 0;
   ClearAll(fingerprint);
-  if (!was_suspect) return;
+  // Counts all crashes: other daemons may have seen none of the completions
+  // that cleared the request of the earlier ones here.
+  std::vector<std::int64_t> times;
+  for (const auto& entry : suspicions) times.push_back(entry.crash.at_unix_ms);
+  if (was_cleared ||
+      CountSeparate(std::move(times)) < options_.suspect_crashes) {
+    return;
+  }
   std::erase_if(cleared_, [&](const cleared_request& entry) {
     return entry.fingerprint == fingerprint;
   });
@@ -150,6 +158,11 @@
   for (const auto& suspicion : suspicions) {
     if (!suspicion.cleared) times.push_back(suspicion.crash.at_unix_ms);
   }
+  return CountSeparate(std::move(times));
+}
+
+std::size_t crash_history::CountSeparate(
+    std::vector<std::int64_t> times) const {
   std::sort(times.begin(), times.end());
   std::size_t count = 0;
   std::int64_t counted_at = 0;
--- a/libs/quarantine/tests/crash_history_test.cc
+++ b/libs/quarantine/tests/crash_history_test.cc
@@ -126,6 +126,24 @@
   CHECK(other.ClearedRequests().empty());
 }
 
+// Guards against a daemon that refuses a correct request because it ran none of
+// its completions: those between the crashes cleared it elsewhere one by one.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_CompletedBetweenCrashesElsewhere_IsCleared",
+                 "[quarantine]") {
+  crash_history other;
+  std::vector<crash_report> reports;
+  for (std::int64_t i = 0; i < 3; ++i) {
+    const auto now = kStart + i * 2 * kSecond;
+    reports.push_back(NextCrash({kOther}, now));
+    history_.OnReported("a", reports, {}, now);
+    other.OnReported("a", reports, {}, now);
+    other.OnCompleted(kOther);
+    history_.OnReported("b", {}, other.ClearedRequests(), now);
+  }
+  CHECK_FALSE(history_.IsSuspect(kOther));
+}
+
 // Guards against a culprit that runs again because its daemons restarted or
 // their records no longer list old crashes.
 TEST_CASE_METHOD(crash_history_fixture,
