--- a/tests/process/endless_bytes_test.py
+++ b/tests/process/endless_bytes_test.py
@@ -1,11 +1,14 @@
 #!/usr/bin/env python3
 """Tests that bytes without end don't fill the memory of a daemon.
 
-A peer sends them to each listener of a daemon, or the store answers with them.
+A peer sends them to each listener of a daemon, or the store or a backend server
+answers with them.
 Usage: endless_bytes_test.py BIN_DIR [NAME...]
 """
 
+import asyncio
 import itertools
+import json
 import os
 import socket
 import sys
@@ -13,7 +16,9 @@
 import time
 
 sys.path.insert(0, os.path.dirname(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "soak"))
 from fleet_control import send_http, wait_until  # noqa: E402
+from store import Store  # noqa: E402
 from test_runner import main  # noqa: E402
 
 # Memory of the smallest VM in the users' deployments.
@@ -38,7 +43,10 @@
     "trailer": (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
                 b"\r\n\r\n0\r\n", FIELD),
 }
-JSON_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+# Answers of a backend server echo the attempt and have a signature.
+JSON_HEAD = (b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+             b"Pomelohall-Attempt-Id: a1\r\n"
+             b"Pomelohall-Response-Signature: s\r\n")
 RESPONSES = {
     "no response": (b"", BLOCK),
     "head": (b"HTTP/1.1 200 OK\r\n", FIELD),
@@ -70,7 +78,7 @@
         connection.close()
 
 
-class EndlessStore:
+class EndlessServer:
     """Answers each request with bytes without end, or with endless pages."""
 
     def __init__(self):
@@ -169,7 +177,7 @@
 
 def sidecar_store_endless_bytes_memory_bounded(fleet):
     """Guards against a store that fills the memory of a sidecar."""
-    store = EndlessStore()
+    store = EndlessServer()
     program, _ = fleet.start_sidecar(store.address)
     attack_from_store(program, store, [*RESPONSES, "pages"])
 
@@ -182,14 +190,76 @@
 
 def pomelohalld_platform_endless_bytes_memory_bounded(fleet):
     """Guards against a platform that fills the memory of pomelohalld."""
-    store = EndlessStore()
+    store = EndlessServer()
     program, _ = start_pomelohalld(fleet, store.address)
     attack_from_store(program, store, [*RESPONSES, "pages"])
 
 
+def start_store(fleet):
+    """Starts a store with routes to the service "orders"; returns its address.
+    """
+    port = fleet.port_block.allocate(1)[0]
+    store = Store()
+    routes = [{"name": kind, "host": "test", "pathPrefix": f"/{kind}/",
+               "kind": kind, "timeoutMs": 2000, "latencyTargetMs": 600,
+               "priority": 1, "attempts": 1, "service": "orders"}
+              for kind in ("safe", "unsafe", "download")]
+    store.put("config", "main", json.dumps({
+        "version": "r1", "routes": routes, "services": [{"name": "orders"}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
+                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}).encode())
+    loop = asyncio.new_event_loop()
+    threading.Thread(target=loop.run_forever, daemon=True).start()
+    asyncio.run_coroutine_threadsafe(store.listen(port), loop).result()
+    return f"127.0.0.1:{port}"
+
+
+def sidecar_answer_endless_bytes_memory_bounded(fleet):
+    """Guards against a backend server that fills the memory of the sidecar
+    beside it, or of the one that the caller asked."""
+    server = EndlessServer()
+    server.response = RESPONSES["no response"]
+    store = start_store(fleet)
+    near, near_listeners = fleet.start_sidecar(store, "near", server.address)
+    far, far_listeners = fleet.start_sidecar(store, "far")
+    sequence = itertools.count(1)
+
+    def send(kind):
+        """Announces the server and sends a request that nobody reads."""
+        send_http("PUT", near_listeners["local"], "/pomelohall/instances/i-1", {
+            "service": "orders", "address": server.address, "zone": "dc1",
+            "version": "v1", "slots": 18, "state": "ready", "coldLeftMs": 0,
+            "seq": next(sequence), "born": 1000})
+        host, port = far_listeners["caller"].split(":")
+        caller = socket.create_connection((host, int(port)))
+        method = "POST" if kind == "unsafe" else "GET"
+        caller.sendall(f"{method} /{kind}/1 HTTP/1.1\r\nHost: test\r\n"
+                       "Pomelohall-Attempt-Id: a1\r\n"
+                       "Pomelohall-Request-Deadline: 2000\r\n\r\n".encode())
+        return caller
+
+    for kind, (form, parts) in itertools.product(
+            ("safe", "unsafe", "download"), RESPONSES.items()):
+        server.response = parts
+        before = server.requests
+        callers = []
+
+        def reaches_server():
+            callers.append(send(kind))
+            time.sleep(0.3)
+            return server.requests > before
+        wait_until(reaches_server, f"a request at the server: {kind}, {form}")
+        time.sleep(ATTACK_S)
+        for caller in callers:
+            caller.close()
+        for program in (near, far):
+            check_memory(program, f"{form} for a request of kind {kind}")
+
+
 TESTS = [
     sidecar_listeners_endless_bytes_memory_bounded,
     sidecar_store_endless_bytes_memory_bounded,
+    sidecar_answer_endless_bytes_memory_bounded,
     pomelohalld_listeners_endless_bytes_memory_bounded,
     pomelohalld_platform_endless_bytes_memory_bounded,
 ]
--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -245,21 +245,21 @@
         daemon.program = self.start_program(
             daemon.name, "pomelohalld", "--settings", path)
 
-    def start_sidecar(self, store_address):
-        """Starts a sidecar without a backend server.
+    def start_sidecar(self, store_address, name="sidecar",
+                      server="127.0.0.1:1"):
+        """Starts a sidecar beside the backend server at the address `server`.
 
         Returns the program and the addresses of its listeners by name.
         """
         names = ("caller", "forward", "local", "ready", "metrics")
-        server, *addresses = (f"127.0.0.1:{port}" for port in
-                              self.port_block.allocate(1 + len(names)))
-        listeners = dict(zip(names, addresses))
+        listeners = {listener: f"127.0.0.1:{port}" for listener, port in
+                     zip(names, self.port_block.allocate(len(names)))}
         path = self.write_config({
-            "name": "vm-1", "data_centre": "dc1",
+            "name": name, "data_centre": "dc1",
             "backend_server": {"address": server, "service": "orders"},
             "listeners": listeners, "store": {"address": store_address}},
-            "sidecar.json")
-        program = self.start_program("sidecar", "pomelohall-sidecar",
+            name + ".json")
+        program = self.start_program(name, "pomelohall-sidecar",
                                      "--settings", path)
         wait_until(lambda: send_http("GET", listeners["metrics"], "/metrics"),
                    "the sidecar serves its metrics")
