Reserve the times of crashes, loop over fields of a fingerprint

Change: the vector is reserved; the fingerprint loops over the fields instead of their names. The hash is unchanged.

--- a/libs/quarantine/src/crash_history.cc
+++ b/libs/quarantine/src/crash_history.cc
@@ -132,6 +132,7 @@
   // Counts all crashes: other daemons may have seen none of the completions
   // that cleared the request of the earlier ones here.
   std::vector<std::int64_t> times;
+  times.reserve(suspicions.size());
   for (const auto& entry : suspicions) times.push_back(entry.crash.at_unix_ms);
   if (was_cleared ||
       CountSeparate(std::move(times)) < options_.suspect_crashes) {
--- a/libs/sidecar/src/crash_codec.cc
+++ b/libs/sidecar/src/crash_codec.cc
@@ -73,9 +73,8 @@
   const auto length = body.complete ? body.bytes->size()
                                     : std::numeric_limits<std::uint64_t>::max();
   auto hash = RequestFingerprint(head.method, head.target, length, *body.bytes);
-  for (const std::string_view name :
-       {std::string_view("Host"), std::string_view(names.caller_service)}) {
-    const auto* value = FindField(head.fields, name);
+  for (const auto* value : {FindField(head.fields, "Host"),
+                            FindField(head.fields, names.caller_service)}) {
     hash = FastHash(value == nullptr ? "" : *value, hash);
   }
   return hash;
