Tell other daemons of a stop

Callers got 504, or a cut answer, where a refusal was possible. An order cannot be repeated after a 504.

Cause: LimitToStop changed the deadline only in the daemon that stops. The daemon beside the backend server went by the deadline that it had got.

Change: at its SIGTERM a daemon sends a notice with the deadline to each daemon that has requests of its callers. That daemon limits those that wait or run, and those that crossed the notice (stop_notices). What cannot end in time is then refused as not run by the queue's own rule. A request that the other daemon ends at its deadline is answered 504, as it is at a time-out of the daemon itself; it was 502.

--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -107,6 +107,10 @@
   /// called before Next(), and regularly while work waits.
   std::vector<std::uint64_t> TakeExpired(instant now);
 
+  /// Limits the deadline of waiting work. No effect if it is not queued.
+  /// TakeExpired() has to be called afterwards.
+  void LimitDeadline(std::uint64_t id, instant latest);
+
   /// Removes and returns all waiting work.
   std::vector<std::uint64_t> TakeAll();
 
--- a/libs/mesh/src/work_queue.cc
+++ b/libs/mesh/src/work_queue.cc
@@ -148,6 +148,13 @@
   return expired;
 }
 
+void work_queue::LimitDeadline(std::uint64_t id, instant latest) {
+  const auto found = keys_.find(id);
+  if (found == keys_.end()) return;
+  auto& deadline = waiting_.at(found->second).item.deadline;
+  deadline = std::min(deadline, latest);
+}
+
 std::vector<std::uint64_t> work_queue::TakeAll() {
   std::vector<std::uint64_t> all;
   for (const auto& [key, work] : waiting_) all.push_back(work.item.id);
--- a/libs/mesh/tests/work_queue_test.cc
+++ b/libs/mesh/tests/work_queue_test.cc
@@ -151,6 +151,22 @@
   CHECK_FALSE(queue_.Next(now_));
 }
 
+// Guards against a slot for work whose deadline became earlier while it waits,
+// as its caller's daemon stops.
+TEST_CASE_METHOD(work_queue_fixture, "WorkQueue_LimitedDeadline_IsKept",
+                 "[mesh]") {
+  FillSlots();
+  const auto limited = Offer("lookup", 2, seconds(2), seconds(3));
+  const auto other = Offer("lookup", 2, seconds(2), seconds(3));
+  queue_.LimitDeadline(limited, now_ + milliseconds(400));
+  queue_.LimitDeadline(other, now_ + seconds(4));
+  CHECK(queue_.TakeExpired(now_).empty());
+  now_ += milliseconds(310);
+  CHECK(queue_.TakeExpired(now_) == std::vector<std::uint64_t>{limited});
+  FinishOne();
+  CHECK(queue_.Next(now_) == other);
+}
+
 // Guards against a slot or queue entry that stays occupied by work whose caller
 // has disconnected.
 TEST_CASE_METHOD(work_queue_fixture,
--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -41,6 +41,10 @@
     "Pomelohall-Mesh-Confirmed";
 /// Address at which the sender serves that configuration.
 inline constexpr std::string_view kMeshSenderField = "Pomelohall-Mesh-Sender";
+/// Marks the notice of a daemon that it stops. The value is the number of
+/// milliseconds until the latest deadline of the requests that it has passed
+/// on.
+inline constexpr std::string_view kMeshStopField = "Pomelohall-Mesh-Stop";
 /// Marks a fetch of the active configuration. The value is the version that the
 /// fetching daemon has.
 inline constexpr std::string_view kMeshFetchField = "Pomelohall-Mesh-Fetch";
@@ -61,7 +65,7 @@
     kMeshClassField,   kMeshKindField,      kMeshPriorityField,
     kMeshTargetField,  kMeshMaxWaitField,   kMeshVersionField,
     kMeshSenderField,  kMeshFetchField,     kMeshLoadField,
-    kMeshHeldField};
+    kMeshHeldField,    kMeshStopField};
 
 }  // namespace pomelohall
 
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -268,6 +268,16 @@
   for (const auto& [id, local] : exchanges_) local->LimitDeadline(latest);
 }
 
+void local_dispatcher::LimitDeadlinesOf(const std::string& sender,
+                                        instant latest) {
+  for (const auto& [id, local] : exchanges_) {
+    if (local->Request().sender != sender) continue;
+    local->LimitDeadline(latest);
+    queue_.LimitDeadline(id, latest);
+  }
+  SendWaiting(MonotonicNow());
+}
+
 bool local_dispatcher::EndsAfterStop(const local_request& request,
                                      instant now) const {
   return latest_deadline_ &&
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -29,7 +29,9 @@
 // A request to the backend server beside this daemon.
 struct local_request {
   outgoing_request request;
-  std::string attempt_id;         // Used in log lines only.
+  std::string attempt_id;  // Used in log lines only.
+  // Address of the daemon that passed the request on; empty for this one.
+  std::string sender;
   std::string instance;           // Instance that the sender chose.
   std::uint64_t fingerprint = 0;  // See FingerprintOf().
   std::string work_class;
@@ -105,6 +107,9 @@
   // daemon stops soon after `latest`. A waiting request that cannot end by then
   // is refused.
   void LimitDeadlines(instant latest);
+  // Limits the deadlines of the requests in progress of another daemon, which
+  // stops soon after `latest`.
+  void LimitDeadlinesOf(const std::string& sender, instant latest);
   // Refuses new requests from now on; running ones end.
   void StopAccepting();
   // To be called each `tick_interval`: ends requests that waited too long or
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -1,5 +1,6 @@
 #include "mesh_endpoint.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <utility>
@@ -10,10 +11,14 @@
 #include "caller/prefixed_body.h"
 #include "crash_codec.h"
 #include "load_codec.h"
+#include "logging/log_event.h"
 
 namespace pomelohall {
 namespace {
 
+// Longest time of a stop notice: far above the grace of any stop.
+constexpr std::uint64_t kMaxStopMillis = 600'000;
+
 std::string TakeField(http_fields& fields, std::string_view name) {
   const auto* value = FindField(fields, name);
   std::string text = value == nullptr ? std::string() : *value;
@@ -21,6 +26,11 @@
   return text;
 }
 
+std::string SenderOf(const incoming_request& request) {
+  const auto* sender = FindField(request.Head().fields, kMeshSenderField);
+  return sender == nullptr ? std::string() : *sender;
+}
+
 duration ParseMillis(std::string_view text) {
   std::int64_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -44,6 +54,10 @@
     config_sync_.Serve(request);
     return;
   }
+  if (FindField(request->Head().fields, kMeshStopField) != nullptr) {
+    OnPeerStopping(*request);
+    return;
+  }
   outgoing_request outgoing;
   outgoing.head = request->Head();
   RemoveHopByHopFields(outgoing.head.fields);
@@ -71,16 +85,46 @@
       });
 }
 
+void mesh_endpoint::OnPeerStopping(incoming_request& request) {
+  const auto& fields = request.Head().fields;
+  const auto sender = SenderOf(request);
+  const auto millis = ParseNumber(*FindField(fields, kMeshStopField));
+  if (sender.empty() || !millis || *millis > kMaxStopMillis) {
+    request.Respond(
+        MakeErrorResponse({error_kind::kInvalidRequest,
+                           "a stop notice needs a sender and up to " +
+                               std::to_string(kMaxStopMillis) +
+                               " milliseconds until its deadline"}),
+        nullptr);
+    return;
+  }
+  log_event(log_level::kInfo, "peer_stopping")
+      .With("peer", sender)
+      .With("deadline_left_ms", *millis);
+  const auto now = request.ReceivedAt();
+  const auto latest = now + std::chrono::milliseconds(*millis);
+  stop_notices_.Add(sender, latest, now);
+  dispatcher_.LimitDeadlinesOf(sender, latest);
+  incoming_response answer;
+  answer.head.status = 204;
+  if (const auto* id = FindField(fields, fields_.attempt_id)) {
+    answer.head.fields.push_back({fields_.attempt_id, *id});
+  }
+  request.Respond(std::move(answer), nullptr);
+}
+
 void mesh_endpoint::Forward(const std::shared_ptr<incoming_request>& request,
                             outgoing_request outgoing,
                             const body_prefix& body) {
   auto& fields = outgoing.head.fields;
   const auto now = request->ReceivedAt();
   // Requests are sent without delay, unlike answers.
-  config_sync_.OnPeerState(fields, TakeField(fields, kMeshSenderField), now);
+  const auto sender = TakeField(fields, kMeshSenderField);
+  config_sync_.OnPeerState(fields, sender, now);
   RemoveField(fields, kMeshVersionField);
   RemoveField(fields, kMeshConfirmedField);
   local_request local;
+  local.sender = sender;
   local.fingerprint = FingerprintOf(outgoing.head, body, fields_);
   if (const auto crashes =
           DecodeCrashes(TakeField(fields, kMeshCrashesField))) {
@@ -93,7 +137,9 @@
   local.priority = static_cast<int>(
       ParseNumber(TakeField(fields, kMeshPriorityField)).value_or(0));
   local.target_at = now + ParseMillis(TakeField(fields, kMeshTargetField));
-  local.deadline = now + ParseMillis(TakeField(fields, fields_.deadline));
+  local.deadline =
+      std::min(now + ParseMillis(TakeField(fields, fields_.deadline)),
+               stop_notices_.LatestDeadline(sender, now));
   if (const auto* id = FindField(fields, fields_.attempt_id)) {
     local.attempt_id = *id;
   }
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -12,6 +12,7 @@
 #include "peer_config_sync.h"
 #include "quarantine/crash_history.h"
 #include "sidecar/header_field_names.h"
+#include "stop_notices.h"
 
 namespace pomelohall {
 
@@ -26,6 +27,8 @@
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
  private:
+  // Handles the notice of another daemon that it stops.
+  void OnPeerStopping(incoming_request& request);
   void Forward(const std::shared_ptr<incoming_request>& request,
                outgoing_request outgoing, const body_prefix& body);
   void Refuse(const std::shared_ptr<incoming_request>& request,
@@ -48,6 +51,7 @@
   peer_config_sync& config_sync_;
   crash_history& crashes_;
   const header_field_names fields_;
+  stop_notices stop_notices_;
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -1,7 +1,13 @@
 #include "request_router.h"
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
 #include <utility>
 
+#include "caller/body_prefix.h"
+#include "logging/log_event.h"
 #include "routed_request.h"
 
 namespace pomelohall {
@@ -36,9 +42,42 @@
 
 void request_router::LimitToStop(const stop_limits& limits) {
   stop_ = limits;
+  std::set<std::string> peers;
   for (const auto& request : in_progress_) {
-    if (const auto routed = request.lock()) routed->LimitToStop();
+    const auto routed = request.lock();
+    if (!routed) continue;
+    routed->LimitToStop();
+    if (auto address = routed->PeerAddress(); !address.empty())
+      peers.insert(std::move(address));
   }
+  for (const auto& address : peers) SendStopNotice(address);
+}
+
+// Not repeated if it fails: the requests then end here when their time is up.
+void request_router::SendStopNotice(const std::string& address) {
+  const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      stop_->deadline - MonotonicNow());
+  outgoing_request notice;
+  notice.head.method = "POST";
+  notice.head.target = "/";
+  notice.head.fields = {
+      {"Host", address},
+      {std::string(kMeshStopField),
+       std::to_string(std::max<std::int64_t>(time_left.count(), 0))},
+      {std::string(kMeshSenderField), versions_.LocalAddress()},
+      {options_.fields.attempt_id, "stop"}};
+  peers_.Start(
+      address, std::move(notice),
+      {.on_sent = nullptr,
+       .on_response = [address](const result<incoming_response>& answer) {
+         if (answer && answer->body) DiscardBody(answer->body, nullptr);
+         if (answer && answer->head.status == 204) return;
+         log_event(log_level::kWarning, "stop_notice_failed")
+             .With("peer", address)
+             .With("reason",
+                   answer ? "status " + std::to_string(answer->head.status)
+                          : answer.error().message);
+       }});
 }
 
 void request_router::LogUnanswered() const {
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -79,7 +79,8 @@
 
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
-  // Limits the time of all requests, those in progress included.
+  // Limits the time of all requests, those in progress included, and tells the
+  // daemons that have some of them.
   void LimitToStop(const stop_limits& limits);
   // Refuses requests from now on that have not been passed on yet.
   void StopAccepting() { accepting_ = false; }
@@ -102,6 +103,9 @@
     }
   };
 
+  // Tells another daemon when the requests of this one end.
+  void SendStopNotice(const std::string& address);
+
   boost::asio::io_context& io_;
   request_router_options options_;
   local_dispatcher& dispatcher_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -122,7 +122,8 @@
 
 // The connection closes when the stop is over, so an answer is of no use after
 // that. The daemon beside the backend server and the backend server itself
-// learn this from the deadline.
+// learn this from the deadline, or from the router's notice if the request has
+// been passed on before.
 void routed_request::LimitToStop() {
   deadline_ = std::min(deadline_, router_.stop_->deadline);
   // Answers that wait for the link are sent in the order of their targets.
@@ -131,6 +132,11 @@
   StartTimer();
 }
 
+std::string routed_request::PeerAddress() const {
+  const bool at_peer = offer_ && offer_->member.name != router_.options_.member;
+  return at_peer ? offer_->member.address : std::string();
+}
+
 void routed_request::StartTimer() { StartTimer(timeout_at_); }
 
 void routed_request::StartTimer(instant at) {
@@ -433,8 +439,10 @@
 void routed_request::OnUnknownOutcome(const error& failure) {
   ++sends_;
   may_have_run_ = true;
-  last_failure_ =
-      error(error_kind::kBackendFailed, failure.message, run_state::kUnknown);
+  const auto reported = failure.kind == error_kind::kDeadlineExceeded
+                            ? error_kind::kDeadlineExceeded
+                            : error_kind::kBackendFailed;
+  last_failure_ = error(reported, failure.message, run_state::kUnknown);
   EndOffer(failure.kind == error_kind::kPeerUnreachable
                ? send_outcome::kUnreachable
                : send_outcome::kFailed);
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -25,6 +25,9 @@
   void Start();
   // Applies the limits of the router's stop.
   void LimitToStop();
+  // Returns the address of the other daemon that has the request; empty if none
+  // has it.
+  std::string PeerAddress() const;
   // Logs what the request waits for.
   void LogUnanswered() const;
 
