Do not forward a large answer that the end of a stop would truncate

Cause: the daemon forwards an answer once 64 KB have arrived. While it stops that promises a rest that may arrive after its end.

Change: while it stops it reads an answer of up to 1 MiB whole before it forwards it, for 32 requests at a time at most. One that is not whole when the time is up is answered with 504.

--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -80,6 +80,12 @@
        }});
 }
 
+bool request_router::ReserveStopBuffer() {
+  if (stop_buffers_ >= kMaxStopBuffers) return false;
+  ++stop_buffers_;
+  return true;
+}
+
 void request_router::LogUnanswered() const {
   for (const auto& request : in_progress_) {
     if (const auto routed = request.lock()) routed->LogUnanswered();
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -2,6 +2,7 @@
 #define POMELOHALL_SIDECAR_SRC_REQUEST_ROUTER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -105,6 +106,13 @@
 
   // Tells another daemon when the requests of this one end.
   void SendStopNotice(const std::string& address);
+  // Returns whether another answer may be read whole before it is forwarded.
+  bool ReserveStopBuffer();
+  void ReleaseStopBuffer() { --stop_buffers_; }
+
+  // Bounds the memory of a stop: each answer takes up to
+  // kMaxBufferedAnswerBytes.
+  static constexpr std::size_t kMaxStopBuffers = 32;
 
   boost::asio::io_context& io_;
   request_router_options options_;
@@ -122,6 +130,7 @@
   std::map<offer_kind, offer_planner> offer_planners_;
   std::set<std::weak_ptr<routed_request>, std::owner_less<>> in_progress_;
   std::optional<stop_limits> stop_;
+  std::size_t stop_buffers_ = 0;  // In use.
   bool accepting_ = true;
 };
 
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -488,10 +488,19 @@
   // the request can still be retried and the caller sees no truncated answer.
   // One that waits for the network link is read into memory, which frees its
   // slot on the backend server.
-  const bool is_queued = answer_is_local_ && answer_->head.length &&
-                         router_.sender_.Queue().IsPaced(*answer_->head.length);
+  const auto length = answer_->head.length;
+  const bool is_queued =
+      answer_is_local_ && length && router_.sender_.Queue().IsPaced(*length);
+  // While the daemon stops, this holds for large answers too: one that does not
+  // arrive before the end would be truncated.
+  const bool needs_stop_buffer =
+      router_.stop_ && !buffers_at_stop_ &&
+      (!length ||
+       (*length > kMaxBufferedBodyBytes && *length <= kMaxBufferedAnswerBytes));
+  if (needs_stop_buffer) buffers_at_stop_ = router_.ReserveStopBuffer();
   ReadBodyPrefix(answer_->body,
-                 is_queued ? kMaxBufferedAnswerBytes : kMaxBufferedBodyBytes,
+                 is_queued || buffers_at_stop_ ? kMaxBufferedAnswerBytes
+                                               : kMaxBufferedBodyBytes,
                  [self = shared_from_this()](const result<body_prefix>& start) {
                    self->OnResponseBody(start);
                  });
@@ -669,6 +678,7 @@
 void routed_request::Finish(int status, const std::string& reason) {
   finished_ = true;
   timer_.cancel();
+  if (std::exchange(buffers_at_stop_, false)) router_.ReleaseStopBuffer();
   router_.in_progress_.erase(weak_from_this());
   const auto elapsed = MonotonicNow() - received_at_;
   router_.metrics_.OnRequest(route_ == nullptr ? "none" : route_->name, status,
--- a/tests/sidecar/late_request_test.cc
+++ b/tests/sidecar/late_request_test.cc
@@ -554,5 +554,36 @@
   CHECK(Call(kCallerVm, "GET", "/safe/300", Fields("s1")).status == 200);
 }
 
+// Guards against large responses that are truncated when the daemon of their
+// caller ends: the server has answered before, but the link is too slow for all
+// of them.
+TEST_CASE_METHOD(slow_link_late_fixture,
+                 "Sidecar_LargeResponsesAtTheEndOfAStop_AreNotTruncated",
+                 "[sidecar]") {
+  // They are ready 4 s after the signal. The link carries one in 1 s.
+  response_bytes_ = 900'000;
+  constexpr std::size_t kCalls = 3;
+  std::vector<std::future<call_result>> calls;
+  calls.reserve(kCalls);
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    calls.push_back(CallAt(Now() + milliseconds(100), "GET", "/safe/4200",
+                           "s" + std::to_string(i)));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  auto stopped = Stop(kCallerVm);
+  REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
+  const auto ended_at = Now();
+  std::map<int, int> statuses;
+  for (auto& call : calls) {
+    const auto result = call.get();
+    ++statuses[result.response.status];
+    CHECK(result.response.complete);
+    // The fixture does not end the process, so a late response gets whole.
+    CHECK(result.ended_at <= ended_at + kTransitTime);
+  }
+  CHECK(statuses[200] >= 1);
+  CHECK(statuses[200] + statuses[504] == kCalls);
+}
+
 }  // namespace
 }  // namespace pomelohall
