--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -106,7 +106,8 @@
 
   // Tells another daemon when the requests of this one end.
   void SendStopNotice(const std::string& address);
-  // Returns whether another answer may be read whole before it is forwarded.
+  // Returns whether another large answer may be read completely before it is
+  // forwarded. ReleaseStopBuffer() has to follow if so.
   bool ReserveStopBuffer();
   void ReleaseStopBuffer() { --stop_buffers_; }
 
@@ -130,7 +131,7 @@
   std::map<offer_kind, offer_planner> offer_planners_;
   std::set<std::weak_ptr<routed_request>, std::owner_less<>> in_progress_;
   std::optional<stop_limits> stop_;
-  std::size_t stop_buffers_ = 0;  // In use.
+  std::size_t stop_buffers_ = 0;  // See ReserveStopBuffer().
   bool accepting_ = true;
 };
 
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -491,8 +491,8 @@
   const auto length = answer_->head.length;
   const bool is_queued =
       answer_is_local_ && length && router_.sender_.Queue().IsPaced(*length);
-  // While the daemon stops, this holds for large answers too: one that does not
-  // arrive before the end would be truncated.
+  // While the daemon stops, a large answer is read completely as well: the rest
+  // of one that has been forwarded in part may arrive after the end.
   const bool needs_stop_buffer =
       router_.stop_ && !buffers_at_stop_ &&
       (!length ||
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -110,7 +110,7 @@
   // The answer is of the backend server on this VM, which nothing has paced
   // yet.
   bool answer_is_local_ = false;
-  bool buffers_at_stop_ = false;  // Has one of the router's stop buffers.
+  bool buffers_at_stop_ = false;  // Has reserved a stop buffer.
   // Failed answer of an earlier offer.
   std::optional<incoming_response> fallback_;
   boost::asio::steady_timer timer_;
