--- a/tests/sidecar/upload_test.cc
+++ b/tests/sidecar/upload_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include "concurrent_server.h"
 #include "sidecar_fleet.h"
@@ -56,5 +57,25 @@
   CHECK(server_.Requests() == 1);
 }
 
+// Guards against the end of the daemon when the last bytes of a chunked body
+// arrive one by one: an assertion of the HTTP library expects more of them.
+TEST_CASE_METHOD(upload_fixture,
+                 "Sidecar_EndOfChunkedUploadInPieces_DaemonKeepsRunning",
+                 "[sidecar]") {
+  for (const std::string body : {"", "4\r\nbody\r\n"}) {
+    raw_client client(CallerAddress(0));
+    client.Send(
+        "POST /order/1 HTTP/1.1\r\nHost: test\r\n"
+        "Pomelohall-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        body + "0\r\n");
+    for (const std::string part : {"\r", "\n"}) {
+      std::this_thread::sleep_for(milliseconds(20));
+      client.Send(part);
+    }
+    CHECK(client.Read().status == 200);
+  }
+  CHECK(server_.Requests() == 2);
+}
+
 }  // namespace
 }  // namespace pomelohall
