Process tests end all programs that they started

Cause: Fleet.close() killed the programs of its VMs only. Sidecars and daemons that a test starts by start_sidecar() or start_program() ran on, and joined the store of a later test that got the same block of ports: its daemons then had another configuration.

Evidence: sidecar_answer_endless_bytes_memory_bounded failed once of one run (69 tests, 68 passed): its sidecar took version 10 with the service "shop" of a soak test from a peer; 20 or more sidecars and daemons of earlier tests ran at that time, each under the folder of a test that had ended.

Change: a fleet keeps what it has started and kills it when it is closed.

--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -159,6 +159,7 @@
         self.platform = None
         self.platform_port = 0
         self.daemons = []
+        self.started = []
         self.port_block = PortBlock()
 
     def __enter__(self):
@@ -172,7 +173,10 @@
 
     def start_program(self, name, *arguments):
         binary = os.path.join(self.bin_dir, arguments[0])
-        return Program(name, [binary, *arguments[1:]], self.path(name + ".log"))
+        program = Program(name, [binary, *arguments[1:]],
+                          self.path(name + ".log"))
+        self.started.append(program)
+        return program
 
     # Platform ---------------------------------------------------------------
 
@@ -372,7 +376,7 @@
 
     def close(self):
         """Kills the programs that still run and releases the ports."""
-        for program in self.programs():
+        for program in self.started:
             if program.running():
                 program.send_signal(signal.SIGCONT)
                 program.kill()
