One piece of code for what the change had written twice

Change: base/http_limits.h; SetCrashes() and TakeCrashes() in crash_codec; SenderOf() is gone; crash_history_fixture::ReportCrash(). Behaviour and assertions are the same.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "backend/beast_fields.h"
+#include "base/http_limits.h"
 #include "caller/error_response.h"
 #include "server_request.h"
 
@@ -35,9 +36,6 @@
 // Reserved buffer space per read: Beast reads no more than the spare capacity,
 // or 512 bytes if there is none.
 constexpr std::size_t kReadBytes = 4096;
-// Bytes that are kept beside a header. The parser has no limit of its own for a
-// chunk extension or a trailer, which it parses only once they are complete.
-constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 // Time for which input is read and discarded after the last response. Closing a
 // socket with unread input resets the connection, and the caller may lose the
 // response.
--- a/libs/http/src/beast_message.h
+++ b/libs/http/src/beast_message.h
@@ -6,7 +6,6 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
-#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -20,11 +19,6 @@
 using beast_response =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-/// Bytes that a connection keeps beside a header. The parser has no limit of
-/// its own for a chunk extension or a trailer, which it parses only once they
-/// are complete.
-inline constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
-
 /// Conversions between this library's messages and Beast's.
 http_request FromBeast(beast_request&& message);
 http_response FromBeast(beast_response&& message);
--- a/libs/http/src/client_core.cc
+++ b/libs/http/src/client_core.cc
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "base/http_limits.h"
 #include "client_call.h"
 
 namespace pomelohall {
--- a/libs/http/src/server_session.cc
+++ b/libs/http/src/server_session.cc
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/http_limits.h"
 #include "server_core.h"
 #include "session_responder.h"
 
--- a/libs/quarantine/tests/crash_history_test.cc
+++ b/libs/quarantine/tests/crash_history_test.cc
@@ -28,8 +28,18 @@
                  kStart + 2 * interval);
   }
 
+  /// Adds a crash to the record of another daemon, which this one and a third
+  /// read.
+  void ReportCrash(std::vector<std::uint64_t> requests, std::int64_t at) {
+    reports_.push_back(NextCrash(std::move(requests), at));
+    history_.OnReported("a", reports_, {}, at);
+    other_.OnReported("a", reports_, {}, at);
+  }
+
   std::uint64_t last_id_ = 100;
+  std::vector<crash_report> reports_;
   crash_history history_;
+  crash_history other_;  ///< That of the third daemon.
 };
 
 // Guards against a request that goes on crashing servers because each daemon
@@ -107,23 +117,19 @@
 TEST_CASE_METHOD(crash_history_fixture,
                  "CrashHistory_CompletedAtAnotherDaemon_IsCleared",
                  "[quarantine]") {
-  crash_history other;
-  std::vector<crash_report> reports;
   for (std::int64_t i = 0; i < 3; ++i) {
     const auto now = kStart + i * 2 * kSecond;
-    reports.push_back(NextCrash({kOther, kPoison}, now));
-    history_.OnReported("a", reports, {}, now);
-    other.OnReported("a", reports, {}, now);
+    ReportCrash({kOther, kPoison}, now);
   }
   CHECK(history_.IsCulprit(kOther));
-  other.OnCompleted(kOther);
-  history_.OnReported("b", {}, other.ClearedRequests(), kStart + 5 * kSecond);
+  other_.OnCompleted(kOther);
+  history_.OnReported("b", {}, other_.ClearedRequests(), kStart + 5 * kSecond);
   CHECK_FALSE(history_.IsSuspect(kOther));
   CHECK(history_.IsCulprit(kPoison));
-  other.Expire(kStart + 5 * kSecond);
-  CHECK(other.ClearedRequests().size() == 1);
-  other.Expire(kStart + 70 * kSecond);
-  CHECK(other.ClearedRequests().empty());
+  other_.Expire(kStart + 5 * kSecond);
+  CHECK(other_.ClearedRequests().size() == 1);
+  other_.Expire(kStart + 70 * kSecond);
+  CHECK(other_.ClearedRequests().empty());
 }
 
 // Guards against a daemon that refuses a correct request because it ran none of
@@ -131,15 +137,11 @@
 TEST_CASE_METHOD(crash_history_fixture,
                  "CrashHistory_CompletedBetweenCrashesElsewhere_IsCleared",
                  "[quarantine]") {
-  crash_history other;
-  std::vector<crash_report> reports;
   for (std::int64_t i = 0; i < 3; ++i) {
     const auto now = kStart + i * 2 * kSecond;
-    reports.push_back(NextCrash({kOther}, now));
-    history_.OnReported("a", reports, {}, now);
-    other.OnReported("a", reports, {}, now);
-    other.OnCompleted(kOther);
-    history_.OnReported("b", {}, other.ClearedRequests(), now);
+    ReportCrash({kOther}, now);
+    other_.OnCompleted(kOther);
+    history_.OnReported("b", {}, other_.ClearedRequests(), now);
   }
   CHECK_FALSE(history_.IsSuspect(kOther));
 }
--- a/libs/sidecar/src/crash_codec.cc
+++ b/libs/sidecar/src/crash_codec.cc
@@ -7,6 +7,7 @@
 
 #include "backend/http_message.h"
 #include "base/digest.h"
+#include "base/time.h"
 #include "quarantine/quarantine.h"
 
 namespace pomelohall {
@@ -105,6 +106,23 @@
   }
 }
 
+void SetCrashes(http_fields& fields, const crash_history& history,
+                std::uint64_t fingerprint) {
+  const auto crashes = history.Crashes(fingerprint);
+  if (!crashes.empty())
+    SetField(fields, kMeshCrashesField, EncodeCrashes(crashes));
+}
+
+void TakeCrashes(http_fields& fields, crash_history& history,
+                 std::uint64_t fingerprint) {
+  const auto* text = FindField(fields, kMeshCrashesField);
+  if (text == nullptr) return;
+  if (const auto crashes = DecodeCrashes(*text)) {
+    history.Add(fingerprint, *crashes, UnixMillisNow());
+  }
+  RemoveField(fields, kMeshCrashesField);
+}
+
 json EncodeReports(const std::vector<crash_report>& reports) {
   auto list = json::array();
   for (const auto& report : reports) {
--- a/libs/sidecar/src/crash_codec.h
+++ b/libs/sidecar/src/crash_codec.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_SIDECAR_SRC_CRASH_CODEC_H_
 #define POMELOHALL_SIDECAR_SRC_CRASH_CODEC_H_
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -26,6 +27,15 @@
 // Returns std::nullopt if the text is malformed.
 std::optional<std::vector<server_crash>> DecodeCrashes(std::string_view text);
 
+// Adds the crashes of a request to a message to another daemon, if there are
+// any.
+void SetCrashes(http_fields& fields, const crash_history& history,
+                std::uint64_t fingerprint);
+// Removes the crashes of a request from a message of another daemon and adds
+// them to the history. Malformed ones are ignored.
+void TakeCrashes(http_fields& fields, crash_history& history,
+                 std::uint64_t fingerprint);
+
 // Returns the crashes of a member's record as JSON, and reads them. Malformed
 // ones are std::nullopt.
 nlohmann::json EncodeReports(const std::vector<crash_report>& reports);
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -26,11 +26,6 @@
   return text;
 }
 
-std::string SenderOf(const incoming_request& request) {
-  const auto* sender = FindField(request.Head().fields, kMeshSenderField);
-  return sender == nullptr ? std::string() : *sender;
-}
-
 duration ParseMillis(std::string_view text) {
   std::int64_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -87,9 +82,10 @@
 
 void mesh_endpoint::OnPeerStopping(incoming_request& request) {
   const auto& fields = request.Head().fields;
-  const auto sender = SenderOf(request);
+  const auto* sender = FindField(fields, kMeshSenderField);
   const auto millis = ParseNumber(*FindField(fields, kMeshStopField));
-  if (sender.empty() || !millis || *millis > kMaxStopMillis) {
+  if (sender == nullptr || sender->empty() || !millis ||
+      *millis > kMaxStopMillis) {
     request.Respond(
         MakeErrorResponse({error_kind::kInvalidRequest,
                            "a stop notice needs a sender and up to " +
@@ -99,12 +95,12 @@
     return;
   }
   log_event(log_level::kInfo, "peer_stopping")
-      .With("peer", sender)
+      .With("peer", *sender)
       .With("deadline_left_ms", *millis);
   const auto now = request.ReceivedAt();
   const auto latest = now + std::chrono::milliseconds(*millis);
-  stop_notices_.Add(sender, latest, now);
-  dispatcher_.LimitDeadlinesOf(sender, latest);
+  stop_notices_.Add(*sender, latest, now);
+  dispatcher_.LimitDeadlinesOf(*sender, latest);
   incoming_response answer;
   answer.head.status = 204;
   if (const auto* id = FindField(fields, fields_.attempt_id)) {
@@ -126,10 +122,7 @@
   local_request local;
   local.sender = sender;
   local.fingerprint = FingerprintOf(outgoing.head, body, fields_);
-  if (const auto crashes =
-          DecodeCrashes(TakeField(fields, kMeshCrashesField))) {
-    crashes_.Add(local.fingerprint, *crashes, UnixMillisNow());
-  }
+  TakeCrashes(fields, crashes_, local.fingerprint);
   local.instance = TakeField(fields, kMeshInstanceField);
   local.work_class = TakeField(fields, kMeshClassField);
   local.kind = kRequestKindNames.Find(TakeField(fields, kMeshKindField))
@@ -169,10 +162,7 @@
                            const answer_times& times, std::uint64_t fingerprint,
                            const error& failure) {
   auto answer = MakeErrorResponse(failure);
-  const auto crashes = crashes_.Crashes(fingerprint);
-  if (!crashes.empty()) {
-    SetField(answer.head.fields, kMeshCrashesField, EncodeCrashes(crashes));
-  }
+  SetCrashes(answer.head.fields, crashes_, fingerprint);
   Send(request, times, std::move(answer));
 }
 
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -301,10 +301,7 @@
   SetField(fields, kMeshTargetField, FormatMillis(target_at_ - now));
   if (IsShortWait())
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
-  const auto crashes = router_.crashes_.Crashes(fingerprint_);
-  if (!crashes.empty()) {
-    SetField(fields, kMeshCrashesField, EncodeCrashes(crashes));
-  }
+  SetCrashes(fields, router_.crashes_, fingerprint_);
   router_.versions_.AddState(fields);
   SetField(fields, kMeshSenderField, router_.versions_.LocalAddress());
   sent_ = router_.peers_.Start(
@@ -334,12 +331,7 @@
                                 offered_at_);
   RemoveField(head.fields, kMeshVersionField);
   RemoveField(head.fields, kMeshConfirmedField);
-  if (const auto* text = FindField(head.fields, kMeshCrashesField)) {
-    if (const auto crashes = DecodeCrashes(*text)) {
-      router_.crashes_.Add(fingerprint_, *crashes, UnixMillisNow());
-    }
-    RemoveField(head.fields, kMeshCrashesField);
-  }
+  TakeCrashes(head.fields, router_.crashes_, fingerprint_);
   auto failure = ErrorFromResponse(head);
   RemoveField(head.fields, kMeshLoadField);
   RemoveField(head.fields, kMeshHeldField);
--- a/tests/process/endless_bytes_test.py
+++ b/tests/process/endless_bytes_test.py
@@ -155,9 +155,7 @@
 
 
 def start_pomelohalld(fleet, platform_address):
-    names = ("caller", "forward", "peer", "local")
-    listeners = {name: f"127.0.0.1:{port}" for name, port in
-                 zip(names, fleet.port_block.allocate(len(names)))}
+    listeners = fleet.allocate_listeners("caller", "forward", "peer", "local")
     path = fleet.write_config({
         "cluster": "test", "name": "vm-1", "region": "r1",
         "data_centre": "dc1", "listeners": listeners, "seeds": [],
--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -249,15 +249,19 @@
         daemon.program = self.start_program(
             daemon.name, "pomelohalld", "--settings", path)
 
+    def allocate_listeners(self, *names):
+        """Returns an address with a free port for each name."""
+        return {name: f"127.0.0.1:{port}" for name, port in
+                zip(names, self.port_block.allocate(len(names)))}
+
     def start_sidecar(self, store_address, name="sidecar",
                       server="127.0.0.1:1"):
         """Starts a sidecar beside the backend server at the address `server`.
 
         Returns the program and the addresses of its listeners by name.
         """
-        names = ("caller", "forward", "local", "ready", "metrics")
-        listeners = {listener: f"127.0.0.1:{port}" for listener, port in
-                     zip(names, self.port_block.allocate(len(names)))}
+        listeners = self.allocate_listeners(
+            "caller", "forward", "local", "ready", "metrics")
         path = self.write_config({
             "name": name, "data_centre": "dc1",
             "backend_server": {"address": server, "service": "orders"},
--- a/tests/sidecar/late_request_test.cc
+++ b/tests/sidecar/late_request_test.cc
@@ -128,6 +128,31 @@
     });
   }
 
+  /// Sends safe requests, stops a sidecar 200 ms later, and returns what the
+  /// callers have got. Checks that each response is complete before the process
+  /// would end: the fixture does not end it, so a later one arrives as well.
+  std::vector<call_result> StopDuringCalls(std::size_t vm, std::size_t count,
+                                           const std::string& target) {
+    std::vector<std::future<call_result>> calls;
+    calls.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      calls.push_back(CallAt(Now() + milliseconds(100), "GET", target,
+                             "s" + std::to_string(i)));
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    auto stopped = Stop(vm);
+    REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
+    const auto ended_at = Now();
+    std::vector<call_result> results;
+    results.reserve(count);
+    for (auto& call : calls) {
+      results.push_back(call.get());
+      CHECK(results.back().response.complete);
+      CHECK(results.back().ended_at <= ended_at + kTransitTime);
+    }
+    return results;
+  }
+
   /// Returns the last run of a request, if it has run.
   std::optional<server_run> RunOf(const std::string& id) {
     const std::lock_guard lock(mutex_);
@@ -456,21 +481,8 @@
   // They are ready 4.4 s after the signal, and the link carries them in 7.7 s.
   response_bytes_ = 300'000;
   constexpr std::size_t kCalls = 18;
-  std::vector<std::future<call_result>> calls;
-  calls.reserve(kCalls);
-  for (std::size_t i = 0; i < kCalls; ++i) {
-    calls.push_back(CallAt(Now() + milliseconds(100), "GET", "/safe/4600",
-                           "s" + std::to_string(i)));
-  }
-  std::this_thread::sleep_for(milliseconds(300));
-  auto stopped = Stop(kServerVm);
-  REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
-  const auto ended_at = Now();
-  for (auto& call : calls) {
-    const auto result = call.get();
+  for (const auto& result : StopDuringCalls(kServerVm, kCalls, "/safe/4600")) {
     CHECK(result.response.status == 200);
-    CHECK(result.response.complete);
-    CHECK(result.ended_at <= ended_at + kTransitTime);
   }
 }
 
@@ -561,23 +573,9 @@
   // They are ready 4 s after the signal. The link carries one in 1 s.
   response_bytes_ = 900'000;
   constexpr std::size_t kCalls = 3;
-  std::vector<std::future<call_result>> calls;
-  calls.reserve(kCalls);
-  for (std::size_t i = 0; i < kCalls; ++i) {
-    calls.push_back(CallAt(Now() + milliseconds(100), "GET", "/safe/4200",
-                           "s" + std::to_string(i)));
-  }
-  std::this_thread::sleep_for(milliseconds(300));
-  auto stopped = Stop(kCallerVm);
-  REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
-  const auto ended_at = Now();
   std::map<int, int> statuses;
-  for (auto& call : calls) {
-    const auto result = call.get();
+  for (const auto& result : StopDuringCalls(kCallerVm, kCalls, "/safe/4200")) {
     ++statuses[result.response.status];
-    CHECK(result.response.complete);
-    // The fixture does not end the process, so a late response gets whole.
-    CHECK(result.ended_at <= ended_at + kTransitTime);
   }
   CHECK(statuses[200] >= 1);
   CHECK(statuses[200] + statuses[504] == kCalls);
