--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -474,7 +474,10 @@
             vm.process.send_signal(signal.SIGHUP)
 
     async def on_random_backend(self, action):
-        vm = self.random.choice(self.vms)
+        await self.on_backend(self.random.choice(self.vms), action)
+
+    async def on_backend(self, vm, action):
+        """Runs `action` unless another one runs on the backend server."""
         if vm.backend_busy:
             return
         vm.backend_busy = True
@@ -484,13 +487,15 @@
             vm.backend_busy = False
 
     async def crash_backend(self):
-        async def crash(vm):
-            self.checks.begin_disruption("backend")
-            await vm.backend.crash()
-            await asyncio.sleep(self.random.uniform(0.2, 3))
-            await vm.backend.start()
-            self.checks.end_disruption("backend")
-        await self.on_random_backend(crash)
+        await self.on_random_backend(
+            functools.partial(self.crash_and_start, min_down_s=0.2))
+
+    async def crash_and_start(self, vm, min_down_s):
+        self.checks.begin_disruption("backend")
+        await vm.backend.crash()
+        await asyncio.sleep(self.random.uniform(min_down_s, 3))
+        await vm.backend.start()
+        self.checks.end_disruption("backend")
 
     async def refuse_twice(self):
         """Lets some backend servers write refusals again."""
@@ -573,21 +578,11 @@
     async def on_crashing_request(self, vm, target):
         print(f"{target} crashes the server of {vm.name}", flush=True)
         self.checks.on_crash(self.crashing_senders[target], target)
-        task = asyncio.create_task(self.crash_and_start(vm))
+        task = asyncio.create_task(self.on_backend(
+            vm, functools.partial(self.crash_and_start, min_down_s=0.5)))
         self.tasks.add(task)
         task.add_done_callback(self.on_action_done)
 
-    async def crash_and_start(self, vm):
-        if vm.backend_busy:
-            return
-        vm.backend_busy = True
-        self.checks.begin_disruption("backend")
-        await vm.backend.crash()
-        await asyncio.sleep(self.random.uniform(0.5, 3))
-        await vm.backend.start()
-        self.checks.end_disruption("backend")
-        vm.backend_busy = False
-
     # Run ----------------------------------------------------------------------
 
     async def run(self):
