--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -22,6 +22,7 @@
   bool draining = false;
   std::int64_t started_unix_ms = 0;  ///< By the clock of the backend server.
   std::uint64_t sequence = 0;        ///< Increases with each announcement.
+  std::string version = {};  ///< Version of its software; empty if not used.
 };
 
 /// State of the backend server on the VM of a daemon.
--- a/libs/mesh/include/mesh/mesh_config.h
+++ b/libs/mesh/include/mesh/mesh_config.h
@@ -1,8 +1,10 @@
 #ifndef POMELOHALL_MESH_MESH_CONFIG_H_
 #define POMELOHALL_MESH_MESH_CONFIG_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,8 @@
   std::vector<destination> destinations;  ///< At least one.
   /// Maximum number of backend servers that a request is sent to; at least 1.
   std::uint32_t max_servers = 1;
+  /// Whether requests need no API key although the configuration has tenants.
+  bool is_public = false;
 };
 
 /// Returns whether requests of the route can be served: it has time, servers to
@@ -69,12 +73,30 @@
 /// Returns whether a request can be within the limits.
 bool IsUsable(const request_limits& limits);
 
+/// SHA-256 of an API key. Keys themselves are not kept.
+using api_key_digest = std::array<std::uint8_t, 32>;
+
+/// An organization whose callers identify themselves by API keys.
+struct tenant {
+  std::string name;
+  std::vector<api_key_digest> key_digests;
+  /// Priority of its requests; that of the route if there is none.
+  std::optional<int> priority;
+  /// Requests per second over all daemons; 0 for no limit.
+  double rate_per_s = 0;
+  /// Requests in addition to the rate at once, over all daemons.
+  double burst = 0;
+
+  bool operator==(const tenant&) const = default;
+};
+
 /// One complete version of the configuration.
 struct mesh_config {
   std::uint64_t version = 0;
   std::vector<route_rule> routes;
   std::vector<std::string> services;
   request_limits limits;
+  std::vector<tenant> tenants = {};  ///< Empty if callers need no API keys.
 };
 
 }  // namespace pomelohall
--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -17,6 +17,8 @@
   std::string instance;  ///< Changes with most restarts of a backend server.
   std::string service;
   std::size_t slots = 1;
+  /// Version of its software; empty if it is not known or not used.
+  std::string version = {};
 
   bool operator==(const offered_server&) const = default;
 };
@@ -35,6 +37,9 @@
 /// Longest instance of a server that is kept after it has left.
 constexpr std::size_t kMaxInstanceBytes = 256;
 
+/// Longest version of a server's software.
+constexpr std::size_t kMaxServerVersionBytes = 256;
+
 /// Largest number of slots and link rate that a record may state. Far above
 /// those of any VM; a larger value would attract all requests of a service, or
 /// make a member the reader of its data centre although it is none.
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -153,7 +153,8 @@
   if (phase_ != server_phase::kServing) return std::nullopt;
   return offered_server{.instance = last_announcement_->instance,
                         .service = last_announcement_->service,
-                        .slots = last_announcement_->slots};
+                        .slots = last_announcement_->slots,
+                        .version = last_announcement_->version};
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -1,7 +1,6 @@
 #ifndef POMELOHALL_SIDECAR_HEADER_FIELD_NAMES_H_
 #define POMELOHALL_SIDECAR_HEADER_FIELD_NAMES_H_
 
-#include <array>
 #include <string>
 #include <string_view>
 
@@ -18,6 +17,8 @@
   std::string signature;       ///< Marks answers made by a backend server.
   std::string not_executed;    ///< Set if the request was not run.
   std::string instance;        ///< Instance that answered.
+  std::string tenant;          ///< Name of the tenant of the request.
+  std::string server_load;     ///< Load that a backend server reports.
 };
 
 /// Header fields between daemons; they never reach a caller or a backend
@@ -59,13 +60,24 @@
 /// with hexadecimal IDs and Unix milliseconds. On requests and error responses.
 inline constexpr std::string_view kMeshCrashesField = "Pomelohall-Mesh-Crashes";
 
-/// All header fields between daemons.
-inline constexpr std::array kMeshFields{
-    kMeshCrashesField, kMeshConfirmedField, kMeshInstanceField,
-    kMeshClassField,   kMeshKindField,      kMeshPriorityField,
-    kMeshTargetField,  kMeshMaxWaitField,   kMeshVersionField,
-    kMeshSenderField,  kMeshFetchField,     kMeshLoadField,
-    kMeshHeldField,    kMeshStopField};
+/// Active roll-outs that the sender knows, on requests and answers.
+inline constexpr std::string_view kMeshRolloutField = "Pomelohall-Mesh-Rollout";
+/// Counts of the responses of the answering backend server, by route, while its
+/// service has an active roll-out.
+inline constexpr std::string_view kMeshVersionReportField =
+    "Pomelohall-Mesh-Version-Report";
+/// Marks a notice about a roll-out of the daemon that decided on it.
+inline constexpr std::string_view kMeshRolloutNoticeField =
+    "Pomelohall-Mesh-Rollout-Notice";
+/// Marks an exchange of quota tokens.
+inline constexpr std::string_view kMeshQuotaField = "Pomelohall-Mesh-Quota";
+/// How long work takes on the VM of the answering daemon: "PERCENT,AGE" with
+/// the percentage of the usual time and the microseconds since it was read.
+inline constexpr std::string_view kMeshSpeedField = "Pomelohall-Mesh-Speed";
+
+/// Prefix of all header fields between daemons, those of later versions
+/// included.
+inline constexpr std::string_view kMeshFieldPrefix = "Pomelohall-Mesh-";
 
 }  // namespace pomelohall
 
--- a/libs/sidecar/include/sidecar/sidecar_settings.h
+++ b/libs/sidecar/include/sidecar/sidecar_settings.h
@@ -2,6 +2,7 @@
 #define POMELOHALL_SIDECAR_SIDECAR_SETTINGS_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,23 @@
 
 namespace pomelohall {
 
+/// Bounds on roll-outs of a new version of a service.
+struct rollout_settings {
+  /// Share of the requests of a service that a bad version may get.
+  double expose_share = 0.1;
+  /// Requests that it may get in addition, over all daemons.
+  double expose_slack = 50;
+  /// Time after its 50th bad response in which it may still get requests.
+  duration rollback_time = std::chrono::seconds(5);
+};
+
+/// Bounds on the quotas of tenants.
+struct quota_settings {
+  duration window = std::chrono::seconds(5);
+  double over = 0.1;  ///< Share of the limit that may be exceeded.
+  double slack = 20;  ///< Requests that may exceed the limit in addition.
+};
+
 /// Settings of a sidecar; docs/SIDECAR_SETTINGS.md describes the file.
 struct sidecar_settings {
   std::string name;            ///< Unique among all daemons.
@@ -43,6 +61,8 @@
   duration retry_window = std::chrono::seconds(10);
   /// Retries allowed beyond the ratio in one window.
   double retry_allowance = 50;
+  std::optional<rollout_settings> rollouts;  ///< Nothing: no roll-outs.
+  std::optional<quota_settings> quotas;      ///< Nothing: no quotas.
 };
 
 /// Parses settings from JSON text. Fails with `kInvalidSettings`; the message
--- a/libs/sidecar/include/sidecar/watched_store.h
+++ b/libs/sidecar/include/sidecar/watched_store.h
@@ -17,11 +17,14 @@
 enum class store_collection {
   kConfiguration,  ///< A single object, written by operators.
   kMembers,        ///< One object per daemon, written by that daemon.
+  /// One object per service, written by operators. Daemons write its status.
+  kRollouts,
 };
 
-inline constexpr name_table<store_collection, 2> kStoreCollectionNames{{{
+inline constexpr name_table<store_collection, 3> kStoreCollectionNames{{{
     {store_collection::kConfiguration, "configuration"},
     {store_collection::kMembers, "members"},
+    {store_collection::kRollouts, "rollouts"},
 }}};
 
 /// Consistency of a read.
@@ -36,6 +39,11 @@
   /// Revision of the last change; not known if not stored.
   store_revision revision = {};
   std::string spec;  ///< JSON text.
+  /// JSON text of the status; empty if there is none. Not written by Create()
+  /// and Replace().
+  std::string status = {};
+  /// Revision at which the object was created; 0 if not known.
+  std::uint64_t created = 0;
 };
 
 /// All objects of a collection at one store revision.
@@ -87,6 +95,10 @@
   /// Replaces the spec if the revision of the object still matches.
   virtual void Replace(store_collection collection,
                        const watched_object& object, object_callback done) = 0;
+  /// Replaces the status if the revision of the object still matches.
+  virtual void ReplaceStatus(store_collection collection,
+                             const watched_object& object,
+                             object_callback done) = 0;
   /// Removes the object if its revision still matches.
   virtual void Remove(store_collection collection, const watched_object& object,
                       std::function<void(result<void>)> done) = 0;
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -64,6 +64,9 @@
     spec["server"] = {{"instance", member.server->instance},
                       {"service", member.server->service},
                       {"slots", member.server->slots}};
+    if (!member.server->version.empty()) {
+      spec["server"]["version"] = member.server->version;
+    }
   }
   for (const auto& departure : member.departed) {
     spec["departed"].push_back(
@@ -126,7 +129,15 @@
       *slots > kMaxServerSlots) {
     return malformed("instance, service or slots of the server is invalid");
   }
-  member.server = {.instance = *instance, .service = *service, .slots = *slots};
+  // Written only if the version is used.
+  const auto version = Text(*server, "version").value_or("");
+  if (version.size() > kMaxServerVersionBytes) {
+    return malformed("the version of the server is too long");
+  }
+  member.server = {.instance = *instance,
+                   .service = *service,
+                   .slots = *slots,
+                   .version = version};
   return member;
 }
 
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -12,6 +12,7 @@
 #include "crash_codec.h"
 #include "load_codec.h"
 #include "logging/log_event.h"
+#include "mesh_fields.h"
 
 namespace pomelohall {
 namespace {
@@ -139,6 +140,7 @@
   if (const auto text = TakeField(fields, kMeshMaxWaitField); !text.empty()) {
     local.max_wait = ParseMillis(text);
   }
+  RemoveMeshFields(fields);
   local.request = std::move(outgoing);
   const answer_times times{.target_at = local.target_at,
                            .deadline = local.deadline};
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -12,6 +12,7 @@
 #include "load_codec.h"
 #include "logging/log_event.h"
 #include "mesh/retry_hint.h"
+#include "mesh_fields.h"
 
 namespace pomelohall {
 namespace {
@@ -187,7 +188,7 @@
              .latency_target = route_->latency_target,
              .excluded = {}};
   RemoveHopByHopFields(head_.fields);
-  for (const auto name : kMeshFields) RemoveField(head_.fields, name);
+  RemoveMeshFields(head_.fields);
   SetField(head_.fields, router_.options_.fields.caller_service,
            router_.options_.caller_service);
   fingerprint_ = FingerprintOf(head_, *start, router_.options_.fields);
@@ -329,12 +330,9 @@
   RecordDelay(head);
   router_.versions_.OnPeerState(head.fields, offer_->member.address,
                                 offered_at_);
-  RemoveField(head.fields, kMeshVersionField);
-  RemoveField(head.fields, kMeshConfirmedField);
   TakeCrashes(head.fields, router_.crashes_, fingerprint_);
   auto failure = ErrorFromResponse(head);
-  RemoveField(head.fields, kMeshLoadField);
-  RemoveField(head.fields, kMeshHeldField);
+  RemoveMeshFields(head.fields);
   RemoveHopByHopFields(head.fields);
   if (!failure) {
     OnResponse(std::move(answer));
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -270,7 +270,9 @@
     RunAt(now + kReadinessLossTime, [this] { CloseListeners(); });
   }
 
-  announcement_outcome OnAnnounced(const server_announcement& announcement) {
+  announcement_outcome OnAnnounced(server_announcement announcement) {
+    // Records without roll-outs stay as they are in daemons of older versions.
+    if (!settings_.rollouts) announcement.version.clear();
     return dispatcher_.OnAnnounced(announcement, MonotonicNow());
   }
 
--- a/libs/sidecar/src/sidecar_settings.cc
+++ b/libs/sidecar/src/sidecar_settings.cc
@@ -76,6 +76,26 @@
         "window_ms": {"$ref": "#/definitions/millis"},
         "allowance": {"$ref": "#/definitions/ratio"}
       }
+    },
+    "rollouts": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["expose_share", "expose_slack", "rollback_ms"],
+      "properties": {
+        "expose_share": {"type": "number", "minimum": 0, "maximum": 1},
+        "expose_slack": {"$ref": "#/definitions/ratio"},
+        "rollback_ms": {"$ref": "#/definitions/millis"}
+      }
+    },
+    "quotas": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["window_ms", "over", "slack"],
+      "properties": {
+        "window_ms": {"$ref": "#/definitions/millis"},
+        "over": {"$ref": "#/definitions/ratio"},
+        "slack": {"$ref": "#/definitions/ratio"}
+      }
     }
   }
 })json";
@@ -126,6 +146,19 @@
       retries.value("allowance", settings.retry_allowance);
 }
 
+rollout_settings ReadRollouts(const json& object) {
+  rollout_settings rollouts{.expose_share = object.at("expose_share"),
+                            .expose_slack = object.at("expose_slack")};
+  ReadMillis(object, "rollback_ms", rollouts.rollback_time);
+  return rollouts;
+}
+
+quota_settings ReadQuotas(const json& object) {
+  quota_settings quotas{.over = object.at("over"), .slack = object.at("slack")};
+  ReadMillis(object, "window_ms", quotas.window);
+  return quotas;
+}
+
 }  // namespace
 
 result<sidecar_settings> ParseSidecarSettings(const std::string& text) {
@@ -146,6 +179,12 @@
   if (document->contains("retries")) {
     ReadRetries(document->at("retries"), settings);
   }
+  if (document->contains("rollouts")) {
+    settings.rollouts = ReadRollouts(document->at("rollouts"));
+  }
+  if (document->contains("quotas")) {
+    settings.quotas = ReadQuotas(document->at("quotas"));
+  }
   return settings;
 }
 
--- a/libs/sidecar/tests/fake_watched_store.h
+++ b/libs/sidecar/tests/fake_watched_store.h
@@ -47,10 +47,16 @@
 
   /// Writes an object on behalf of an operator or another daemon.
   void Put(store_collection collection, const std::string& name,
-           const std::string& spec) {
+           const std::string& spec, const std::string& status = "") {
     ++revision_.number;
-    objects_[collection][name] = {
-        .name = name, .revision = revision_, .spec = spec};
+    const auto created = objects_[collection].contains(name)
+                             ? objects_[collection][name].created
+                             : revision_.number;
+    objects_[collection][name] = {.name = name,
+                                  .revision = revision_,
+                                  .spec = spec,
+                                  .status = status,
+                                  .created = created};
     Record(collection, name, false);
   }
 
@@ -142,6 +148,16 @@
     Write(collection, object, !same, std::move(done));
   }
 
+  void ReplaceStatus(store_collection collection, const watched_object& object,
+                     object_callback done) override {
+    const auto found = objects_[collection].find(object.name);
+    const bool exists = found != objects_[collection].end();
+    const bool same = exists && found->second.revision == object.revision;
+    auto replaced = object;
+    if (exists) replaced.spec = found->second.spec;
+    Write(collection, replaced, !same, std::move(done));
+  }
+
   void Remove(store_collection, const watched_object&,
               std::function<void(result<void>)> done) override {
     boost::asio::post(io_, [done] { done({}); });
@@ -210,7 +226,7 @@
       AnswerError(std::move(done), error_kind::kConflict);
       return;
     }
-    Put(collection, object.name, object.spec);
+    Put(collection, object.name, object.spec, object.status);
     if (lose_answers) {
       boost::asio::post(io_, [done = std::move(done)] {
         done(Fail(error_kind::kPlatformUnavailable, "no answer"));
--- a/libs/sidecar/tests/sidecar_settings_test.cc
+++ b/libs/sidecar/tests/sidecar_settings_test.cc
@@ -18,7 +18,9 @@
                 "metrics": "10.0.0.1:5"},
   "store": {"address": "10.0.0.9:8627"},
   "stop_grace_ms": 6000,
-  "retries": {"ratio": 0.3, "window_ms": 5000, "allowance": 58}
+  "retries": {"ratio": 0.3, "window_ms": 5000, "allowance": 58},
+  "rollouts": {"expose_share": 0.2, "expose_slack": 40, "rollback_ms": 3000},
+  "quotas": {"window_ms": 4000, "over": 0.3, "slack": 10}
 })";
 
 std::string Replace(const std::string& from, const std::string& to) {
@@ -38,6 +40,14 @@
   CHECK(settings->retry_window == std::chrono::seconds(5));
   CHECK(settings->retry_allowance == Approx(58));
   CHECK(settings->metrics_address == "10.0.0.1:5");
+  REQUIRE(settings->rollouts);
+  CHECK(settings->rollouts->expose_share == Approx(0.2));
+  CHECK(settings->rollouts->expose_slack == Approx(40));
+  CHECK(settings->rollouts->rollback_time == std::chrono::seconds(3));
+  REQUIRE(settings->quotas);
+  CHECK(settings->quotas->window == std::chrono::seconds(4));
+  CHECK(settings->quotas->over == Approx(0.3));
+  CHECK(settings->quotas->slack == Approx(10));
 }
 
 // Guards against misspelt or malformed settings that are silently ignored.
