Authenticate requests of tenants at the entry daemon

A configuration may have tenants with API keys. Until now, keys reached backend servers and requests with unknown keys ran. The entry daemon now looks up the key, removes it, and sends the name and the priority of the tenant instead; a request without a known key gets 401, or 503 while the configuration may be outdated. Daemons keep digests of keys only, also in the differences that they exchange.

--- a/libs/mesh/include/mesh/config_difference.h
+++ b/libs/mesh/include/mesh/config_difference.h
@@ -21,6 +21,7 @@
   static constexpr std::size_t kBuckets = 64;
 
   std::array<std::uint64_t, kBuckets> buckets{};
+  std::uint64_t tenants = 0;  ///< Fingerprint of all tenants; 0 without any.
 
   bool operator==(const config_digest&) const = default;
 };
@@ -37,7 +38,9 @@
   request_limits limits;
   std::vector<std::size_t> buckets;  ///< Indices of the buckets that differ.
   std::vector<route_rule> routes;    ///< All routes of these buckets.
-  std::uint64_t checksum = 0;        ///< Checksum of the resulting digest.
+  /// All tenants; nothing if they do not differ.
+  std::optional<std::vector<tenant>> tenants = {};
+  std::uint64_t checksum = 0;  ///< Checksum of the resulting digest.
 };
 
 /// Returns the difference from a configuration with digest `other` to `config`.
--- a/libs/mesh/include/mesh/mesh_config.h
+++ b/libs/mesh/include/mesh/mesh_config.h
@@ -1,15 +1,14 @@
 #ifndef POMELOHALL_MESH_MESH_CONFIG_H_
 #define POMELOHALL_MESH_MESH_CONFIG_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/name_table.h"
 #include "base/time.h"
+#include "tenancy/tenant.h"
 
 namespace pomelohall {
 
@@ -73,23 +72,6 @@
 /// Returns whether a request can be within the limits.
 bool IsUsable(const request_limits& limits);
 
-/// SHA-256 of an API key. Keys themselves are not kept.
-using api_key_digest = std::array<std::uint8_t, 32>;
-
-/// An organization whose callers identify themselves by API keys.
-struct tenant {
-  std::string name;
-  std::vector<api_key_digest> key_digests;
-  /// Priority of its requests; that of the route if there is none.
-  std::optional<int> priority;
-  /// Requests per second over all daemons; 0 for no limit.
-  double rate_per_s = 0;
-  /// Requests in addition to the rate at once, over all daemons.
-  double burst = 0;
-
-  bool operator==(const tenant&) const = default;
-};
-
 /// One complete version of the configuration.
 struct mesh_config {
   std::uint64_t version = 0;
--- a/libs/mesh/include/mesh/route_table.h
+++ b/libs/mesh/include/mesh/route_table.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "mesh/mesh_config.h"
+#include "tenancy/tenant_directory.h"
 
 namespace pomelohall {
 
@@ -18,9 +19,12 @@
 class route_table {
  public:
   explicit route_table(mesh_config config);
+  route_table(const route_table&) = delete;
+  route_table& operator=(const route_table&) = delete;
 
   std::uint64_t Version() const { return config_.version; }
   const mesh_config& Config() const { return config_; }
+  const tenant_directory& Tenants() const { return tenants_; }
 
   /// Returns the route of `host` with the longest prefix of `target`, or null.
   /// @param host Value of the Host header; case and port are ignored.
@@ -37,6 +41,7 @@
   using prefix_map = std::map<std::string, std::size_t, std::less<>>;
 
   mesh_config config_;
+  tenant_directory tenants_{config_.tenants};
   std::unordered_map<std::string, prefix_map> by_host_;
   // By route and destination.
   std::vector<std::vector<double>> current_weights_;
--- a/libs/mesh/src/config_difference.cc
+++ b/libs/mesh/src/config_difference.cc
@@ -30,6 +30,23 @@
     Append(text, entry.service);
     Append(text, std::to_string(entry.weight));
   }
+  // Routes of configurations without tenants keep their fingerprints.
+  if (route.is_public) Append(text, "public");
+  return FastHash(text);
+}
+
+std::uint64_t Fingerprint(const std::vector<tenant>& tenants) {
+  if (tenants.empty()) return 0;
+  std::string text;
+  for (const auto& entry : tenants) {
+    Append(text, entry.name);
+    Append(text, std::to_string(entry.key_digests.size()));
+    for (const auto& digest : entry.key_digests)
+      Append(text, EncodeApiKeyDigest(digest));
+    Append(text, entry.priority ? std::to_string(*entry.priority) : "");
+    Append(text, std::to_string(entry.rate_per_s));
+    Append(text, std::to_string(entry.burst));
+  }
   return FastHash(text);
 }
 
@@ -41,12 +58,14 @@
   for (const auto& route : config.routes) {
     digest.buckets[BucketOf(route)] += Fingerprint(route);
   }
+  digest.tenants = Fingerprint(config.tenants);
   return digest;
 }
 
 std::uint64_t Checksum(const config_digest& digest) {
   std::string text;
   for (const auto bucket : digest.buckets) Append(text, std::to_string(bucket));
+  if (digest.tenants != 0) Append(text, std::to_string(digest.tenants));
   return FastHash(text);
 }
 
@@ -58,7 +77,9 @@
                                .limits = config.limits,
                                .buckets = {},
                                .routes = {},
+                               .tenants = {},
                                .checksum = Checksum(digest)};
+  if (digest.tenants != other.tenants) difference.tenants = config.tenants;
   std::array<bool, config_digest::kBuckets> differs{};
   for (std::size_t i = 0; i < config_digest::kBuckets; ++i) {
     differs[i] = digest.buckets[i] != other.buckets[i];
@@ -80,7 +101,8 @@
   mesh_config config{.version = difference.version,
                      .routes = difference.routes,
                      .services = difference.services,
-                     .limits = difference.limits};
+                     .limits = difference.limits,
+                     .tenants = difference.tenants.value_or(base.tenants)};
   for (const auto& route : base.routes) {
     if (!differs[BucketOf(route)]) config.routes.push_back(route);
   }
--- a/libs/sidecar/src/config_codec.cc
+++ b/libs/sidecar/src/config_codec.cc
@@ -8,26 +8,41 @@
 
 #include "backend/http_message.h"
 #include "base/json_text.h"
+#include "tenancy/tenant_directory.h"
 
 namespace pomelohall {
 namespace {
 
 using nlohmann::json;
 
+json ToJson(const tenant& entry) {
+  json digests = json::array();
+  for (const auto& digest : entry.key_digests)
+    digests.push_back(EncodeApiKeyDigest(digest));
+  json object{{"name", entry.name},
+              {"key_digests", std::move(digests)},
+              {"rate", entry.rate_per_s},
+              {"burst", entry.burst}};
+  if (entry.priority) object["priority"] = *entry.priority;
+  return object;
+}
+
 json ToJson(const route_rule& route) {
   json destinations = json::array();
   for (const auto& entry : route.destinations) {
     destinations.push_back({entry.service, entry.weight});
   }
-  return {{"name", route.name},
-          {"host", route.host},
-          {"prefix", route.path_prefix},
-          {"kind", kRequestKindNames.Name(route.kind)},
-          {"timeout_us", route.timeout.count()},
-          {"target_us", route.latency_target.count()},
-          {"priority", route.priority},
-          {"servers", route.max_servers},
-          {"to", std::move(destinations)}};
+  json object{{"name", route.name},
+              {"host", route.host},
+              {"prefix", route.path_prefix},
+              {"kind", kRequestKindNames.Name(route.kind)},
+              {"timeout_us", route.timeout.count()},
+              {"target_us", route.latency_target.count()},
+              {"priority", route.priority},
+              {"servers", route.max_servers},
+              {"to", std::move(destinations)}};
+  if (route.is_public) object["public"] = true;
+  return object;
 }
 
 // The following functions throw json::exception for a value of another type.
@@ -67,7 +82,8 @@
       .destinations = {},
       .max_servers = ParseInteger<std::uint32_t>(
           item.at("servers"), 0, std::numeric_limits<std::uint32_t>::max(),
-          valid)};
+          valid),
+      .is_public = item.value("public", false)};
   for (const auto& entry : item.at("to")) {
     route.destinations.push_back(
         {.service = entry.at(0), .weight = entry.at(1)});
@@ -76,6 +92,40 @@
   return route;
 }
 
+double ParseAmount(const json& value, bool& valid) {
+  const double number = value;
+  if (!(number >= 0 && number <= kMaxTenantRate)) valid = false;
+  return number;
+}
+
+tenant ParseTenant(const json& item, bool& valid) {
+  tenant entry{.name = item.at("name"),
+               .key_digests = {},
+               .priority = std::nullopt,
+               .rate_per_s = ParseAmount(item.at("rate"), valid),
+               .burst = ParseAmount(item.at("burst"), valid)};
+  for (const auto& text : item.at("key_digests")) {
+    const auto digest = DecodeApiKeyDigest(text.get<std::string>());
+    if (!digest) valid = false;
+    entry.key_digests.push_back(digest.value_or(api_key_digest{}));
+  }
+  if (item.contains("priority")) {
+    entry.priority =
+        ParseInteger<int>(item.at("priority"), 0, kMaxPriority, valid);
+  }
+  return entry;
+}
+
+std::optional<std::vector<tenant>> ParseTenants(const json& document,
+                                                bool& valid) {
+  const auto list = document.find("tenants");
+  if (list == document.end()) return std::nullopt;
+  std::vector<tenant> tenants;
+  for (const auto& item : *list) tenants.push_back(ParseTenant(item, valid));
+  if (FindTenantFault(tenants)) valid = false;
+  return tenants;
+}
+
 json ToJson(const request_limits& limits) {
   return {{"header_bytes", limits.max_header_bytes},
           {"body_bytes", limits.max_body_bytes},
@@ -100,13 +150,19 @@
 }  // namespace
 
 std::string EncodeDigest(const config_digest& digest) {
-  return json(digest.buckets).dump();
+  // Daemons of versions without tenants read a list only.
+  if (digest.tenants == 0) return json(digest.buckets).dump();
+  return json{{"buckets", digest.buckets}, {"tenants", digest.tenants}}.dump();
 }
 
 std::optional<config_digest> DecodeDigest(const std::string& text) {
   try {
-    return config_digest{
-        ParseJson(text).get<decltype(config_digest::buckets)>()};
+    const auto document = ParseJson(text);
+    using buckets = decltype(config_digest::buckets);
+    if (!document.is_object())
+      return config_digest{.buckets = document.get<buckets>()};
+    return config_digest{.buckets = document.at("buckets").get<buckets>(),
+                         .tenants = document.at("tenants")};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -116,11 +172,16 @@
   const auto& difference = message.difference;
   json routes = json::array();
   for (const auto& route : difference.routes) routes.push_back(ToJson(route));
-  const json document{
+  json document{
       {"revision", message.revision.number}, {"era", message.revision.era},
       {"version", difference.version},       {"services", difference.services},
       {"limits", ToJson(difference.limits)}, {"buckets", difference.buckets},
       {"routes", std::move(routes)},         {"checksum", difference.checksum}};
+  if (difference.tenants) {
+    auto& tenants = document["tenants"] = json::array();
+    for (const auto& entry : *difference.tenants)
+      tenants.push_back(ToJson(entry));
+  }
   return document.dump();
 }
 
@@ -137,6 +198,7 @@
                        .limits = ParseLimits(document.at("limits"), valid),
                        .buckets = document.at("buckets"),
                        .routes = {},
+                       .tenants = ParseTenants(document, valid),
                        .checksum = document.at("checksum")}};
     for (const auto& item : document.at("routes")) {
       message.difference.routes.push_back(ParseRoute(item, valid));
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "backend/buffered_body.h"
+#include "base/ascii_text.h"
 #include "caller/error_response.h"
 #include "caller/prefixed_body.h"
 #include "caller/time_limited_body.h"
@@ -18,6 +21,7 @@
 namespace {
 
 constexpr int kGatewayTimeout = 504;
+constexpr std::string_view kAuthorizationField = "Authorization";
 // Time for one more look for received bytes before a request times out.
 constexpr duration kLastReadTime = std::chrono::milliseconds(2);
 
@@ -70,6 +74,7 @@
     FailWithoutRoute();
     return false;
   }
+  if (!Authenticate()) return false;
   const auto limit = table_->Config().limits.max_body_bytes;
   if (head_.framing == body_framing::kLength && head_.length > limit) {
     Fail({error_kind::kBodyTooLarge, "the body is above the configured limit"});
@@ -79,6 +84,48 @@
   return true;
 }
 
+// The key ends here: the backend server gets the name of its tenant instead,
+// and no field of that name that the caller has set.
+bool routed_request::Authenticate() {
+  const auto& tenants = table_->Tenants();
+  priority_ = route_->priority;
+  if (tenants.IsEmpty()) return true;
+  std::vector<std::string_view> authorization;
+  for (const auto& field : head_.fields) {
+    if (EqualsIgnoringCase(field.name, kAuthorizationField))
+      authorization.push_back(field.value);
+  }
+  const auto found = tenants.Authenticate(authorization, route_->is_public);
+  RemoveField(head_.fields, kAuthorizationField);
+  RemoveField(head_.fields, router_.options_.fields.tenant);
+  if (found.result == authentication_result::kDenied) {
+    FailWithoutKey();
+    return false;
+  }
+  tenant_ = found.holder;
+  if (tenant_ == nullptr) return true;
+  priority_ = tenant_->priority.value_or(route_->priority);
+  return true;
+}
+
+// Callers do not repeat a request that got 401 either.
+void routed_request::FailWithoutKey() {
+  const auto currency = router_.versions_.Currency();
+  log_event(log_level::kInfo, "key_unknown")
+      .With("request", attempt_id_)
+      .With("route", route_->name)
+      .With("version", table_->Version())
+      .With("config_age_ms", FormatMillis(currency.age))
+      .With("newest_version", currency.newest_version);
+  if (currency.may_be_outdated) {
+    Fail({error_kind::kConfigUnknown,
+          "the latest configuration may have a tenant with the key"});
+  } else {
+    Fail({error_kind::kUnauthenticated,
+          "the route needs the API key of a tenant"});
+  }
+}
+
 // Callers do not repeat a request that got 404, so it is answered only by a
 // daemon that knows its configuration to be the latest.
 void routed_request::FailWithoutRoute() {
@@ -191,6 +238,10 @@
   RemoveMeshFields(head_.fields);
   SetField(head_.fields, router_.options_.fields.caller_service,
            router_.options_.caller_service);
+  // After the fields that the caller lists as those of its connection are gone.
+  if (tenant_ != nullptr) {
+    SetField(head_.fields, router_.options_.fields.tenant, tenant_->name);
+  }
   fingerprint_ = FingerprintOf(head_, *start, router_.options_.fields);
   if (router_.crashes_.IsCulprit(fingerprint_)) {
     Fail(CulpritError());
@@ -225,7 +276,7 @@
 
 offer_planner& routed_request::Planner() const {
   const request_router::offer_kind kind{.service = service_,
-                                        .priority = route_->priority,
+                                        .priority = priority_,
                                         .is_late = target_at_ <= received_at_};
   return router_.offer_planners_
       .try_emplace(kind, offer_planner(offer_planner_options{}))
@@ -274,7 +325,7 @@
        .fingerprint = fingerprint_,
        .work_class = route_->name,
        .kind = route_->kind,
-       .priority = route_->priority,
+       .priority = priority_,
        .target_at = target_at_,
        .deadline = deadline_,
        .max_wait = MaxWait()},
@@ -298,7 +349,7 @@
   SetField(fields, kMeshClassField, route_->name);
   SetField(fields, kMeshKindField,
            std::string(kRequestKindNames.Name(route_->kind)));
-  SetField(fields, kMeshPriorityField, std::to_string(route_->priority));
+  SetField(fields, kMeshPriorityField, std::to_string(priority_));
   SetField(fields, kMeshTargetField, FormatMillis(target_at_ - now));
   if (IsShortWait())
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
@@ -679,8 +730,8 @@
       .With("reason", reason)
       .With("ms", FormatMillis(elapsed))
       .With("service", service_)
-      .With("priority",
-            static_cast<std::int64_t>(route_ ? route_->priority : 0))
+      .With("priority", static_cast<std::int64_t>(priority_))
+      .With("tenant", tenant_ == nullptr ? "" : tenant_->name)
       .With("left_ms", FormatMillis(initial_time_left_))
       .With("version", table_ ? table_->Version() : 0);
 }
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -34,6 +34,9 @@
  private:
   // Preparation before the first offer.
   bool SelectRoute();
+  // Checks the API key and sets the tenant. Returns false after a refusal.
+  bool Authenticate();
+  void FailWithoutKey();
   void ReadBody();
   void OnBody(result<body_prefix> start);
   void FailWithoutRoute();
@@ -79,6 +82,8 @@
   request_head head_;
   std::string attempt_id_;
   const route_rule* route_ = nullptr;
+  const tenant* tenant_ = nullptr;  // Null if it has none.
+  int priority_ = 0;                // That of the tenant before the route's.
   std::string service_;
   instant received_at_;
   instant target_at_;
