Run roll-outs of a new version over all daemons

An operator's roll-out object was not read at all: the servers of the new version got their full share at once. Daemons now limit the share of the new version, compare the versions by route, take a bad one back and switch the traffic to a good one shortly before the time limit.

--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "quarantine/crash_history.h"
+#include "rollout/rollout_record.h"
 
 namespace pomelohall {
 
@@ -65,6 +66,9 @@
   std::vector<crash_report> crashes = {};
   /// Fingerprints of suspects that have completed at this daemon.
   std::vector<std::uint64_t> cleared = {};
+  /// Roll-out whose target version its backend server has. Tells whoever learns
+  /// of the server that it may get a share of the requests only.
+  std::optional<rollout_record> rollout = {};
 
   bool operator==(const mesh_member&) const = default;
 
--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -15,6 +15,7 @@
 #include "mesh/mesh_config.h"
 #include "mesh/mesh_member.h"
 #include "mesh/work_queue.h"
+#include "rollout/rollout_registry.h"
 
 namespace pomelohall {
 
@@ -76,6 +77,9 @@
   request_kind kind = request_kind::kSafe;
   duration latency_target{0};
   std::set<std::string> excluded;  ///< Members that were already tried.
+  version_choice versions = {};    ///< Versions of servers that may run it.
+  /// Selects the server of a canary request; see version_choice::is_canary.
+  std::uint64_t canary_turn = 0;
 };
 
 /// Directory of the daemons and their backend servers that selects a server for
@@ -127,6 +131,14 @@
   /// choose the same one. Suspended members are left out.
   std::optional<mesh_member> FastestMember(instant now) const;
 
+  /// Returns the member with the fastest link of all, as FastestMember().
+  std::optional<mesh_member> FastestMemberOfAll(instant now) const;
+
+  std::vector<mesh_member> Members() const;
+  /// Returns the number of known servers of a service and of some versions.
+  std::size_t CountServers(const std::string& service,
+                           const version_choice& versions) const;
+
   /// Returns whether the member currently receives no requests because it was
   /// unreachable or not serving.
   bool IsSuspended(const std::string& name, instant now) const;
@@ -178,6 +190,12 @@
   // none did.
   duration TypicalTime(const std::vector<const member_state*>& members,
                        instant now) const;
+  // Returns one of the few servers that try out a version, all daemons the same
+  // one.
+  static std::vector<const member_state*> CanaryServer(
+      std::vector<const member_state*> members, std::uint64_t turn);
+  template <typename Filter>
+  std::optional<mesh_member> FastestMember(instant now, Filter filter) const;
   member_state* Find(const std::string& name);
   void Suspend(member_state& state, instant now) const;
 
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -75,14 +75,13 @@
   return found == members_.end() ? nullptr : &found->second;
 }
 
-std::optional<mesh_member> server_directory::FastestMember(instant now) const {
+template <typename Filter>
+std::optional<mesh_member> server_directory::FastestMember(
+    instant now, Filter filter) const {
   const mesh_member* fastest = nullptr;
   for (const auto& [name, state] : members_) {
     const auto& member = state.member;
-    if (member.data_centre != options_.data_centre ||
-        now < state.suspended_until) {
-      continue;
-    }
+    if (!filter(member) || now < state.suspended_until) continue;
     if (fastest == nullptr || member.link_mbps > fastest->link_mbps ||
         (member.link_mbps == fastest->link_mbps &&
          FastHash(name) < FastHash(fastest->name))) {
@@ -93,6 +92,45 @@
   return *fastest;
 }
 
+std::optional<mesh_member> server_directory::FastestMember(instant now) const {
+  return FastestMember(now, [this](const mesh_member& member) {
+    return member.data_centre == options_.data_centre;
+  });
+}
+
+std::optional<mesh_member> server_directory::FastestMemberOfAll(
+    instant now) const {
+  return FastestMember(now, [](const mesh_member&) { return true; });
+}
+
+std::vector<mesh_member> server_directory::Members() const {
+  std::vector<mesh_member> members;
+  for (const auto& [name, state] : members_) members.push_back(state.member);
+  return members;
+}
+
+std::size_t server_directory::CountServers(
+    const std::string& service, const version_choice& versions) const {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(), [&](const auto& entry) {
+        const auto& server = entry.second.member.server;
+        return server && server->service == service &&
+               versions.Allows(server->version);
+      }));
+}
+
+std::vector<const server_directory::member_state*>
+server_directory::CanaryServer(std::vector<const member_state*> members,
+                               std::uint64_t turn) {
+  constexpr std::size_t kCanaryServers = 3;
+  if (members.empty()) return members;
+  std::sort(members.begin(), members.end(), [](const auto* a, const auto* b) {
+    return FastHash(a->member.server->instance) <
+           FastHash(b->member.server->instance);
+  });
+  return {members[turn % std::min(members.size(), kCanaryServers)]};
+}
+
 duration server_directory::TypicalTime(
     const std::vector<const member_state*>& members, instant now) const {
   struct {
@@ -192,10 +230,13 @@
   for (const auto& [name, state] : members_) {
     const auto& server = state.member.server;
     if (server && server->service == demand.service &&
+        demand.versions.Allows(server->version) &&
         !demand.excluded.contains(name) && now >= state.suspended_until) {
       eligible.push_back(&state);
     }
   }
+  if (demand.versions.is_canary)
+    return CanaryServer(std::move(eligible), demand.canary_turn);
   return eligible;
 }
 
--- a/libs/sidecar/include/sidecar/sidecar.h
+++ b/libs/sidecar/include/sidecar/sidecar.h
@@ -10,6 +10,7 @@
 #include "mesh/local_server.h"
 #include "mesh/mesh_config.h"
 #include "sidecar/header_field_names.h"
+#include "sidecar/rollout_format.h"
 #include "sidecar/sidecar_settings.h"
 #include "sidecar/watched_store.h"
 
@@ -24,6 +25,8 @@
   std::function<result<mesh_config>(const std::string& spec)> decode_config;
   /// Name of the object that holds the configuration.
   std::string config_name;
+  /// Format of roll-outs; null if the store has none. Must outlive the sidecar.
+  const rollout_format* rollouts = nullptr;
 };
 
 /// Daemon that runs beside a backend server. Routes the requests of callers on
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -82,6 +82,12 @@
                  "the backend server is " + offer->instance + " now",
                  run_state::kNotRun);
   }
+  if (may_run_ && !may_run_(*offer)) {
+    return error(
+        error_kind::kDraining,
+        "the roll-out of the service does not use version " + offer->version,
+        run_state::kNotRun);
+  }
   if (crashes_.IsCulprit(request.fingerprint)) {
     return CulpritError();
   }
@@ -191,6 +197,10 @@
   ChangeServer([&] { server_.OnDeparturesKnown(); });
 }
 
+void local_dispatcher::RefuseWaiting(const std::string& reason) {
+  Refuse(queue_.TakeAll(), error_kind::kDraining, reason);
+}
+
 void local_dispatcher::OnUnreachable(const std::string& instance) {
   const auto previous = server_.Phase();
   ChangeServer([&] { server_.OnUnreachable(instance, MonotonicNow()); });
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -124,6 +124,21 @@
   void SetServerObserver(std::function<void()> observer) {
     on_server_changed_ = std::move(observer);
   }
+  // Sets a function that returns whether requests may run on the backend
+  // server now; requests are refused otherwise.
+  void SetPermission(std::function<bool(const offered_server&)> may_run) {
+    may_run_ = std::move(may_run);
+  }
+  // Sets a function that gets the route, the failure and the run time of each
+  // response of the backend server; no run time if it is not complete.
+  using response_observer =
+      std::function<void(const std::string&, bool, std::optional<duration>)>;
+  void SetResponseObserver(response_observer observer) {
+    on_response_ = std::move(observer);
+  }
+  // Refuses the requests that wait for a slot.
+  void RefuseWaiting(const std::string& reason);
+
   std::optional<offered_server> OfferedServer() const;
   work_load Load() const;
   bool IsIdle() const { return exchanges_.empty(); }
@@ -164,6 +179,8 @@
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<local_exchange>> exchanges_;
   std::function<void()> on_server_changed_;
+  std::function<bool(const offered_server&)> may_run_;
+  response_observer on_response_;
   crash_history& crashes_;
   in_flight_tracker in_flight_;
   // A possible crash that is being checked.
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -100,8 +100,15 @@
       .With("link_wait_us", static_cast<std::int64_t>(load.link_wait.count()));
 }
 
+void local_exchange::CountResponse(bool failed,
+                                   std::optional<duration> run_time) const {
+  if (dispatcher_ == nullptr || !dispatcher_->on_response_) return;
+  dispatcher_->on_response_(request_.work_class, failed, run_time);
+}
+
 void local_exchange::OnFailure(const error& failure) {
   Log("server_failed", failure);
+  CountResponse(true, std::nullopt);
   auto* const dispatcher = dispatcher_;
   const auto instance = request_.instance;
   const bool not_run = failure.ran == run_state::kNotRun;
@@ -170,6 +177,7 @@
       run_state::kNotRun);
   Log("server_refused", failure);
   if (answer.body) DiscardBody(answer.body, nullptr);
+  if (status != kMisdirectedRequest) CountResponse(true, std::nullopt);
   End(std::nullopt);
   if (status == kMisdirectedRequest) dispatcher->OnUnreachable(instance);
   NotifyAnswer(tl::unexpected(failure));
@@ -181,7 +189,10 @@
   if (success && answer.head.length) {
     dispatcher_->link_.OnResponseSize(request_.work_class, *answer.head.length);
   }
+  constexpr int kFirstServerError = 500;
+  failed_ = answer.head.status >= kFirstServerError;
   if (!answer.body) {
+    CountResponse(failed_, run_time);
     dispatcher_->crashes_.OnCompleted(request_.fingerprint);
     End(run_time);
     NotifyAnswer(std::move(answer));
@@ -208,12 +219,14 @@
   if (part) body_bytes_ += part->bytes.size();
   if (dispatcher_ != nullptr && !part) {
     dispatcher_->OnConnectionLost(request_.fingerprint, nullptr);
+    CountResponse(true, std::nullopt);
     End(std::nullopt);
   } else if (dispatcher_ != nullptr && part->last) {
     dispatcher_->crashes_.OnCompleted(request_.fingerprint);
     if (counts_bytes_) {
       dispatcher_->link_.OnResponseSize(request_.work_class, body_bytes_);
     }
+    CountResponse(failed_, MonotonicNow() - sent_at_);
     End(MonotonicNow() - sent_at_);
   }
   forward(std::move(part));
@@ -243,6 +256,7 @@
   Log("server_failed", failure);
   sent_->Cancel();
   dispatcher_->in_flight_.Cancel(id_, now);
+  CountResponse(true, std::nullopt);
   End(std::nullopt);
   NotifyAnswer(tl::unexpected(failure));
 }
@@ -266,6 +280,8 @@
     return;
   }
   if (sent_) {
+    // The sender gives up at the deadline; earlier, its caller has left.
+    if (MonotonicNow() >= request_.deadline) CountResponse(true, std::nullopt);
     sent_->Cancel();
     dispatcher_->in_flight_.Cancel(id_, MonotonicNow());
   }
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -49,6 +49,8 @@
   void ForwardAnswer(incoming_response answer);
   void OnBodyPart(result<body_part> part, const body_source::callback& forward);
   void Discard(std::shared_ptr<body_source> body);
+  // Reports a response, or the lack of one, to the observer of the dispatcher.
+  void CountResponse(bool failed, std::optional<duration> run_time) const;
   void End(std::optional<duration> run_time);
   void NotifyAnswer(result<incoming_response> answer);
 
@@ -60,6 +62,7 @@
   std::shared_ptr<body_source> answer_body_;
   const instant received_at_;
   instant sent_at_;
+  bool failed_ = false;        // The status is one of a server's failure.
   bool counts_bytes_ = false;  // The header has no length.
   std::uint64_t body_bytes_ = 0;
   bool abandoned_ = false;  // Nobody waits for the answer any more.
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -8,6 +8,7 @@
 #include "backend/http_message.h"
 #include "base/json_text.h"
 #include "crash_codec.h"
+#include "rollout_codec.h"
 
 namespace pomelohall {
 
@@ -75,6 +76,7 @@
   }
   if (!member.crashes.empty()) spec["crashes"] = EncodeReports(member.crashes);
   if (!member.cleared.empty()) spec["cleared"] = EncodeRequests(member.cleared);
+  if (member.rollout) spec["rollout"] = ToJson(*member.rollout);
   return spec.dump();
 }
 
@@ -118,6 +120,10 @@
     if (!cleared) return malformed("a cleared request is malformed");
     member.cleared = std::move(*cleared);
   }
+  if (const auto order = document.find("rollout"); order != document.end()) {
+    member.rollout = ParseRollout(*order);
+    if (!member.rollout) return malformed("the roll-out is malformed");
+  }
   const auto server = document.find("server");
   if (server == document.end()) return member;
   if (!server->is_object()) return malformed("the server is not an object");
--- a/libs/sidecar/src/member_observer.cc
+++ b/libs/sidecar/src/member_observer.cc
@@ -6,6 +6,7 @@
 
 #include "logging/log_event.h"
 #include "member_codec.h"
+#include "rollout_coordinator.h"
 
 namespace pomelohall {
 
@@ -13,12 +14,14 @@
                                  server_directory& directory,
                                  retry_budget& budget,
                                  member_publisher& publisher,
-                                 crash_history& crashes)
+                                 crash_history& crashes,
+                                 rollout_coordinator* rollouts)
     : own_name_(std::move(own_name)),
       directory_(directory),
       budget_(budget),
       publisher_(publisher),
-      crashes_(crashes) {}
+      crashes_(crashes),
+      rollouts_(rollouts) {}
 
 void member_observer::OnListed(const object_listing& listing) {
   std::set<std::string> names{own_name_};
@@ -96,6 +99,8 @@
       .With("revision", object.revision.number)
       .With("service", member->server ? member->server->service : "")
       .With("instance", member->server ? member->server->instance : "");
+  if (rollouts_ != nullptr && member->rollout)
+    rollouts_->OnMemberRecord(*member->rollout);
   directory_.Put(*member, MonotonicNow());
   crashes_.OnReported(member->name, member->crashes, member->cleared,
                       UnixMillisNow());
--- a/libs/sidecar/src/member_observer.h
+++ b/libs/sidecar/src/member_observer.h
@@ -9,6 +9,8 @@
 
 namespace pomelohall {
 
+class rollout_coordinator;
+
 // Applies the member records of the store to the server directory and the retry
 // budget.
 class member_observer final : public collection_observer {
@@ -16,7 +18,7 @@
   // All references must outlive the observer.
   member_observer(std::string own_name, server_directory& directory,
                   retry_budget& budget, member_publisher& publisher,
-                  crash_history& crashes);
+                  crash_history& crashes, rollout_coordinator* rollouts);
 
   void OnListed(const object_listing& listing) override;
   void OnRestored(const object_listing& listing) override;
@@ -36,6 +38,7 @@
   retry_budget& budget_;
   member_publisher& publisher_;
   crash_history& crashes_;
+  rollout_coordinator* const rollouts_;  // Null without roll-outs.
   // Revision at which the last restoration of the store was noticed. Records up
   // to it may come from the copy.
   store_revision restored_at_;
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -13,6 +13,7 @@
 #include "load_codec.h"
 #include "logging/log_event.h"
 #include "mesh_fields.h"
+#include "rollout_coordinator.h"
 
 namespace pomelohall {
 namespace {
@@ -54,6 +55,11 @@
     OnPeerStopping(*request);
     return;
   }
+  if (rollouts_ != nullptr &&
+      FindField(request->Head().fields, kMeshRolloutNoticeField) != nullptr) {
+    rollouts_->OnNotice(*request);
+    return;
+  }
   outgoing_request outgoing;
   outgoing.head = request->Head();
   RemoveHopByHopFields(outgoing.head.fields);
@@ -118,6 +124,7 @@
   // Requests are sent without delay, unlike answers.
   const auto sender = TakeField(fields, kMeshSenderField);
   config_sync_.OnPeerState(fields, sender, now);
+  if (rollouts_ != nullptr) rollouts_->OnPeerState(fields);
   RemoveField(fields, kMeshVersionField);
   RemoveField(fields, kMeshConfirmedField);
   local_request local;
@@ -218,6 +225,10 @@
   SetField(fields, kMeshHeldField,
            EncodeHeldTime(MonotonicNow() - request->ReceivedAt()));
   config_sync_.AddState(fields);
+  if (rollouts_ != nullptr) {
+    rollouts_->AddState(fields);
+    rollouts_->AddReport(fields);
+  }
   sender_.Send(request, std::move(answer), times);
 }
 
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -16,6 +16,8 @@
 
 namespace pomelohall {
 
+class rollout_coordinator;
+
 // Handles requests of other daemons for the backend server of this VM.
 class mesh_endpoint final : public call_handler {
  public:
@@ -24,6 +26,9 @@
                 peer_config_sync& config_sync, crash_history& crashes,
                 header_field_names fields);
 
+  // Sets the coordinator of roll-outs, which must outlive the endpoint.
+  void SetRollouts(rollout_coordinator* rollouts) { rollouts_ = rollouts; }
+
   void OnRequest(std::shared_ptr<incoming_request> request) override;
 
  private:
@@ -52,6 +57,7 @@
   crash_history& crashes_;
   const header_field_names fields_;
   stop_notices stop_notices_;
+  rollout_coordinator* rollouts_ = nullptr;  // Null without roll-outs.
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -29,6 +29,7 @@
 
 namespace pomelohall {
 
+class rollout_coordinator;
 class routed_request;
 
 struct request_router_options {
@@ -74,6 +75,8 @@
 
   void SetTable(std::shared_ptr<route_table> table);
   const std::shared_ptr<route_table>& Table() const { return table_; }
+  // Sets the coordinator of roll-outs, which must outlive the router.
+  void SetRollouts(rollout_coordinator* rollouts) { rollouts_ = rollouts; }
   void SetCallerService(std::string service) {
     options_.caller_service = std::move(service);
   }
@@ -126,6 +129,7 @@
   crash_history& crashes_;
   sidecar_metrics& metrics_;
   random_source random_;
+  rollout_coordinator* rollouts_ = nullptr;  // Null without roll-outs.
   std::shared_ptr<route_table> table_;
   std::map<std::string, deadline_history> deadline_histories_;  // By route.
   std::map<offer_kind, offer_planner> offer_planners_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -16,6 +16,7 @@
 #include "logging/log_event.h"
 #include "mesh/retry_hint.h"
 #include "mesh_fields.h"
+#include "rollout_coordinator.h"
 
 namespace pomelohall {
 namespace {
@@ -248,9 +249,33 @@
     return;
   }
   plan_ = Planner().Plan(MonotonicNow());
+  if (router_.rollouts_ != nullptr) {
+    demand_.versions = router_.rollouts_->Choose(service_);
+    demand_.canary_turn = router_.rollouts_->CanaryTurn(service_);
+  }
   OfferNext();
 }
 
+// The first offer may try out the target version of a roll-out; a request that
+// it did not run is not one of the requests that try it out.
+void routed_request::LeaveCanary() {
+  if (router_.rollouts_ == nullptr) return;
+  if (demand_.versions.is_canary) router_.rollouts_->OnNotSent(service_);
+  demand_.versions = router_.rollouts_->ChooseAgain(service_);
+}
+
+void routed_request::OnReachedServer() {
+  if (router_.rollouts_ == nullptr) return;
+  router_.rollouts_->OnReached(service_, offer_->member.server->version);
+  demand_.versions.is_canary = false;
+}
+
+void routed_request::ReleaseServer() {
+  if (!counted_version_) return;
+  router_.rollouts_->OnEnded(service_, *counted_version_);
+  counted_version_.reset();
+}
+
 bool routed_request::MayOffer() const {
   return offers_ < router_.options_.max_offers &&
          busy_refusals_ < plan_.Total() && sends_ < route_->max_servers &&
@@ -261,7 +286,14 @@
 void routed_request::OfferNext() {
   const auto now = MonotonicNow();
   std::optional<server_choice> choice;
-  if (MayOffer()) choice = router_.directory_.Choose(demand_, now);
+  if (MayOffer()) {
+    if (offers_ > 0) LeaveCanary();
+    choice = router_.directory_.Choose(demand_, now);
+    if (!choice && demand_.versions.is_canary) {
+      LeaveCanary();
+      choice = router_.directory_.Choose(demand_, now);
+    }
+  }
   if (choice) {
     Offer(*choice);
     return;
@@ -299,6 +331,10 @@
   offered_at_ = MonotonicNow();
   demand_.excluded.insert(choice.member.name);
   router_.directory_.OnSent(choice.member.name, offered_at_);
+  if (router_.rollouts_ != nullptr) {
+    counted_version_ = choice.member.server->version;
+    router_.rollouts_->OnOffered(service_, *counted_version_);
+  }
   if (choice.member.name == router_.options_.member) {
     OfferToLocalServer(choice);
   } else {
@@ -355,6 +391,7 @@
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
   SetCrashes(fields, router_.crashes_, fingerprint_);
   router_.versions_.AddState(fields);
+  if (router_.rollouts_ != nullptr) router_.rollouts_->AddState(fields);
   SetField(fields, kMeshSenderField, router_.versions_.LocalAddress());
   sent_ = router_.peers_.Start(
       choice.member.address, std::move(request),
@@ -381,6 +418,10 @@
   RecordDelay(head);
   router_.versions_.OnPeerState(head.fields, offer_->member.address,
                                 offered_at_);
+  if (router_.rollouts_ != nullptr) {
+    router_.rollouts_->OnPeerState(head.fields);
+    router_.rollouts_->OnPeerReport(head.fields, service_);
+  }
   TakeCrashes(head.fields, router_.crashes_, fingerprint_);
   auto failure = ErrorFromResponse(head);
   RemoveMeshFields(head.fields);
@@ -415,6 +456,7 @@
   if (finished_) return;
   if (answer) {
     ++sends_;
+    OnReachedServer();
     Planner().OnOffer(IsShortWait(), false, MonotonicNow());
     ReadAnswer(std::move(*answer));
   } else if (answer.error().ran == run_state::kNotRun) {
@@ -443,6 +485,7 @@
   switch (failure.kind) {
     case error_kind::kBackendFailed:  // Refused by the backend server.
       ++sends_;
+      OnReachedServer();
       // The caller is told that the request did not run.
       last_failure_ =
           error(error_kind::kOverloaded, failure.message, run_state::kNotRun);
@@ -467,7 +510,9 @@
       return;
     case error_kind::kDraining:
     case error_kind::kNoBackendServer:
-      router_.directory_.OnNotServing(offer_->member.name, MonotonicNow());
+      // A server that only the roll-out leaves out may be used again soon.
+      if (AllowsVersionOf(*offer_))
+        router_.directory_.OnNotServing(offer_->member.name, MonotonicNow());
       EndOffer(send_outcome::kRefused);
       break;
     default:
@@ -479,6 +524,7 @@
 
 void routed_request::OnUnknownOutcome(const error& failure) {
   ++sends_;
+  OnReachedServer();
   may_have_run_ = true;
   const auto reported = failure.kind == error_kind::kDeadlineExceeded
                             ? error_kind::kDeadlineExceeded
@@ -513,10 +559,18 @@
         .With("candidates", static_cast<std::uint64_t>(offer_->candidates))
         .With("version", table_->Version());
   }
+  // A large answer still arrives from the server while it is forwarded.
+  if (!delivering_ || answer_is_complete_) ReleaseServer();
   offer_.reset();
   sent_ = nullptr;
 }
 
+bool routed_request::AllowsVersionOf(const server_choice& choice) const {
+  return router_.rollouts_ == nullptr ||
+         router_.rollouts_->ChooseAgain(service_).Allows(
+             choice.member.server->version);
+}
+
 void routed_request::ReadAnswer(incoming_response answer) {
   answer_ = std::move(answer);
   answer_is_complete_ = !answer_->body;
@@ -719,6 +773,7 @@
 void routed_request::Finish(int status, const std::string& reason) {
   finished_ = true;
   timer_.cancel();
+  ReleaseServer();
   if (std::exchange(buffers_at_stop_, false)) router_.ReleaseStopBuffer();
   router_.in_progress_.erase(weak_from_this());
   const auto elapsed = MonotonicNow() - received_at_;
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -44,6 +44,13 @@
   void StartTimer();
   void StartTimer(instant at);
 
+  // Versions of servers during a roll-out.
+  void LeaveCanary();
+  void OnReachedServer();
+  bool AllowsVersionOf(const server_choice& choice) const;
+  // Ends the count of the request at the server of its last offer.
+  void ReleaseServer();
+
   // Offers to backend servers.
   void OfferNext();
   bool MayOffer() const;
@@ -102,6 +109,8 @@
   instant offered_at_;
   std::shared_ptr<exchange> sent_;
   offer_plan plan_;
+  // Version of the server that the request is counted at.
+  std::optional<std::string> counted_version_;
   std::size_t offers_ = 0;
   std::size_t busy_refusals_ = 0;  // Offers refused for lack of capacity.
   std::uint32_t sends_ = 0;        // Offers that reached a backend server.
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -23,6 +23,7 @@
 #include "mesh_endpoint.h"
 #include "peer_config_sync.h"
 #include "request_router.h"
+#include "rollout_coordinator.h"
 #include "sidecar_metrics.h"
 
 namespace pomelohall {
@@ -193,8 +194,9 @@
                  [this](const std::string& spec) { OnEarlierRecord(spec); },
              .on_first_write = [this] { dispatcher_.OnDeparturesKnown(); }},
             RandomSeed()),
+        rollouts_(MakeRollouts(io, platform)),
         member_observer_(settings_.name, directory_, budget_, publisher_,
-                         crashes_),
+                         crashes_, rollouts_.get()),
         member_watch_(io, *platform.store, member_observer_,
                       {.collection = store_collection::kMembers,
                        // A stale record costs only a refused offer.
@@ -206,6 +208,17 @@
         stop_timer_(io) {
     dispatcher_.SetServerObserver([this] { OnServerChanged(); });
     crashes_.SetObserver([this] { crashes_changed_ = true; });
+    if (!rollouts_) return;
+    router_.SetRollouts(rollouts_.get());
+    mesh_endpoint_.SetRollouts(rollouts_.get());
+    dispatcher_.SetPermission([this](const offered_server& server) {
+      return rollouts_->MayRun(server);
+    });
+    dispatcher_.SetResponseObserver([this](const std::string& route,
+                                           bool failed,
+                                           std::optional<duration> run_time) {
+      rollouts_->OnOwnResponse(route, failed, run_time);
+    });
   }
 
   result<void> Start() {
@@ -301,6 +314,36 @@
   // the load.
   static constexpr std::size_t kMaxPeerConnections = 200;
 
+  std::unique_ptr<rollout_coordinator> MakeRollouts(
+      boost::asio::io_context& io, const sidecar_platform& platform) {
+    if (!settings_.rollouts || platform.rollouts == nullptr) return nullptr;
+    return std::make_unique<rollout_coordinator>(
+        io, *platform.store, *platform.rollouts, peers_, directory_, metrics_,
+        rollout_coordinator_options{
+            .bounds = *settings_.rollouts,
+            .member = settings_.name,
+            .attempt_id_field = platform.fields.attempt_id,
+            .is_designated_reader =
+                [this] { return IsDesignatedConfigReader(); },
+            .on_own_server_changed = [this] { OnRolloutChanged(); }},
+        RandomSeed());
+  }
+
+  void OnRolloutChanged() {
+    const auto server = dispatcher_.OfferedServer();
+    if (server && !rollouts_->MayRun(*server))
+      dispatcher_.RefuseWaiting("the roll-out leaves the version out");
+    OnServerChanged();
+  }
+
+  // Returns the server unless an order that concerns it may be unknown.
+  std::optional<offered_server> Cleared(
+      std::optional<offered_server> server) const {
+    if (rollouts_ && server && !rollouts_->IsCleared(*server))
+      return std::nullopt;
+    return server;
+  }
+
   // One daemon of each data centre watches the configuration, so that the cost
   // of store reads does not grow with the number of daemons. The others fetch
   // newer versions from the daemons that they exchange requests with, most of
@@ -364,8 +407,9 @@
   void OnServerChanged() {
     // Published before departures are known: the write fails if another process
     // has stored one.
+    if (rollouts_) rollouts_->OnOwnServer(dispatcher_.Server().ServingServer());
     const auto offer =
-        leaving_ ? std::nullopt : dispatcher_.Server().ServingServer();
+        leaving_ ? std::nullopt : Cleared(dispatcher_.Server().ServingServer());
     mesh_member member{.name = settings_.name,
                        .data_centre = settings_.data_centre,
                        .address = settings_.advertised_address,
@@ -375,14 +419,17 @@
                        .server = offer,
                        .departed = dispatcher_.Server().Departures(),
                        .crashes = crashes_.OwnReports(),
-                       .cleared = crashes_.ClearedRequests()};
+                       .cleared = crashes_.ClearedRequests(),
+                       .rollout = rollouts_ && offer
+                                      ? rollouts_->OrderOf(*offer)
+                                      : std::nullopt};
     crashes_changed_ = false;
     if (member != published_member_) ++member.sequence;
     published_member_ = member;
     // Requests of this VM may use the local backend server until the dispatcher
     // stops accepting requests.
     auto local_member = published_member_;
-    local_member.server = dispatcher_.OfferedServer();
+    local_member.server = Cleared(dispatcher_.OfferedServer());
     directory_.Put(local_member, MonotonicNow());
     publisher_.Publish(published_member_);
   }
@@ -395,6 +442,7 @@
       CheckSuspension();
       if (!dispatcher_.IsIdle()) dispatcher_.Tick(now);
       publisher_.Tick(now);
+      if (rollouts_) rollouts_->Tick(now);
       if (++ticks_ % kTicksPerSweep == 0) Sweep(now);
       FlushStdoutLog();
       ScheduleTick();
@@ -455,6 +503,7 @@
     config_sync_.Stop();
     config_reader_.Stop();
     member_watch_.Stop();
+    if (rollouts_) rollouts_->Stop();
     publisher_.Stop();
     sender_.Stop();
     tick_timer_.cancel();
@@ -487,6 +536,7 @@
   call_server daemon_listener_;
   mesh_member published_member_;
   member_publisher publisher_;
+  std::unique_ptr<rollout_coordinator> rollouts_;  // Null without roll-outs.
   member_observer member_observer_;
   collection_watch member_watch_;
   boost::asio::steady_timer tick_timer_;
--- a/libs/sidecar/src/sidecar_metrics.cc
+++ b/libs/sidecar/src/sidecar_metrics.cc
@@ -72,6 +72,25 @@
   crash_culprits_.Set(static_cast<std::int64_t>(culprits));
 }
 
+void sidecar_metrics::OnRolloutRequest(const std::string& service,
+                                       bool target) {
+  registry_
+      .Counter("pomelohall_rollout_requests_total",
+               "Requests that reached backend servers during a roll-out, by "
+               "version.",
+               {{"service", service}, {"version", target ? "target" : "other"}})
+      .Add();
+}
+
+void sidecar_metrics::SetRolloutState(const std::string& service, int state) {
+  registry_
+      .Gauge("pomelohall_rollout_state",
+             "State of the roll-out: 0 canary, 1 switching, 2 failed, 3 "
+             "completed, 4 rolled back, 5 withdrawn.",
+             {{"service", service}})
+      .Set(state);
+}
+
 std::string sidecar_metrics::Render() {
   dropped_lines_.SetTotal(DroppedLogLines());
   RecordBrokenResponses(registry_);
--- a/libs/sidecar/src/sidecar_metrics.h
+++ b/libs/sidecar/src/sidecar_metrics.h
@@ -29,6 +29,11 @@
   // refused.
   void SetCrashRequests(std::size_t suspects, std::size_t culprits);
 
+  // Counts a request of a service with a roll-out by whether it has reached a
+  // server of the target version.
+  void OnRolloutRequest(const std::string& service, bool target);
+  void SetRolloutState(const std::string& service, int state);
+
   std::string Render();
 
  private:
--- a/tools/pomelohall_sidecar/main.cc
+++ b/tools/pomelohall_sidecar/main.cc
@@ -13,6 +13,7 @@
 #include "platform_adapter/config_decoder.h"
 #include "platform_adapter/http_watched_store.h"
 #include "platform_adapter/local_endpoints.h"
+#include "platform_adapter/rollout_objects.h"
 #include "platform_adapter/wire_names.h"
 #include "settings/settings_program.h"
 #include "sidecar/sidecar.h"
@@ -98,11 +99,13 @@
   // runs the I/O context.
   boost::asio::io_context io(1);
   platform_adapter::http_watched_store store(io, settings.store_address);
+  const platform_adapter::rollout_objects rollouts;
   sidecar instance(io, settings,
                    {.fields = platform_adapter::HeaderFieldNames(),
                     .store = &store,
                     .decode_config = platform_adapter::DecodeConfig,
-                    .config_name = std::string(platform_adapter::kConfigName)});
+                    .config_name = std::string(platform_adapter::kConfigName),
+                    .rollouts = &rollouts});
   platform_adapter::local_endpoints endpoints(io, instance);
   if (const auto listening =
           endpoints.Listen({.announcements = settings.local_address,
