--- a/libs/quota/include/quota/quota_pool.h
+++ b/libs/quota/include/quota/quota_pool.h
@@ -25,7 +25,7 @@
   duration overdraft_time = std::chrono::seconds(5);
   /// Part of the rate that buckets are filled at. The rest makes up for the
   /// moments in which two parts of a fleet both count a member.
-  double fill_share = 0.9;
+  double fill_share = 0.95;
   /// Part of the burst below which requests need tokens.
   double tight_level = 0.8;
 };
--- a/libs/quota/src/quota_account.cc
+++ b/libs/quota/src/quota_account.cc
@@ -158,8 +158,10 @@
     state.refused = 0;
     state.wanted = 0;
     if (!is_used) continue;
+    const bool needs_tokens =
+        state.is_tight || state.mean_demand > MaxDebt(state);
     const double target =
-        state.is_tight ? std::round(kDemandMargin * state.mean_demand) : 0;
+        needs_tokens ? std::round(kDemandMargin * state.mean_demand) : 0;
     const double held = std::min(state.tokens, target);
     state.wanted = target - held;
     report.tenants[tenant] = {.spent = std::exchange(state.debt, 0),
--- a/libs/quota/tests/quota_fleet_test.cc
+++ b/libs/quota/tests/quota_fleet_test.cc
@@ -37,11 +37,9 @@
  public:
   quota_fleet(std::size_t daemons, const quota_limit& limit, std::uint64_t seed)
       : limit_(limit), random_(seed) {
-    for (std::size_t i = 0; i < daemons; ++i) {
-      accounts_.push_back(nullptr);
-      pools_.push_back(nullptr);
-      Restart(i);
-    }
+    accounts_.resize(daemons);
+    pools_.resize(daemons);
+    for (std::size_t i = 0; i < daemons; ++i) Restart(i);
   }
 
   /// Starts the process of a daemon again.
