--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -60,6 +60,8 @@
   settings.link_mbps = link_mbps_;
   settings.max_config_delay = max_config_delay_;
   settings.stop_grace = stop_grace_;
+  settings.rollouts = rollouts_;
+  settings.quotas = quotas_;
   if (forward_link_rate_ > 0) {
     settings.forward_address = FreeLoopbackAddress(io_);
     node->forward_link = std::make_unique<slow_link_proxy>(
@@ -79,7 +81,8 @@
           .fields = platform_adapter::HeaderFieldNames(),
           .store = node->store.get(),
           .decode_config = platform_adapter::DecodeConfig,
-          .config_name = std::string(platform_adapter::kConfigName)});
+          .config_name = std::string(platform_adapter::kConfigName),
+          .rollouts = &rollout_objects_});
   if (const auto started = node->daemon->Start(); !started) {
     throw std::runtime_error(started.error().message);
   }
@@ -98,7 +101,8 @@
                             .slots = slots_,
                             .draining = false,
                             .started_unix_ms = 1000,
-                            .sequence = 1};
+                            .sequence = 1,
+                            .version = server_version_};
       node->daemon->OnAnnounced(node->announcement);
     }
     nodes_.push_back(std::move(node));
@@ -141,7 +145,8 @@
                 {"latencyTargetMs", 1000},
                 {"priority", 1},
                 {"service", "shop"},
-                {"attempts", 2}};
+                {"attempts", 2},
+                {"public", prefix == "/open/"}};
   };
   json routes{route("/safe/", "safe"), route("/order/", "unsafe"),
               route("/file/", "download")};
@@ -150,14 +155,15 @@
     routes.push_back(
         route("/idle-route-" + std::to_string(1'000'000 + i) + "/", "safe"));
   }
-  const json spec{{"version", "r" + std::to_string(version)},
-                  {"routes", std::move(routes)},
-                  {"services", {{{"name", "shop"}}}},
-                  {"limits",
-                   {{"maxHeaderBytes", 16384},
-                    {"maxBodyBytes", 100000},
-                    {"headerTimeoutMs", 3000},
-                    {"idleTimeoutMs", 15000}}}};
+  json spec{{"version", "r" + std::to_string(version)},
+            {"routes", std::move(routes)},
+            {"services", {{{"name", "shop"}}}},
+            {"limits",
+             {{"maxHeaderBytes", 16384},
+              {"maxBodyBytes", 100000},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15000}}}};
+  if (!tenants_.is_null()) spec["tenants"] = tenants_;
   RunOnIoThread([&] { store_->Put("config", "main", spec); });
 }
 
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -13,6 +15,7 @@
 
 #include "fake_store.h"
 #include "platform_adapter/http_watched_store.h"
+#include "platform_adapter/rollout_objects.h"
 #include "raw_client.h"
 #include "run_on_io.h"
 #include "scripted_server.h"
@@ -102,6 +105,14 @@
   std::size_t slots_ = 18;
   /// Further routes of configurations published from now on.
   int idle_routes_ = 0;
+  /// Tenants of configurations published from now on; null for none. A route
+  /// below /open/ is public then.
+  nlohmann::json tenants_;
+  /// Bounds of sidecars added from now on.
+  std::optional<rollout_settings> rollouts_;
+  std::optional<quota_settings> quotas_;
+  /// Version that backend servers added from now on announce.
+  std::string server_version_ = "v1";
   /// Time-out of the routes of configurations published from now on.
   std::chrono::milliseconds route_timeout_{3000};
 
@@ -119,6 +130,7 @@
                                           const std::string& server_address,
                                           const std::string& service);
 
+  const platform_adapter::rollout_objects rollout_objects_;
   boost::asio::io_context io_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard_;
