--- a/libs/rollout/src/version_comparison.cc
+++ b/libs/rollout/src/version_comparison.cc
@@ -46,7 +46,7 @@
     const auto other =
         found == others.end() ? response_counts() : found->second;
     if (const auto fault = FindFault(counts, other); !fault.empty())
-      return "route " + route + ": " + fault;
+      return std::string("route ").append(route).append(": ").append(fault);
     total += counts;
     other_total += other;
   }
--- a/libs/sidecar/src/member_observer.h
+++ b/libs/sidecar/src/member_observer.h
@@ -18,7 +18,8 @@
   // All references must outlive the observer.
   member_observer(std::string own_name, server_directory& directory,
                   retry_budget& budget, member_publisher& publisher,
-                  crash_history& crashes, rollout_coordinator* rollouts);
+                  crash_history& crashes,
+                  rollout_coordinator* rollouts = nullptr);
 
   void OnListed(const object_listing& listing) override;
   void OnRestored(const object_listing& listing) override;
--- a/libs/sidecar/src/rollout_coordinator.cc
+++ b/libs/sidecar/src/rollout_coordinator.cc
@@ -73,14 +73,14 @@
 }
 
 version_choice rollout_coordinator::Choose(const std::string& service) {
-  const auto choice = registry_.Choose(service, MonotonicNow());
+  auto choice = registry_.Choose(service, MonotonicNow());
   return choice.is_canary ? choice : ChooseAgain(service);
 }
 
 version_choice rollout_coordinator::ChooseAgain(
     const std::string& service) const {
   const auto now = MonotonicNow();
-  const auto choice = registry_.ChooseAgain(service, now);
+  auto choice = registry_.ChooseAgain(service, now);
   if (choice.rule != version_rule::kExceptTarget) return choice;
   // Without an order, a service whose only servers are of the version that it
   // named has to use them.
