--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -47,6 +47,12 @@
   /// together. Comparing more makes all daemons choose the few servers that are
   /// fastest when idle, as most load reports are outdated.
   std::size_t max_compared = 5;
+  /// Time in which 63% of a VM's present slowness or speed is forgotten: other
+  /// programs on its machine come and go within some hundred milliseconds.
+  duration work_memory = std::chrono::milliseconds(300);
+  /// Reports that are passed on with one message, and their maximum age.
+  std::size_t shared_loads = 8;
+  duration max_shared_age = std::chrono::milliseconds(400);
 };
 
 /// Outcome of a request that was sent to a server.
@@ -117,6 +123,18 @@
   void OnLoadReport(const std::string& name, const work_load& load,
                     instant now);
 
+  /// Returns the most recent reports of servers in the data centre of this
+  /// daemon, to pass them on to others there.
+  std::vector<load_summary> RecentLoads(instant now) const;
+  /// Records a report that another daemon has passed on, unless a later one is
+  /// known. Only for servers that have reported here before.
+  void OnLoadSummary(const load_summary& summary, instant now);
+  /// Returns whether backend servers tell how long their work takes now, which
+  /// changes faster than own reports arrive.
+  bool SharesLoads(instant now) const {
+    return now - work_percent_at_ < kSharingTime;
+  }
+
   /// Records the time that a member's daemon and the network added to a
   /// request, apart from its wait for a slot and its run. A VM that is slow or
   /// has more offers than its daemon can handle adds to every request, although
@@ -155,6 +173,9 @@
     bool reported = false;
     std::size_t sent_since_report = 0;
     std::size_t outstanding = 0;
+    std::uint32_t hash = 0;  ///< Of the name.
+    double work_percent = 100;
+    instant work_percent_at;
     double failure_share = 0;  ///< Moving average, 0 to 1.
     instant failure_share_at;
     double delay_us = 0;  ///< Moving average of OnDelay().
@@ -203,7 +224,15 @@
   member_state* Find(const std::string& name);
   void Suspend(member_state& state, instant now) const;
 
+  // Time without a report of how long work takes after which none is shared.
+  static constexpr duration kSharingTime = std::chrono::seconds(10);
+
+  // Factor of the mean time that the present speed of the VM adds.
+  double WorkFactor(const member_state& state, instant now) const;
+  static std::uint32_t HashOf(const std::string& name);
+
   const server_directory_options options_;
+  instant work_percent_at_ = instant() - std::chrono::hours(1);
   random_source random_;
   std::map<std::string, member_state> members_;
 };
--- a/libs/mesh/include/mesh/work_queue.h
+++ b/libs/mesh/include/mesh/work_queue.h
@@ -71,6 +71,19 @@
   duration mean_time{0};  ///< Mean time of a request on the backend server.
   /// Time that a large response waits for the network link.
   duration link_wait{0};
+  /// How long work takes on the VM now, in percent of the usual time.
+  std::optional<double> work_percent = std::nullopt;
+};
+
+/// Load of a backend server as one daemon tells it to another that has not
+/// asked: what changes quickly, and how old it is.
+struct load_summary {
+  std::uint32_t member_hash = 0;  ///< Of the name of its daemon.
+  std::size_t busy = 0;           ///< Running and waiting requests.
+  double work_percent = 100;      ///< See work_load.
+  duration age{0};
+
+  bool operator==(const load_summary&) const = default;
 };
 
 /// Priority queue with admission control for one backend server. At most
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -46,9 +46,14 @@
   state = {.member = member,
            .reported_at = now,
            .outstanding = state.outstanding,
+           .hash = HashOf(member.name),
            .suspended_until = now};
 }
 
+std::uint32_t server_directory::HashOf(const std::string& name) {
+  return static_cast<std::uint32_t>(FastHash(name));
+}
+
 void server_directory::Remove(const std::string& name) { members_.erase(name); }
 
 void server_directory::Retain(const std::set<std::string>& names) {
@@ -182,6 +187,54 @@
   return std::max(delay, static_cast<double>(silence.count()));
 }
 
+double server_directory::WorkFactor(const member_state& state,
+                                    instant now) const {
+  const auto age = std::max(now - state.work_percent_at, duration(0));
+  return 1 + (state.work_percent / 100 - 1) *
+                 std::exp(-ToMillis(age) / ToMillis(options_.work_memory));
+}
+
+std::vector<load_summary> server_directory::RecentLoads(instant now) const {
+  std::vector<load_summary> loads;
+  for (const auto& [name, state] : members_) {
+    const auto age = now - state.reported_at;
+    if (!state.reported || !state.member.server ||
+        state.member.data_centre != options_.data_centre ||
+        age > options_.max_shared_age) {
+      continue;
+    }
+    loads.push_back({.member_hash = state.hash,
+                     .busy = state.load.running + state.load.waiting +
+                             state.sent_since_report,
+                     .work_percent = state.work_percent,
+                     .age = age});
+  }
+  const auto count = std::min(loads.size(), options_.shared_loads);
+  std::partial_sort(
+      loads.begin(), loads.begin() + static_cast<std::ptrdiff_t>(count),
+      loads.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+  loads.resize(count);
+  return loads;
+}
+
+void server_directory::OnLoadSummary(const load_summary& summary, instant now) {
+  const auto at = now - summary.age;
+  for (auto& [name, state] : members_) {
+    if (state.hash != summary.member_hash || !state.reported ||
+        at <= state.reported_at || name == options_.member) {
+      continue;
+    }
+    state.load.running = summary.busy;
+    state.load.waiting = 0;
+    state.reported_at = at;
+    state.sent_since_report = 0;
+    state.work_percent = summary.work_percent;
+    state.work_percent_at = at;
+    work_percent_at_ = std::max(work_percent_at_, at);
+    return;
+  }
+}
+
 server_directory::candidate server_directory::Score(const member_state& state,
                                                     const server_demand& demand,
                                                     duration typical_time,
@@ -199,7 +252,8 @@
       link_wait = state.load.link_wait;
     }
   }
-  const auto mean_us = static_cast<double>(mean.count());
+  const auto mean_us =
+      static_cast<double>(mean.count()) * WorkFactor(state, now);
   // Many servers slow down when they are nearly full, so a high utilization
   // adds up to 30% of the mean time.
   const double queue = std::max(0.0, busy + 1 - slots) / slots;
@@ -357,6 +411,11 @@
   if (state == nullptr) return;
   state->load = load;
   state->reported = true;
+  if (load.work_percent) {
+    state->work_percent = *load.work_percent;
+    state->work_percent_at = now;
+    work_percent_at_ = now;
+  }
   state->reported_at = now;
   state->sent_since_report = 0;
   state->silent_since = now;
--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -71,9 +71,12 @@
     "Pomelohall-Mesh-Rollout-Notice";
 /// Marks an exchange of quota tokens.
 inline constexpr std::string_view kMeshQuotaField = "Pomelohall-Mesh-Quota";
-/// How long work takes on the VM of the answering daemon: "PERCENT,AGE" with
-/// the percentage of the usual time and the microseconds since it was read.
+/// How long work takes now on the VM of the answering daemon, in percent of the
+/// usual time.
 inline constexpr std::string_view kMeshSpeedField = "Pomelohall-Mesh-Speed";
+/// Recent loads of other backend servers of the data centre, on messages within
+/// it: "HASH:BUSY:PERCENT:AGE,..." with the age in microseconds.
+inline constexpr std::string_view kMeshLoadsField = "Pomelohall-Mesh-Loads";
 
 /// Prefix of all header fields between daemons, those of later versions
 /// included.
--- a/libs/sidecar/src/load_codec.cc
+++ b/libs/sidecar/src/load_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <limits>
 
 #include "backend/http_message.h"
 #include "base/time.h"
@@ -56,4 +57,73 @@
                    .link_wait = duration(static_cast<std::int64_t>(values[4]))};
 }
 
+std::optional<double> DecodePercent(std::string_view text) {
+  // Work that takes a hundred times as long is taken as such; more would come
+  // from another program.
+  constexpr std::uint64_t kMaxPercent = 10'000;
+  const auto number = ParseNumber(text);
+  if (!number || *number == 0 || *number > kMaxPercent) return std::nullopt;
+  return static_cast<double>(*number);
+}
+
+std::string EncodePercent(double percent) {
+  return std::to_string(static_cast<std::uint64_t>(percent));
+}
+
+std::optional<double> DecodeWorkPercent(std::string_view text) {
+  constexpr int kFiguresBefore = 3;
+  for (int i = 0; i < kFiguresBefore; ++i) {
+    const auto comma = text.find(',');
+    if (comma == std::string_view::npos) return std::nullopt;
+    text.remove_prefix(comma + 1);
+  }
+  return DecodePercent(text);
+}
+
+std::string EncodeLoads(const std::vector<load_summary>& loads) {
+  std::string text;
+  for (const auto& load : loads) {
+    if (!text.empty()) text.push_back(',');
+    text.append(std::to_string(load.member_hash))
+        .append(":")
+        .append(std::to_string(load.busy))
+        .append(":")
+        .append(EncodePercent(load.work_percent))
+        .append(":")
+        .append(std::to_string(load.age.count()));
+  }
+  return text;
+}
+
+std::vector<load_summary> DecodeLoads(std::string_view text) {
+  std::vector<load_summary> loads;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    auto entry = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view()
+                                           : text.substr(comma + 1);
+    std::array<std::string_view, 4> parts;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      const auto colon = entry.find(':');
+      const bool last = i + 1 == parts.size();
+      if (last != (colon == std::string_view::npos)) return loads;
+      parts[i] = entry.substr(0, colon);
+      if (!last) entry.remove_prefix(colon + 1);
+    }
+    const auto hash = ParseNumber(parts[0]);
+    const auto busy = ParseNumber(parts[1]);
+    const auto percent = DecodePercent(parts[2]);
+    const auto age = ParseNumber(parts[3]);
+    if (!hash || *hash > std::numeric_limits<std::uint32_t>::max() || !busy ||
+        *busy > kMaxCount || !percent || !age || *age > kMaxMicros) {
+      return loads;
+    }
+    loads.push_back({.member_hash = static_cast<std::uint32_t>(*hash),
+                     .busy = *busy,
+                     .work_percent = *percent,
+                     .age = duration(static_cast<std::int64_t>(*age))});
+  }
+  return loads;
+}
+
 }  // namespace pomelohall
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -305,6 +305,7 @@
 
 work_load local_dispatcher::Load() const {
   auto load = queue_.Load();
+  load.work_percent = work_percent_;
   const auto now = MonotonicNow();
   // Transmissions that finish while the request runs do not delay its answer.
   load.link_wait =
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -178,6 +178,7 @@
   work_queue queue_;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<local_exchange>> exchanges_;
+  std::optional<double> work_percent_;  // Last one that the server reported.
   std::function<void()> on_server_changed_;
   std::function<bool(const offered_server&)> may_run_;
   response_observer on_response_;
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -7,6 +7,7 @@
 
 #include "caller/body_prefix.h"
 #include "caller/observed_body.h"
+#include "load_codec.h"
 #include "logging/log_event.h"
 
 namespace pomelohall {
@@ -186,6 +187,11 @@
 void local_exchange::ForwardAnswer(incoming_response answer) {
   const auto run_time = MonotonicNow() - sent_at_;
   const bool success = answer.head.status >= 200 && answer.head.status < 300;
+  if (const auto* load = FindField(answer.head.fields,
+                                   dispatcher_->options_.fields.server_load)) {
+    if (const auto percent = DecodeWorkPercent(*load))
+      dispatcher_->work_percent_ = percent;
+  }
   if (success && answer.head.length) {
     dispatcher_->link_.OnResponseSize(request_.work_class, *answer.head.length);
   }
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -133,6 +133,11 @@
   if (rollouts_ != nullptr) rollouts_->OnPeerState(fields);
   RemoveField(fields, kMeshVersionField);
   RemoveField(fields, kMeshConfirmedField);
+  if (const auto* loads = FindField(fields, kMeshLoadsField);
+      loads != nullptr && directory_ != nullptr) {
+    for (const auto& load : DecodeLoads(*loads))
+      directory_->OnLoadSummary(load, now);
+  }
   local_request local;
   local.sender = sender;
   local.fingerprint = FingerprintOf(outgoing.head, body, fields_);
@@ -230,6 +235,14 @@
   SetField(fields, kMeshLoadField, EncodeLoad(dispatcher_.Load()));
   SetField(fields, kMeshHeldField,
            EncodeHeldTime(MonotonicNow() - request->ReceivedAt()));
+  if (const auto percent = dispatcher_.Load().work_percent)
+    SetField(fields, kMeshSpeedField, EncodePercent(*percent));
+  // A sender of this data centre has attached its own.
+  if (directory_ != nullptr &&
+      FindField(request->Head().fields, kMeshLoadsField) != nullptr) {
+    SetField(fields, kMeshLoadsField,
+             EncodeLoads(directory_->RecentLoads(MonotonicNow())));
+  }
   config_sync_.AddState(fields);
   if (rollouts_ != nullptr) {
     rollouts_->AddState(fields);
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -9,6 +9,7 @@
 #include "caller/body_prefix.h"
 #include "caller/call_server.h"
 #include "local_dispatcher.h"
+#include "mesh/server_directory.h"
 #include "peer_config_sync.h"
 #include "quarantine/crash_history.h"
 #include "sidecar/header_field_names.h"
@@ -27,6 +28,8 @@
                 peer_config_sync& config_sync, crash_history& crashes,
                 header_field_names fields);
 
+  // Sets the directory whose loads are shared, which must outlive the endpoint.
+  void SetDirectory(server_directory* directory) { directory_ = directory; }
   // Sets the coordinator of roll-outs, which must outlive the endpoint.
   void SetRollouts(rollout_coordinator* rollouts) { rollouts_ = rollouts; }
   // Sets the exchange of quotas, which must outlive the endpoint.
@@ -60,6 +63,7 @@
   crash_history& crashes_;
   const header_field_names fields_;
   stop_notices stop_notices_;
+  server_directory* directory_ = nullptr;    // Null if loads are not shared.
   rollout_coordinator* rollouts_ = nullptr;  // Null without roll-outs.
   quota_exchange* quotas_ = nullptr;         // Null without quotas.
 };
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -37,6 +37,7 @@
   header_field_names fields;
   std::string member;          // Name of this daemon.
   std::string caller_service;  // Service of this VM, from the settings.
+  std::string data_centre;     // Data centre of this VM.
   // Part of the caller's deadline that is reserved for the transport of the
   // answer.
   duration answer_margin = std::chrono::milliseconds(20);
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -427,6 +427,11 @@
   SetCrashes(fields, router_.crashes_, fingerprint_);
   router_.versions_.AddState(fields);
   if (router_.rollouts_ != nullptr) router_.rollouts_->AddState(fields);
+  if (choice.member.data_centre == router_.options_.data_centre &&
+      router_.directory_.SharesLoads(now)) {
+    SetField(fields, kMeshLoadsField,
+             EncodeLoads(router_.directory_.RecentLoads(now)));
+  }
   SetField(fields, kMeshSenderField, router_.versions_.LocalAddress());
   sent_ = router_.peers_.Start(
       choice.member.address, std::move(request),
@@ -445,11 +450,18 @@
   }
   auto& head = answer->head;
   if (const auto* text = FindField(head.fields, kMeshLoadField)) {
-    if (const auto load = DecodeLoad(*text)) {
+    if (auto load = DecodeLoad(*text)) {
+      if (const auto* percent = FindField(head.fields, kMeshSpeedField))
+        load->work_percent = DecodePercent(*percent);
       router_.directory_.OnLoadReport(offer_->member.name, *load,
                                       MonotonicNow());
     }
   }
+  if (const auto* loads = FindField(head.fields, kMeshLoadsField)) {
+    const auto now = MonotonicNow();
+    for (const auto& load : DecodeLoads(*loads))
+      router_.directory_.OnLoadSummary(load, now);
+  }
   RecordDelay(head);
   router_.versions_.OnPeerState(head.fields, offer_->member.address,
                                 offered_at_);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -180,7 +180,8 @@
         router_(io,
                 {.fields = platform.fields,
                  .member = settings_.name,
-                 .caller_service = settings_.server_service},
+                 .caller_service = settings_.server_service,
+                 .data_centre = settings_.data_centre},
                 dispatcher_, sender_, directory_, budget_, peers_, config_sync_,
                 crashes_, metrics_, RandomSeed()),
         mesh_endpoint_(dispatcher_, sender_, config_sync_, crashes_,
@@ -209,6 +210,7 @@
         stop_timer_(io) {
     dispatcher_.SetServerObserver([this] { OnServerChanged(); });
     crashes_.SetObserver([this] { crashes_changed_ = true; });
+    mesh_endpoint_.SetDirectory(&directory_);
     if (settings_.quotas) {
       quotas_ = std::make_unique<quota_exchange>(
           peers_, directory_, metrics_,
