Let one daemon drain the old servers during a switch

Each daemon that waited to switch in place of the fastest member counted as the one that had decided, and asked all members as well. The order in a member record no longer changes with the revision of its object, which cost a write for each new server.

--- a/libs/sidecar/src/rollout_coordinator.cc
+++ b/libs/sidecar/src/rollout_coordinator.cc
@@ -343,11 +343,9 @@
   // Others switch only if the fastest member does not.
   if (!IsLeader(now)) {
     constexpr duration kOthersWait = std::chrono::milliseconds(200);
-    if (!work.decided_here) {
-      work.decided_here = true;
-      work.take_over_at = now + kOthersWait + RandomPart(kOthersWait, random_);
-    }
-    if (now < work.take_over_at) return;
+    if (!work.switch_at)
+      work.switch_at = now + kOthersWait + RandomPart(kOthersWait, random_);
+    if (now < *work.switch_at) return;
   }
   log_event(log_level::kInfo, "rollout_switch")
       .With("service", service)
@@ -618,7 +616,7 @@
     return std::nullopt;
   // The record changes only with the order: its state travels on messages.
   return rollout_record{.order = record->order,
-                        .revision = record->revision,
+                        .revision = record->order.created,
                         .state = rollout_state::kCanary,
                         .elapsed = duration(0)};
 }
--- a/libs/sidecar/src/rollout_coordinator.h
+++ b/libs/sidecar/src/rollout_coordinator.h
@@ -108,6 +108,8 @@
     std::size_t store_failures = 0;
     instant next_store_call;
     instant take_over_at;  // When others finish what a lost daemon began.
+    // When this daemon switches the traffic unless another one has.
+    std::optional<instant> switch_at;
     instant next_judgement;
   };
 
