--- a/libs/rollout/tests/rollout_registry_test.cc
+++ b/libs/rollout/tests/rollout_registry_test.cc
@@ -153,6 +153,7 @@
     const auto now = instant(seconds(1000));
     std::vector<rollout_record> news;
     const auto count = *rc::gen::inRange(1, 12);
+    news.reserve(static_cast<std::size_t>(count) + 1);
     for (int i = 0; i < count; ++i) {
       news.push_back(
           {.order = {.service = "s",
--- a/tests/sidecar/rollout_test.cc
+++ b/tests/sidecar/rollout_test.cc
@@ -19,12 +19,12 @@
 /// ordered a roll-out, others of version v2.
 class rollout_fixture : public sidecar_fleet {
  protected:
-  static constexpr int kServers = 3;
+  static constexpr std::size_t kServers = 3;
 
   rollout_fixture() {
     rollouts_ = rollout_settings();
     PublishConfig(3);
-    for (int i = 0; i < kServers; ++i) AddServer(old_servers_, 200);
+    for (std::size_t i = 0; i < kServers; ++i) AddServer(old_servers_, 200);
     WaitUntilOffered(kServers);
   }
 
@@ -49,7 +49,7 @@
 
   void AddNewServers(int status) {
     server_version_ = "v2";
-    for (int i = 0; i < kServers; ++i) AddServer(new_servers_, status);
+    for (std::size_t i = 0; i < kServers; ++i) AddServer(new_servers_, status);
     WaitUntilOffered(2 * kServers);
   }
 
@@ -102,7 +102,8 @@
   const int exposed = Requests(new_servers_);
   CHECK(exposed <= requests_ / 10 + 1);
   std::this_thread::sleep_for(milliseconds(500));
-  for (int i = 0; i < 60; ++i) Call(i % nodes_.size(), "GET", "/safe/1");
+  for (std::size_t i = 0; i < 60; ++i)
+    Call(i % nodes_.size(), "GET", "/safe/1");
   CHECK(Requests(new_servers_) == exposed);
 }
 
@@ -117,7 +118,7 @@
   CHECK(State() == "completed");
   CHECK(failures_ == 0);
   const int before = Requests(old_servers_);
-  for (int i = 0; i < 60; ++i) {
+  for (std::size_t i = 0; i < 60; ++i) {
     CHECK(Call(i % nodes_.size(), "GET", "/safe/1").status == 200);
   }
   CHECK(Requests(old_servers_) == before);
@@ -128,7 +129,8 @@
 TEST_CASE_METHOD(rollout_fixture, "Sidecar_OtherVersionWithoutOrder_IsUsed",
                  "[sidecar]") {
   AddNewServers(200);
-  for (int i = 0; i < 90; ++i) Call(i % nodes_.size(), "GET", "/safe/1");
+  for (std::size_t i = 0; i < 90; ++i)
+    Call(i % nodes_.size(), "GET", "/safe/1");
   CHECK(Requests(new_servers_) > 10);
 }
 
--- a/tests/sidecar/tenant_test.cc
+++ b/tests/sidecar/tenant_test.cc
@@ -107,7 +107,7 @@
 TEST_CASE_METHOD(tenant_fixture, "Sidecar_QuotaUsedUp_IsAnsweredWith429",
                  "[sidecar]") {
   int served = 0;
-  for (int i = 0; i < 12; ++i) {
+  for (std::size_t i = 0; i < 12; ++i) {
     const auto answer =
         Call(i % 2, "GET", "/safe/1", "Authorization: Bearer s-key\r\n");
     if (answer.status == 200) {
