--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -129,7 +129,6 @@
 std::vector<const server_directory::member_state*>
 server_directory::CanaryServer(std::vector<const member_state*> members,
                                std::uint64_t turn) {
-  constexpr std::size_t kCanaryServers = 3;
   if (members.empty()) return members;
   std::sort(members.begin(), members.end(), [](const auto* a, const auto* b) {
     return FastHash(a->member.server->instance) <
--- a/libs/rollout/include/rollout/rollout_registry.h
+++ b/libs/rollout/include/rollout/rollout_registry.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_ROLLOUT_ROLLOUT_REGISTRY_H_
 #define POMELOHALL_ROLLOUT_ROLLOUT_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +15,10 @@
 
 namespace pomelohall {
 
+/// Number of servers of a target version that are tried out: the majority of
+/// three decides although one of them is disturbed.
+inline constexpr std::size_t kCanaryServers = 3;
+
 /// Which servers of a service a request may use.
 enum class version_rule {
   kAny,           ///< There is no roll-out of the service.
--- a/libs/sidecar/src/peer_config_sync.cc
+++ b/libs/sidecar/src/peer_config_sync.cc
@@ -4,12 +4,12 @@
 #include <chrono>
 #include <utility>
 
-#include "backend/buffered_body.h"
 #include "caller/body_prefix.h"
 #include "caller/error_response.h"
 #include "config_codec.h"
 #include "logging/log_event.h"
 #include "mesh/config_difference.h"
+#include "message_body.h"
 
 namespace pomelohall {
 namespace {
@@ -24,11 +24,6 @@
 // Objects in the store are at most 1 MiB.
 constexpr std::size_t kMaxDifferenceBytes = 2UL * 1024 * 1024;
 
-std::shared_ptr<body_source> ToBody(std::string text) {
-  return std::make_shared<buffered_body>(
-      std::make_shared<const std::string>(std::move(text)));
-}
-
 std::optional<config_confirmation> FindConfirmation(const http_fields& fields,
                                                     instant sent_at) {
   const auto* field = FindField(fields, kMeshConfirmedField);
--- a/libs/sidecar/src/quota_exchange.cc
+++ b/libs/sidecar/src/quota_exchange.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "backend/buffered_body.h"
 #include "backend/http_message.h"
 #include "caller/body_prefix.h"
 #include "caller/error_response.h"
 #include "logging/log_event.h"
+#include "message_body.h"
 #include "quota_codec.h"
 #include "sidecar/header_field_names.h"
 #include "sidecar_metrics.h"
@@ -21,11 +21,6 @@
 constexpr duration kAvoidTime = std::chrono::seconds(1);
 constexpr std::size_t kMaxReportBytes = 1'048'576;
 
-std::shared_ptr<body_source> ToBody(std::string text) {
-  return std::make_shared<buffered_body>(
-      std::make_shared<const std::string>(std::move(text)));
-}
-
 }  // namespace
 
 quota_exchange::quota_exchange(connection_pool& peers,
--- a/libs/sidecar/src/rollout_coordinator.cc
+++ b/libs/sidecar/src/rollout_coordinator.cc
@@ -17,9 +17,6 @@
 namespace pomelohall {
 namespace {
 
-// Servers of the target version that are tried out: the majority of three
-// decides although one of them is disturbed.
-constexpr std::size_t kCanaryServers = 3;
 // Time for which one of them gets all canary requests, so that its load is
 // comparable with that of other servers: some faults show under load only.
 constexpr duration kCanaryTurn = std::chrono::seconds(2);
