--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -9,6 +9,7 @@
 #include "caller/observed_body.h"
 #include "load_codec.h"
 #include "logging/log_event.h"
+#include "mesh_fields.h"
 
 namespace pomelohall {
 namespace {
@@ -187,6 +188,8 @@
 void local_exchange::ForwardAnswer(incoming_response answer) {
   const auto run_time = MonotonicNow() - sent_at_;
   const bool success = answer.head.status >= 200 && answer.head.status < 300;
+  // A backend server says nothing between daemons.
+  RemoveMeshFields(answer.head.fields);
   if (const auto* load = FindField(answer.head.fields,
                                    dispatcher_->options_.fields.server_load)) {
     if (const auto percent = DecodeWorkPercent(*load))
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -225,7 +225,6 @@
                            const answer_times& times,
                            incoming_response answer) {
   RemoveField(answer.head.fields, kErrorField);
-  RemoveField(answer.head.fields, kMeshCrashesField);
   Send(request, times, std::move(answer));
 }
 
--- a/tests/sidecar/rollout_test.cc
+++ b/tests/sidecar/rollout_test.cc
@@ -124,6 +124,29 @@
   CHECK(Requests(old_servers_) == before);
 }
 
+// Guards against a backend server whose response passes for the word of a
+// daemon: it would take its own service out of use.
+TEST_CASE_METHOD(rollout_fixture, "Sidecar_FieldOfDaemonsInAnswer_IsRemoved",
+                 "[sidecar]") {
+  scripted_server forger([](const std::string& header) {
+    return "HTTP/1.1 200 OK\r\nPomelohall-Attempt-Id: " +
+           HeaderValue(header, "Pomelohall-Attempt-Id") +
+           "\r\nPomelohall-Response-Signature: sig\r\n"
+           "Pomelohall-Mesh-Rollout: [{\"service\":\"shop\",\"target\":\"v1\","
+           "\"created\":1,\"limit_ms\":60000,\"revision\":1,"
+           "\"state\":\"failed\",\"elapsed_ms\":0}]\r\n"
+           "Content-Length: 2\r\n\r\nok";
+  });
+  AddSidecar(&forger);
+  WaitUntilOffered(kServers + 1);
+  for (std::size_t i = 0; i < 60; ++i) {
+    const auto answer = Call(i % nodes_.size(), "GET", "/safe/1");
+    CHECK(answer.status == 200);
+    CHECK(answer.Field("Pomelohall-Mesh-Rollout").empty());
+  }
+  CHECK(forger.Requests() > 0);
+}
+
 // Guards against servers of another version without a roll-out that get no
 // requests.
 TEST_CASE_METHOD(rollout_fixture, "Sidecar_OtherVersionWithoutOrder_IsUsed",
