--- a/libs/rollout/include/rollout/response_counter.h
+++ b/libs/rollout/include/rollout/response_counter.h
@@ -19,6 +19,10 @@
   void SetServer(const std::string& instance, const std::string& version,
                  instant now);
 
+  /// Starts from zero for a new roll-out: a fault of all servers before it
+  /// would be in the counts of the old servers only.
+  void Clear() { report_.by_route.clear(); }
+
   /// Counts a response, or that there was none.
   /// @param run_time Time until a complete response; nothing otherwise.
   void OnResponse(const std::string& route, bool failed,
--- a/libs/rollout/tests/version_comparison_test.cc
+++ b/libs/rollout/tests/version_comparison_test.cc
@@ -146,6 +146,10 @@
   counter.OnResponse("r", true, std::nullopt, start);
   counter.SetServer("i", "v1", start);
   CHECK(counter.Report().by_route.size() == 1);
+  counter.Clear();
+  CHECK(counter.Report().by_route.empty());
+  CHECK(counter.Report().instance == "i");
+  counter.OnResponse("r", true, std::nullopt, start);
   counter.SetServer("j", "v2", start);
   CHECK(counter.Report().by_route.empty());
 }
--- a/libs/sidecar/src/rollout_coordinator.cc
+++ b/libs/sidecar/src/rollout_coordinator.cc
@@ -192,6 +192,7 @@
         .With("replaced", known ? known->order.target_version : "");
     comparisons_.erase(service);
     tasks_.erase(service);
+    if (own_server_ && own_server_->service == service) counter_.Clear();
   }
   OnStateChanged(service);
 }
