--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -163,7 +163,7 @@
               {"maxBodyBytes", 100000},
               {"headerTimeoutMs", 3000},
               {"idleTimeoutMs", 15000}}}};
-  if (!tenants_.is_null()) spec["tenants"] = tenants_;
+  if (!tenants_.is_null()) spec.emplace("tenants", tenants_);
   RunOnIoThread([&] { store_->Put("config", "main", spec); });
 }
 
