Read the change again: unused functions, one rule for 401 and 404

Removes TokensLeft and CanaryShare, which nothing used, and an interval that equalled another. The load of an answer is computed once.

--- a/libs/quota/include/quota/quota_account.h
+++ b/libs/quota/include/quota/quota_account.h
@@ -30,11 +30,9 @@
 struct quota_account_options {
   std::string member;             ///< Name of this daemon.
   std::uint64_t incarnation = 0;  ///< Differs for each process.
-  /// Time between two reports while there is something to report.
+  /// Time between two reports, also without requests: the coordinator counts
+  /// the members that report.
   duration report_interval = std::chrono::milliseconds(200);
-  /// The same while there is nothing, so that the coordinator counts this
-  /// member.
-  duration idle_interval = std::chrono::milliseconds(200);
   /// Shortest time between two reports, if a request waits for one.
   duration min_interval = std::chrono::milliseconds(50);
   /// Tokens expire after this time, before the coordinator gives up on them.
@@ -64,15 +62,13 @@
   /// Returns the time until the tenant's tokens cover the requests that were
   /// refused lately and one more.
   duration RetryAfter(const std::string& tenant) const;
-  /// Returns the tokens that can be used here now, nothing without a limit.
-  std::optional<double> TokensLeft(const std::string& tenant) const;
 
   bool IsReportDue(instant now) const;
   /// Starts a report. OnAnswer() or OnFailed() has to follow.
   quota_report TakeReport(instant now);
   /// @param asked_at When the report was taken.
   void OnAnswer(const quota_answer& answer, instant asked_at, instant now);
-  void OnFailed(instant now);
+  void OnFailed() { is_reporting_ = false; }
 
  private:
   struct tenant_state {
@@ -101,7 +97,6 @@
   std::size_t member_count_ = 0;
   std::uint64_t sequence_ = 0;
   bool is_reporting_ = false;
-  bool has_activity_ = false;
   bool is_awaited_ = false;
   instant last_report_;
   std::optional<instant> last_answer_;
--- a/libs/quota/src/quota_account.cc
+++ b/libs/quota/src/quota_account.cc
@@ -14,9 +14,8 @@
 // Tokens that are asked for, in multiples of the mean demand of a report, so
 // that a usual variation needs no further report.
 constexpr double kDemandMargin = 1.5;
-// Part of the burst that all daemons together may
-// owe while a tenant is far below its limit: no more than the bucket holds
-// then.
+// Part of the burst that all daemons together may owe while a tenant is far
+// below its limit: no more than the bucket holds then.
 constexpr double kMaxTotalDebt = 0.8;
 
 }  // namespace
@@ -56,7 +55,6 @@
   const auto found = tenants_.find(tenant);
   if (found == tenants_.end()) return quota_decision::kAdmit;
   auto& state = found->second;
-  has_activity_ = true;
   if (state.tokens >= 1 && now < state.expires_at) {
     --state.tokens;
     return quota_decision::kAdmit;
@@ -123,25 +121,14 @@
       std::chrono::duration<double>((refused + 1) / served));
 }
 
-std::optional<double> quota_account::TokensLeft(
-    const std::string& tenant) const {
-  const auto found = tenants_.find(tenant);
-  if (found == tenants_.end()) return std::nullopt;
-  const auto& state = found->second;
-  return state.is_tight ? state.tokens : MaxDebt(state) - state.debt;
-}
-
 bool quota_account::IsReportDue(instant now) const {
   if (is_reporting_ || tenants_.empty()) return false;
-  const auto passed = now - last_report_;
-  if (is_awaited_) return passed >= options_.min_interval;
-  return passed >=
-         (has_activity_ ? options_.report_interval : options_.idle_interval);
+  return now - last_report_ >=
+         (is_awaited_ ? options_.min_interval : options_.report_interval);
 }
 
 quota_report quota_account::TakeReport(instant now) {
   is_reporting_ = true;
-  has_activity_ = false;
   is_awaited_ = false;
   last_report_ = now;
   quota_report report{.member = options_.member,
@@ -189,6 +176,4 @@
   }
 }
 
-void quota_account::OnFailed(instant) { is_reporting_ = false; }
-
 }  // namespace pomelohall
--- a/libs/quota/tests/quota_fleet_test.cc
+++ b/libs/quota/tests/quota_fleet_test.cc
@@ -192,7 +192,7 @@
   for (int step = 0; step < 6 * kStepsPerSecond; ++step)
     fleet.Step(4.4 * 200 / kStepsPerSecond, 62);
   CHECK(fleet.MostInWindow() <= Allowed(limit));
-  CHECK(fleet.Admitted() >= 0.85 * 200 * 6);
+  CHECK(fleet.Admitted() >= 0.9 * 200 * 6);
 }
 
 // Guards against a limit that is lowered far below the demand and not applied.
@@ -204,7 +204,7 @@
   fleet.Forget();
   for (int step = 0; step < 10 * kStepsPerSecond; ++step) fleet.Step(2, 62);
   CHECK(fleet.MostInWindow() <= Allowed(lowered));
-  CHECK(fleet.Admitted() >= 0.85 * 30 * 10);
+  CHECK(fleet.Admitted() >= 0.9 * 30 * 10);
 }
 
 }  // namespace pomelohall
--- a/libs/rollout/include/rollout/rollout_registry.h
+++ b/libs/rollout/include/rollout/rollout_registry.h
@@ -99,7 +99,6 @@
   bool IsActive(const std::string& service) const;
   /// Returns whether traffic should switch now.
   bool IsSwitchDue(const std::string& service, instant now) const;
-  double CanaryShare(const std::string& service) const;
 
  private:
   // Time for which an ended roll-out is told to others. The other servers of a
--- a/libs/rollout/src/rollout_registry.cc
+++ b/libs/rollout/src/rollout_registry.cc
@@ -165,9 +165,4 @@
          elapsed < known->record.order.time_limit;
 }
 
-double rollout_registry::CanaryShare(const std::string& service) const {
-  const auto* const known = FindEntry(service);
-  return known == nullptr ? 0 : known->plan.canary_share;
-}
-
 }  // namespace pomelohall
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -231,11 +231,12 @@
 void mesh_endpoint::Send(const std::shared_ptr<incoming_request>& request,
                          const answer_times& times, incoming_response answer) {
   auto& fields = answer.head.fields;
-  SetField(fields, kMeshLoadField, EncodeLoad(dispatcher_.Load()));
+  const auto load = dispatcher_.Load();
+  SetField(fields, kMeshLoadField, EncodeLoad(load));
+  if (load.work_percent)
+    SetField(fields, kMeshSpeedField, EncodePercent(*load.work_percent));
   SetField(fields, kMeshHeldField,
            EncodeHeldTime(MonotonicNow() - request->ReceivedAt()));
-  if (const auto percent = dispatcher_.Load().work_percent)
-    SetField(fields, kMeshSpeedField, EncodePercent(*percent));
   // A sender of this data centre has attached its own.
   if (directory_ != nullptr &&
       FindField(request->Head().fields, kMeshLoadsField) != nullptr) {
--- a/libs/sidecar/src/quota_exchange.cc
+++ b/libs/sidecar/src/quota_exchange.cc
@@ -153,7 +153,7 @@
       .With("after_ms", static_cast<std::uint64_t>(ToMillis(now - sent_at_)));
   avoided_[sent_to_] = now + kAvoidTime;
   sent_ = nullptr;
-  account_.OnFailed(now);
+  account_.OnFailed();
   DecideWaiting(now);
 }
 
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -110,7 +110,6 @@
   return true;
 }
 
-// Callers do not repeat a request that got 401 either.
 void routed_request::FailWithoutKey() {
   const auto currency = router_.versions_.Currency();
   log_event(log_level::kInfo, "key_unknown")
@@ -119,17 +118,12 @@
       .With("version", table_->Version())
       .With("config_age_ms", FormatMillis(currency.age))
       .With("newest_version", currency.newest_version);
-  if (currency.may_be_outdated) {
-    Fail({error_kind::kConfigUnknown,
-          "the latest configuration may have a tenant with the key"});
-  } else {
-    Fail({error_kind::kUnauthenticated,
-          "the route needs the API key of a tenant"});
-  }
+  FailByConfig(
+      currency,
+      {error_kind::kUnauthenticated, "the route needs the API key of a tenant"},
+      "the latest configuration may have a tenant with the key");
 }
 
-// Callers do not repeat a request that got 404, so it is answered only by a
-// daemon that knows its configuration to be the latest.
 void routed_request::FailWithoutRoute() {
   const auto currency = router_.versions_.Currency();
   log_event(log_level::kInfo, "route_not_found")
@@ -139,11 +133,20 @@
             static_cast<std::uint64_t>(table_->Config().routes.size()))
       .With("config_age_ms", FormatMillis(currency.age))
       .With("newest_version", currency.newest_version);
+  FailByConfig(currency,
+               {error_kind::kNoRoute, "no route matches host and path"},
+               "the latest configuration may have a route for host and path");
+}
+
+// Callers repeat no request that got 401 or 404, so these are answered only by
+// a daemon that knows its configuration to be the latest.
+void routed_request::FailByConfig(const config_currency& currency,
+                                  const error& failure,
+                                  const char* if_outdated) {
   if (currency.may_be_outdated) {
-    Fail({error_kind::kConfigUnknown,
-          "the latest configuration may have a route for host and path"});
+    Fail({error_kind::kConfigUnknown, if_outdated});
   } else {
-    Fail({error_kind::kNoRoute, "no route matches host and path"});
+    Fail(failure);
   }
 }
 
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -45,6 +45,10 @@
   // Selects the destination and makes the first offer.
   void Place(const body_prefix& body);
   void FailWithoutRoute();
+  // Fails by what the configuration says, or lacks.
+  // @param if_outdated Reason if there may be a newer configuration.
+  void FailByConfig(const config_currency& currency, const error& failure,
+                    const char* if_outdated);
   void SetDeadlines();
   void StartTimer();
   void StartTimer(instant at);
