--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Some clients send long header fields, within `maxHeaderBytes`."""
+"""A request that crashes its backends comes again, each time with retries."""
 
 import asyncio
 import os
@@ -7,30 +7,69 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
 
-from standins import (HOST, Machine, Store, config, encode,  # noqa
+from standins import (HOST, Backend, Machine, Store, config, encode,  # noqa
                       read_message, route, run_case, wait_until)
 
-MAX_HEADER_BYTES = 16_384  # As in the configurations of the site
-HEADER_BYTES = 16_200      # Of the whole head of a long request
-LONG_EVERY_S = 0.5
-USUAL_EVERY_S = 0.02
-LENGTH_S = 20
+BACKENDS = 4        # As each service of the site has
+RETRIES = 2         # "client's retries" of a safe kind of request of the site
+DEADLINE_S = 4.0    # Its deadline
+BACK_AFTER_S = 3.0  # "the backend is back after some seconds"
+COMES_EVERY_S = 7.0
+COMES = 5
+CONTACT_S = 3.0     # contactMs
+MOST_RETRIES = 3    # "in more than three retries"
+
+
+class CrashingBackend(Backend):
+    """Ends when it begins to run a request below /pages/bad/."""
+
+    crashes = True
+    lifetime = 0
+
+    async def handle(self, message, writer):
+        if "/bad/" in message.target and self.crashes:
+            self.on_run(self, message)
+            asyncio.get_running_loop().create_task(self.crash())
+            return False
+        return await super().handle(message, writer)
+
+    async def crash(self):
+        self.on_crash(self)
+        await self.end()
+        await asyncio.sleep(BACK_AFTER_S)
+        self.lifetime += 1
+        self.instance = f"i-{self.machine.name}-{self.lifetime}"
+        await self.start()
 
 
 async def main(record, work, trouble, machines):
     store = Store()
-    machines.append(Machine("m-entry", "front", "z", work))
-    for number in range(3):
-        machines.append(Machine(f"m-{number}", "pages", "z", work))
-    spec = config(7, [route("pages", "/pages/", "safe", "pages")],
-                  ["front", "pages"])
-    assert spec["limits"]["maxHeaderBytes"] == MAX_HEADER_BYTES
-    store.put("config", "main", spec)
+    machines += [Machine(f"m-entry-{number}", "front", "z", work)
+                 for number in range(2)]
+    machines += [Machine(f"m-{number}", "pages", "z", work)
+                 for number in range(BACKENDS)]
+    store.put("config", "main", config(
+        7, [route("pages", "/pages/", "safe", "pages")], ["front", "pages"]))
+    crashed_at = []
+    arrivals = []  # (attempt, time)
+    sent_at = {}
+
+    def on_run(backend, message):
+        if "/bad/" in message.target:
+            attempt = message.fields["pomelohall-attempt-id"]
+            arrivals.append((attempt, record.now()))
+            record.write(f"run {attempt} at {backend.instance}")
+
+    def on_crash(backend):
+        crashed_at.append(record.now())
+        record.write(f"{backend.instance} crashes, number {len(crashed_at)}")
+
     for machine in machines:
         await store.listen(machine.store_port)
-        machine.backend.on_run = lambda backend, message: record.write(
-            f"run {message.fields['pomelohall-attempt-id']} at "
-            f"{backend.machine.name}")
+        machine.backend = CrashingBackend(machine)
+        machine.backend.crashes = trouble
+        machine.backend.on_run = on_run
+        machine.backend.on_crash = on_crash
         machine.start()
         await machine.backend.start()
 
@@ -40,51 +79,65 @@
         record.write("the daemons aren't ready")
         return 2
     await asyncio.sleep(4)  # contactMs and a report of each backend
-    answers = {"long": {}, "usual": {}}
-
-    async def one(kind, attempt):
-        fields = {"Host": "calls.example", "Pomelohall-Attempt-Id": attempt,
-                  "Pomelohall-Request-Deadline": "3000"}
-        line = f"GET /pages/{attempt} HTTP/1.1"
-        if kind == "long" and trouble:
-            fields["Cookie"] = ""
-            missing = HEADER_BYTES - len(encode(line, fields))
-            fields["Cookie"] = "c" * missing
-        head = encode(line, fields)
-        assert len(head) <= MAX_HEADER_BYTES
+
+    async def attempt_once(port, target, attempt, left_s):
+        """Returns the status, 0 for a closed connection, and Retry-After."""
+        writer = None
         try:
-            reader, writer = await asyncio.open_connection(
-                HOST, machines[0].outbound_port)
-            writer.write(head)
-            answer = await asyncio.wait_for(read_message(reader), 4)
-            status = answer.status if answer else 0
-            writer.close()
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(HOST, port), 1)
+            sent_at[attempt] = record.now()
+            writer.write(encode(f"GET {target} HTTP/1.1", {
+                "Host": "calls.example", "Pomelohall-Attempt-Id": attempt,
+                "Pomelohall-Request-Deadline": int(left_s * 1000)}))
+            answer = await asyncio.wait_for(read_message(reader), left_s)
+            if answer is None:
+                return 0, 0.0
+            return answer.status, float(answer.fields.get("retry-after", 0))
         except (OSError, ValueError, asyncio.TimeoutError,
                 asyncio.IncompleteReadError):
-            status = 0
-        answers[kind][status] = answers[kind].get(status, 0) + 1
-        record.write(f"{kind} request of {len(head)} bytes {attempt}: {status}")
-
-    async def send(kind, interval):
-        tasks = []
-        for number in range(int(LENGTH_S / interval)):
-            tasks.append(asyncio.create_task(one(kind, f"{kind}{number}")))
-            await asyncio.sleep(interval)
-        await asyncio.gather(*tasks)
-    await asyncio.gather(send("long", LONG_EVERY_S),
-                         send("usual", USUAL_EVERY_S))
+            return 0, 0.0
+        finally:
+            if writer:
+                writer.close()
+
+    async def request(machine, target, name):
+        """A client with its retries, as PROTOCOL.md describes them."""
+        end = record.now() + DEADLINE_S
+        status = 0
+        for number in range(1 + RETRIES):
+            left_s = end - record.now()
+            if left_s < 0.05:
+                break
+            attempt = f"{name}-{number}"
+            status, wait_s = await attempt_once(machine.outbound_port, target,
+                                                attempt, left_s)
+            record.write(f"answer {attempt} {status} retry after {wait_s}")
+            if 200 <= status < 300 or status in (400, 401, 404, 413, 431):
+                break
+            await asyncio.sleep(min(wait_s, (end - record.now()) / 3))
+        return status
+
+    for number in range(COMES):
+        begun = record.now()
+        await request(machines[number % 2], "/pages/bad/report", f"bad{number}")
+        await asyncio.sleep(begun + COMES_EVERY_S - record.now())
+    # The daemons still serve other requests.
+    statuses = [await request(machines[0], f"/pages/good/{number}",
+                              f"good{number}") for number in range(5)]
+    record.write(f"other requests: {statuses}")
     if not all(machine.alive() for machine in machines):
         record.write("a daemon has ended")
         return 2
-    total = sum(sum(counts.values()) for counts in answers.values())
-    denied = sum(count for counts in answers.values()
-                 for status, count in counts.items()
-                 if 300 <= status < 500 and status not in (408, 421, 429))
-    allowed = 5 + total / 500
-    record.write(f"answers by status: {answers}")
-    record.write(f"denied: {denied} of {total} requests; the rule allows "
-                 f"{allowed:.1f}")
-    return 1 if denied > allowed else 0
+    late = []
+    if len(crashed_at) >= 3:
+        late = sorted({attempt for attempt, _ in arrivals
+                       if sent_at[attempt] > crashed_at[2] + CONTACT_S})
+    record.write(f"crashes {len(crashed_at)}; attempts that were sent later "
+                 f"than contactMs after the third crash and reached a backend: "
+                 f"{len(late)} (the rule allows {MOST_RETRIES}): "
+                 f"{' '.join(late)}")
+    return 1 if len(late) > MOST_RETRIES else 0
 
 
 if __name__ == "__main__":
