--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 from standins import (Machine, Store, call, config, route, run_case,  # noqa
                       wait_until)
 
-OTHERS = 6           # One of seven servers crashes: srv_crash, share .15
+OTHERS = 7           # One of eight servers crashes (0.125); srv_crash: share 0.14
 DRAIN_S = 2.0        # `drainMs` of the sheet
 DOWN_S = 1.0         # From the crash to the next lifetime.
 LIFE_S = 1.0         # From the next lifetime to its planned end.
