A withdrawal binds the instance, not the start that the daemon knew

Cause: a withdrawal names no start. local_server recorded it with the start time that it knew, so the late report of a later start was taken for the next start. For unknown instances it compared start times with the daemon's clock.

Change: a draining announcement binds exactly its start. No clock of the daemon is compared. Member records say which departures are withdrawals. This keeps the next start usable wherever its clock stands, also if the withdrawal of an earlier start is late.

Two assertions of LocalServer_SameInstanceNewStart_Counts and LocalServer_WithdrawnBeforeAnnounced_IsLeaving asked for the fault: an announcement directly after a withdrawal counted as the next start because of its start time. They now ask for the same after a draining announcement, and after a withdrawal once late announcements have arrived; new tests ask for what they left out.

--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -52,7 +52,8 @@
   std::string address;  ///< "ip:port" of the backend server on this VM.
   std::string service;  ///< Service of that backend server.
   /// The backend server is considered unreachable if it sends no announcement
-  /// for this time.
+  /// for this time. Announcements and withdrawals that are late arrive within
+  /// it as well.
   duration announcement_timeout = std::chrono::seconds(10);
   /// Whether an earlier process of the daemon may have acknowledged a departure
   /// that is not known yet. Until OnDeparturesKnown(), the backend server is
@@ -79,14 +80,23 @@
   announcement_outcome OnAnnounced(const server_announcement& announcement,
                                    instant now);
 
-  /// Handles a withdrawal, which starts draining without an announcement. A
-  /// daemon that was restarted may get it before an announcement that was sent
-  /// earlier.
-  /// @param unix_ms Current time by the clock of this VM, which its backend
-  ///     server shares, in milliseconds.
+  /// Handles a withdrawal, which starts draining without an announcement. It
+  /// does not tell which start of the instance has left: the announced one, a
+  /// later one whose announcements are late, or an earlier one whose withdrawal
+  /// is late. So the instance is not offered until an announcement arrives that
+  /// must have been sent after the withdrawal.
   /// @return False if `instance` is not the current one.
-  bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
-                   instant now);
+  bool OnWithdrawn(const std::string& instance, instant now);
+
+  /// Handles that nothing accepted connections at the address of the backend
+  /// server: all starts up to then have ended, so an instance that left earlier
+  /// and is announced again has been started again.
+  /// @param checked_at When the connection was attempted.
+  void OnEnded(instant checked_at, instant now);
+
+  /// Returns whether a withdrawn instance may still be running, so that it is
+  /// useful to know when its process ends.
+  bool AwaitsEnd(instant now) const;
 
   /// Adds departures that an earlier process of the daemon acknowledged.
   void AddDepartures(const std::vector<departed_server>& departed, instant now);
@@ -95,7 +105,7 @@
   void OnDeparturesKnown() { knows_departures_ = true; }
 
   /// Returns the backend servers that have left, the latest one last.
-  const std::vector<departed_server>& Departures() const { return departed_; }
+  std::vector<departed_server> Departures() const;
 
   /// Handles a refused connection or a response from another instance.
   /// @param instance The instance that the request was sent to.
@@ -122,9 +132,24 @@
   instant PhaseSince() const { return phase_since_; }
 
  private:
+  struct departure {
+    departed_server server;
+    /// When this process acknowledged it or learned of it.
+    instant known_at;
+  };
+
   bool IsForeign(const server_announcement& announcement) const;
-  bool HasLeft(const server_announcement& announcement) const;
-  void AddDeparture(const departed_server& departure);
+  /// Returns whether the announcement is of a start that has left, or may have
+  /// been sent by one.
+  bool HasLeft(const server_announcement& announcement, instant now) const;
+  /// Returns whether exactly this start announced that it drains.
+  bool HasDrained(const server_announcement& announcement) const;
+  /// Returns whether the announcement is of the start before the current one.
+  bool IsPrevious(const server_announcement& announcement) const;
+  /// Returns whether announcements that were sent before the departure may
+  /// still arrive.
+  bool IsRecent(const departure& departure, instant now) const;
+  void AddDeparture(const departure& added);
   /// Updates the phase if the current start has left.
   void ApplyDepartures(instant now);
   bool IsOutdated(const server_announcement& announcement, instant now) const;
@@ -134,9 +159,11 @@
   server_phase phase_ = server_phase::kUnknown;
   instant phase_since_;
   std::optional<server_announcement> last_announcement_;
+  /// Last announcement of the start before the current one.
+  std::optional<server_announcement> previous_start_;
   instant first_announced_at_;  ///< First announcement of the current start.
   instant last_announced_at_;
-  std::vector<departed_server> departed_;
+  std::vector<departure> departures_;  ///< The latest one last.
   bool knows_departures_;
 };
 
--- a/libs/mesh/include/mesh/mesh_member.h
+++ b/libs/mesh/include/mesh/mesh_member.h
@@ -24,13 +24,15 @@
   bool operator==(const offered_server&) const = default;
 };
 
-/// Starts of a backend server that have left: it announced that it drains, or
-/// withdrew itself. They do not serve again, whatever is announced late.
+/// A backend server that has left. A start that announced that it drains does
+/// not serve again, whatever is announced late. A withdrawal names the instance
+/// only; see local_server::OnWithdrawn().
 struct departed_server {
   std::string instance;
-  /// The latest start that has left, by the clock of its VM. The instance may
-  /// start again later.
-  std::int64_t latest_start_unix_ms = 0;
+  /// The start that drains, by the clock of its VM. For a withdrawal the one
+  /// that was announced last, 0 if none was.
+  std::int64_t start_unix_ms = 0;
+  bool withdrawn = false;
 
   bool operator==(const departed_server&) const = default;
 };
--- a/libs/mesh/tests/local_server_test.cc
+++ b/libs/mesh/tests/local_server_test.cc
@@ -5,14 +5,18 @@
 namespace pomelohall {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Time in which late announcements arrive.
+constexpr auto kMaxLateness = seconds(9);
+
 class local_server_fixture {
  protected:
   local_server_fixture()
       : server_({.address = "10.0.0.1:80",
                  .service = "shop",
-                 .announcement_timeout = seconds(9)}) {}
+                 .announcement_timeout = kMaxLateness}) {}
 
   bool Announce(const std::string& instance, std::uint64_t sequence,
                 std::int64_t started = 1000, bool draining = false) {
@@ -66,9 +70,9 @@
 TEST_CASE_METHOD(local_server_fixture, "LocalServer_Withdrawn_IsLeaving",
                  "[mesh]") {
   Announce("i-1", 1);
-  CHECK_FALSE(server_.OnWithdrawn("i-0", 5000, now_));
+  CHECK_FALSE(server_.OnWithdrawn("i-0", now_));
   CHECK(server_.OfferedServer());
-  CHECK(server_.OnWithdrawn("i-1", 5000, now_));
+  CHECK(server_.OnWithdrawn("i-1", now_));
   CHECK_FALSE(server_.OfferedServer());
   Announce("i-1", 2);
   CHECK_FALSE(server_.OfferedServer());
@@ -78,11 +82,12 @@
 // had the withdrawal first, then an announcement that was sent before.
 TEST_CASE_METHOD(local_server_fixture,
                  "LocalServer_WithdrawnBeforeAnnounced_IsLeaving", "[mesh]") {
-  CHECK_FALSE(server_.OnWithdrawn("i-1", 5000, now_));
+  CHECK_FALSE(server_.OnWithdrawn("i-1", now_));
   Announce("i-1", 25, 1000);
   CHECK(server_.Phase() == server_phase::kLeaving);
   CHECK_FALSE(server_.OfferedServer());
   // Started again under the same name after the withdrawal.
+  now_ += kMaxLateness;
   Announce("i-1", 1, 6000);
   CHECK(server_.OfferedServer());
 }
@@ -92,10 +97,124 @@
 TEST_CASE_METHOD(local_server_fixture,
                  "LocalServer_SameInstanceNewStart_Counts", "[mesh]") {
   Announce("i-1", 50);
-  server_.OnWithdrawn("i-1", 5000, now_);
+  Announce("i-1", 51, 1000, true);
   CHECK(Announce("i-1", 1, 2000));
   CHECK(server_.OfferedServer());
   CHECK_FALSE(Announce("i-1", 60, 1000));
+  CHECK(server_.OfferedServer());
+}
+
+// Guards against a server that is offered although it has withdrawn itself: the
+// withdrawal was of a later start than the announced one, whose announcements
+// arrive after it, whatever its clock says.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_UnannouncedStartWithdrawn_LateReportIsNotOffered",
+                 "[mesh]") {
+  const std::int64_t started = GENERATE(500, 2000, 9'000'000'000'000);
+  Announce("i-1", 50);
+  if (GENERATE(false, true)) server_.OnUnreachable("i-1", now_);
+  server_.OnWithdrawn("i-1", now_);
+  for (std::uint64_t sequence = 1; sequence < 4; ++sequence) {
+    now_ += seconds(2);
+    Announce("i-1", sequence, started);
+    Announce("i-1", 50 + sequence);
+    CHECK_FALSE(server_.OfferedServer());
+  }
+}
+
+// Guards against a server that is never offered again because an earlier start
+// withdrew itself, wherever its clock stands compared with that of the daemon
+// and with that of the earlier start.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_NextStartAfterWithdrawal_IsOffered", "[mesh]") {
+  const std::int64_t started = GENERATE(500, 2000, 9'000'000'000'000);
+  Announce("i-1", 50);
+  server_.OnWithdrawn("i-1", now_);
+  SECTION("after announcements of the earlier one can no longer be late") {
+    now_ += kMaxLateness;
+  }
+  SECTION("at once if the earlier one has ended") {
+    now_ += seconds(1);
+    server_.OnEnded(now_, now_);
+  }
+  CHECK(Announce("i-1", 1, started));
+  CHECK(server_.OfferedServer());
+  Announce("i-1", 51);
+  CHECK(server_.OfferedServer());
+}
+
+// Guards against a server that is lost for good because the withdrawal of its
+// earlier start arrives late.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_WithdrawalOfEarlierStart_ServerIsOfferedAgain",
+                 "[mesh]") {
+  Announce("i-1", 50);
+  Announce("i-1", 1, 2000);
+  server_.OnWithdrawn("i-1", now_);
+  CHECK_FALSE(server_.OfferedServer());
+  for (std::uint64_t sequence = 2; sequence < 8; ++sequence) {
+    now_ += milliseconds(1500);
+    Announce("i-1", sequence, 2000);
+  }
+  CHECK(server_.OfferedServer());
+  CHECK(server_.Departures().empty());
+}
+
+// Guards against the same with the draining announcement of an earlier start,
+// and against a server that drains but is offered because its clock went back.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_EarlierStartDrains_OnlyThatIsNotOffered",
+                 "[mesh]") {
+  Announce("i-1", 50, 3000);
+  Announce("i-1", 1, 4000);
+  Announce("i-1", 51, 3000, true);
+  CHECK(server_.OfferedServer());
+  Announce("i-1", 3, 2000, true);  // A start that is not known.
+  CHECK_FALSE(server_.OfferedServer());
+}
+
+// Guards against a restarted server that is never offered because the clock of
+// its VM went back since the start that drained.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_ClockWentBackSinceDraining_NextStartIsOffered",
+                 "[mesh]") {
+  Announce("i-1", 50, 3000);
+  Announce("i-1", 51, 3000, true);
+  Announce("i-1", 1, 2000);
+  CHECK_FALSE(server_.OfferedServer());
+  now_ += kMaxLateness;
+  Announce("i-1", 2, 2000);
+  CHECK(server_.OfferedServer());
+  Announce("i-1", 52, 3000);  // Late.
+  CHECK(server_.OfferedServer());
+  CHECK(server_.LastAnnouncement()->started_unix_ms == 2000);
+}
+
+// Guards against a withdrawal that the next process of the daemon takes for one
+// of a long time ago, and against a server that this process never offers.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_WithdrawalOfEarlierProcess_Binds", "[mesh]") {
+  server_.AddDepartures({{.instance = "i-1", .withdrawn = true}}, now_);
+  Announce("i-1", 1, 2000);
+  CHECK_FALSE(server_.OfferedServer());
+  now_ += kMaxLateness;
+  Announce("i-1", 2, 2000);
+  CHECK(server_.OfferedServer());
+}
+
+// Guards against a withdrawal that an earlier check of the address outdates.
+TEST_CASE_METHOD(local_server_fixture,
+                 "LocalServer_WithdrawnAfterTheCheck_IsNotOffered", "[mesh]") {
+  Announce("i-1", 1);
+  const auto checked_at = now_;
+  now_ += milliseconds(1);
+  server_.OnWithdrawn("i-1", now_);
+  CHECK(server_.AwaitsEnd(now_));
+  server_.OnEnded(checked_at, now_);
+  Announce("i-1", 2);
+  CHECK_FALSE(server_.OfferedServer());
+  CHECK(server_.AwaitsEnd(now_));
+  CHECK_FALSE(server_.AwaitsEnd(now_ + kMaxLateness));
 }
 
 // Guards against a late announcement of a terminated server that replaces its
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -177,17 +177,39 @@
     if (outcome == announcement_outcome::kAccepted)
       queue_.SetSlots(announcement.slots);
   });
+  if (outcome == announcement_outcome::kAccepted && !announcement.draining &&
+      server_.Phase() == server_phase::kLeaving) {
+    log_event(log_level::kInfo, "announcement_of_departed")
+        .With("instance", announcement.instance)
+        .With("started_unix_ms", announcement.started_unix_ms)
+        .With("sequence", announcement.sequence);
+  }
   return outcome;
 }
 
-bool local_dispatcher::OnWithdrawn(const std::string& instance,
-                                   std::int64_t unix_ms, instant now) {
+bool local_dispatcher::OnWithdrawn(const std::string& instance, instant now) {
   bool is_current = false;
-  ChangeServer(
-      [&] { is_current = server_.OnWithdrawn(instance, unix_ms, now); });
+  ChangeServer([&] { is_current = server_.OnWithdrawn(instance, now); });
+  log_event(log_level::kInfo, "server_withdrawn")
+      .With("instance", instance)
+      .With("is_current", std::string(is_current ? "yes" : "no"));
   return is_current;
 }
 
+// The address is that of the backend server of this VM alone: if nothing
+// listens there, the process that withdrew itself has ended or is about to.
+void local_dispatcher::CheckWithdrawnServer(instant now) {
+  if (!server_.AwaitsEnd(now)) return;
+  pool_.Probe(server_address_, probes_.Bind([this, now](probe_result result) {
+    if (result != probe_result::kRefused) return;
+    // It may have closed its listening socket before it ends.
+    pool_.CloseIdle();
+    ChangeServer([&] { server_.OnEnded(now, MonotonicNow()); });
+    Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
+           "the backend server has ended");
+  }));
+}
+
 void local_dispatcher::AddDepartures(
     const std::vector<departed_server>& departed) {
   ChangeServer([&] { server_.AddDepartures(departed, MonotonicNow()); });
@@ -337,6 +359,7 @@
 void local_dispatcher::Sweep(instant now) {
   pool_.Sweep(now);
   ChangeServer([&] { server_.Tick(now); });
+  CheckWithdrawnServer(now);
 }
 
 void local_dispatcher::Refuse(const std::vector<std::uint64_t>& ids,
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -92,9 +92,8 @@
   announcement_outcome OnAnnounced(const server_announcement& announcement,
                                    instant now);
   // Handles a withdrawal of the backend server. Returns false if it is of
-  // another instance. `unix_ms` is the time of the VM's clock in milliseconds.
-  bool OnWithdrawn(const std::string& instance, std::int64_t unix_ms,
-                   instant now);
+  // another instance.
+  bool OnWithdrawn(const std::string& instance, instant now);
   // Adds departures that an earlier process of this daemon acknowledged.
   void AddDepartures(const std::vector<departed_server>& departed);
   // Handles that no further ones exist. The backend server is not offered
@@ -167,6 +166,8 @@
   void OnConnectionLost(std::uint64_t fingerprint, std::function<void()> done);
   void Probe();
   void OnProbed(probe_result result);
+  // Checks whether the process of a withdrawn backend server has ended.
+  void CheckWithdrawnServer(instant now);
   void RecordCrash();
 
   boost::asio::io_context& io_;
--- a/libs/sidecar/src/member_codec.cc
+++ b/libs/sidecar/src/member_codec.cc
@@ -47,8 +47,14 @@
         !start->is_number_integer()) {
       return std::nullopt;
     }
-    departed.push_back({.instance = *instance,
-                        .latest_start_unix_ms = start->get<std::int64_t>()});
+    const auto withdrawn = entry.find("withdrawn");
+    if (withdrawn != entry.end() && !withdrawn->is_boolean())
+      return std::nullopt;
+    departed.push_back(
+        {.instance = *instance,
+         .start_unix_ms = start->get<std::int64_t>(),
+         // Daemons of older versions do not write it.
+         .withdrawn = withdrawn != entry.end() && withdrawn->get<bool>()});
   }
   return departed;
 }
@@ -70,9 +76,10 @@
     }
   }
   for (const auto& departure : member.departed) {
-    spec["departed"].push_back(
-        {{"instance", departure.instance},
-         {"latest_start_unix_ms", departure.latest_start_unix_ms}});
+    json entry{{"instance", departure.instance},
+               {"latest_start_unix_ms", departure.start_unix_ms}};
+    if (departure.withdrawn) entry["withdrawn"] = true;
+    spec["departed"].push_back(std::move(entry));
   }
   if (!member.crashes.empty()) spec["crashes"] = EncodeReports(member.crashes);
   if (!member.cleared.empty()) spec["cleared"] = EncodeRequests(member.cleared);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -303,7 +303,7 @@
   }
 
   bool OnWithdrawn(const std::string& instance) {
-    return dispatcher_.OnWithdrawn(instance, UnixMillisNow(), MonotonicNow());
+    return dispatcher_.OnWithdrawn(instance, MonotonicNow());
   }
 
   void AwaitDepartureStored(std::function<void(bool)> done) {
--- a/libs/sidecar/tests/odd_message_test.cc
+++ b/libs/sidecar/tests/odd_message_test.cc
@@ -20,7 +20,8 @@
     R"({"address":"10.0.0.1:7600","data_centre":"near","incarnation":5,
         "link_mbps":100.0,
         "server":{"instance":"i-1","service":"shop","slots":18},
-        "departed":[{"instance":"i-0","latest_start_unix_ms":77}],
+        "departed":[{"instance":"i-0","latest_start_unix_ms":77,
+                     "withdrawn":true}],
         "crashes":[{"id":"ab12","at":99,"requests":["c3","d4"]}],
         "cleared":["e5"]})";
 
@@ -60,6 +61,7 @@
         WithValue(kRecord, "\"i-0\"", "\"\""),
         WithValue(kRecord, "\"i-0\"", "\"" + std::string(300, 'i') + "\""),
         WithValue(kRecord, "77", "7.5"),
+        WithValue(kRecord, "true", "1"),
         WithValue(kRecord, "99", "-1"),
         WithValue(kRecord, "ab12", "xy"),
         WithValue(kRecord, "e5", "zz"),
--- a/tests/sidecar/departure_test.cc
+++ b/tests/sidecar/departure_test.cc
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <thread>
 
+#include "concurrent_server.h"
 #include "sidecar_fleet.h"
 
 namespace pomelohall {
@@ -52,9 +54,34 @@
     CHECK(server_.Requests() == before);
   }
 
+  /// Delivers an announcement of another start of the backend server.
+  void AnnounceStart(std::int64_t started_unix_ms) {
+    RunOnIoThread([&] {
+      auto& announcement = nodes_[0]->announcement;
+      announcement.started_unix_ms = started_unix_ms;
+      announcement.sequence = 1;
+      nodes_[0]->daemon->OnAnnounced(announcement);
+    });
+  }
+
   scripted_server server_{OkResponse};
 };
 
+/// The same with a backend server that can crash and start again.
+class restarted_server_fixture : public sidecar_fleet {
+ protected:
+  restarted_server_fixture() {
+    PublishConfig(3);
+    AddSidecar(&server_);
+    AddSidecar(nullptr, "front");
+    WaitUntilOffered(1);
+  }
+
+  concurrent_server server_{[](const std::string& header) {
+    return scripted_reply{.bytes = OkResponse(header)};
+  }};
+};
+
 // Guards against a backend server that is used again although its leaving was
 // acknowledged: its daemon is restarted, and then gets an announcement that was
 // sent earlier.
@@ -127,12 +154,45 @@
   REQUIRE(Leave(departure::kDraining));
   Restart(0);
   AnnounceLate();
-  RunOnIoThread([this] {
-    nodes_[0]->announcement.started_unix_ms = 5000;
+  AnnounceStart(5000);
+  std::this_thread::sleep_for(kMaxRecordDelay);
+  CHECK(Call(1, "GET", "/safe/1").status == 200);
+}
+
+// Guards against a backend server that is used again although its leaving was
+// acknowledged: it had been started again with its instance, and the first
+// report of that start arrives after its withdrawal. Its clock may differ from
+// that of the daemon, which may be restarted in between.
+TEST_CASE_METHOD(departure_fixture,
+                 "Sidecar_FirstReportAfterWithdrawal_ServerGetsNoRequests",
+                 "[sidecar]") {
+  const std::int64_t started = GENERATE(500, 5000, 9'000'000'000'000);
+  const bool restarted = GENERATE(false, true);
+  REQUIRE(Leave(departure::kWithdrawn));
+  if (restarted) Restart(0);
+  AnnounceStart(started);
+  CheckThatServerGetsNoRequests();
+}
+
+// Guards against a backend server that is lost for seconds after its restart
+// because the start before has withdrawn itself and has ended.
+TEST_CASE_METHOD(restarted_server_fixture,
+                 "Sidecar_ServerEndedAfterWithdrawal_NextStartGetsRequests",
+                 "[sidecar]") {
+  const std::int64_t started = GENERATE(500, 5000, 9'000'000'000'000);
+  REQUIRE(Withdraw(0, "i-0"));
+  CHECK(Call(1, "GET", "/safe/1").status == 503);
+  server_.Crash();
+  // The end of a withdrawn server is checked for once a second.
+  std::this_thread::sleep_for(milliseconds(1500));
+  server_.Start();
+  RunOnIoThread([&] {
+    nodes_[0]->announcement.started_unix_ms = started;
     nodes_[0]->daemon->OnAnnounced(nodes_[0]->announcement);
   });
-  std::this_thread::sleep_for(kMaxRecordDelay);
+  std::this_thread::sleep_for(milliseconds(2000));
   CHECK(Call(1, "GET", "/safe/1").status == 200);
+  CHECK(Call(0, "GET", "/safe/1").status == 200);
 }
 
 }  // namespace
