--- a/libs/mesh/include/mesh/local_server.h
+++ b/libs/mesh/include/mesh/local_server.h
@@ -52,9 +52,10 @@
   std::string address;  ///< "ip:port" of the backend server on this VM.
   std::string service;  ///< Service of that backend server.
   /// The backend server is considered unreachable if it sends no announcement
-  /// for this time. Announcements and withdrawals that are late arrive within
-  /// it as well.
+  /// for this time.
   duration announcement_timeout = std::chrono::seconds(10);
+  /// Longest time that an announcement or a withdrawal is in transit.
+  duration max_lateness = std::chrono::seconds(10);
   /// Whether an earlier process of the daemon may have acknowledged a departure
   /// that is not known yet. Until OnDeparturesKnown(), the backend server is
   /// then only offered once it has announced itself for longer than
--- a/libs/mesh/src/local_server.cc
+++ b/libs/mesh/src/local_server.cc
@@ -92,7 +92,7 @@
   }
   last_announcement_ = announcement;
   last_announced_at_ = now;
-  if (now - first_announced_at_ >= options_.announcement_timeout)
+  if (now - first_announced_at_ >= options_.max_lateness)
     knows_departures_ = true;
   if (HasLeft(announcement, now)) {
     SetPhase(server_phase::kLeaving, now);
@@ -118,7 +118,7 @@
 }
 
 bool local_server::IsRecent(const departure& departure, instant now) const {
-  return now - departure.known_at < options_.announcement_timeout;
+  return now - departure.known_at < options_.max_lateness;
 }
 
 bool local_server::HasDrained(const server_announcement& announcement) const {
@@ -187,7 +187,7 @@
 void local_server::OnEnded(instant checked_at, instant now) {
   if (phase_ != server_phase::kUnknown)
     SetPhase(server_phase::kUnreachable, now);
-  const auto outdated_at = checked_at - options_.announcement_timeout;
+  const auto outdated_at = checked_at - options_.max_lateness;
   for (auto& entry : departures_) {
     if (entry.known_at <= checked_at)
       entry.known_at = std::min(entry.known_at, outdated_at);
--- a/libs/mesh/tests/local_server_test.cc
+++ b/libs/mesh/tests/local_server_test.cc
@@ -16,7 +16,8 @@
   local_server_fixture()
       : server_({.address = "10.0.0.1:80",
                  .service = "shop",
-                 .announcement_timeout = kMaxLateness}) {}
+                 .announcement_timeout = seconds(9),
+                 .max_lateness = kMaxLateness}) {}
 
   bool Announce(const std::string& instance, std::uint64_t sequence,
                 std::int64_t started = 1000, bool draining = false) {
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -57,6 +57,8 @@
   // The backend server is considered unreachable after this time without an
   // announcement.
   duration announcement_timeout = std::chrono::seconds(9);
+  // Announcements and withdrawals that are late arrive within this time.
+  duration max_lateness = std::chrono::seconds(9);
   // A connection is closed if the backend server sends nothing for this time.
   duration dead_peer_timeout = std::chrono::milliseconds(1500);
 };
