--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -87,6 +87,9 @@
   version_choice versions = {};    ///< Versions of servers that may run it.
   /// Selects the server of a canary request; see version_choice::is_canary.
   std::uint64_t canary_turn = 0;
+  /// Selects the server of a request on trial: daemons that may use the same
+  /// servers select the same one, so that it runs at one server at a time.
+  std::optional<std::uint64_t> trial = {};
 };
 
 /// Directory of the daemons and their backend servers that selects a server for
@@ -215,6 +218,9 @@
   // none did.
   duration TypicalTime(const std::vector<const member_state*>& members,
                        instant now) const;
+  // Returns the server that runs a request on trial.
+  static const member_state* TrialServer(
+      const std::vector<const member_state*>& members, std::uint64_t trial);
   // Returns one of the few servers that try out a version, all daemons the same
   // one.
   static std::vector<const member_state*> CanaryServer(
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -319,11 +319,29 @@
   return sampled;
 }
 
+// The highest random weight: if a server is lost, only its trials move.
+const server_directory::member_state* server_directory::TrialServer(
+    const std::vector<const member_state*>& members, std::uint64_t trial) {
+  return *std::max_element(members.begin(), members.end(),
+                           [trial](const auto* a, const auto* b) {
+                             return FastHash(a->member.name, trial) <
+                                    FastHash(b->member.name, trial);
+                           });
+}
+
 std::optional<server_choice> server_directory::Choose(
     const server_demand& demand, instant now) {
   const auto eligible = EligibleMembers(demand, now);
   if (eligible.empty()) return std::nullopt;
   const auto typical = TypicalTime(eligible, now);
+  if (demand.trial) {
+    const auto& server = *TrialServer(eligible, *demand.trial);
+    return server_choice{
+        .member = server.member,
+        .expected_time = Score(server, demand, typical, now).expected_time,
+        .report_age = server.reported ? now - server.reported_at : duration(0),
+        .candidates = 1};
+  }
   std::vector<const member_state*> local;
   std::vector<const member_state*> remote;
   for (const auto* state : eligible) {
--- a/libs/mesh/tests/server_directory_test.cc
+++ b/libs/mesh/tests/server_directory_test.cc
@@ -287,5 +287,32 @@
   CHECK(directory_.FastestMember(now_)->link_mbps == 100);
 }
 
+// Guards against requests on trial that run at several servers at once because
+// their daemons choose different ones, and against one without a server because
+// that of its trials is gone.
+TEST_CASE_METHOD(directory_fixture,
+                 "Directory_RequestOnTrial_AllDaemonsChooseTheSameServer",
+                 "[mesh]") {
+  server_directory other({.member = "other", .data_centre = "far"}, 8);
+  for (const char* name : {"a", "b", "c", "d"}) {
+    Add(name, "near");
+    other.Put(*directory_.Record(name), now_);
+  }
+  std::set<std::string> chosen;
+  for (std::uint64_t request = 1; request <= 50; ++request) {
+    const server_demand demand{
+        .service = "shop", .excluded = {}, .trial = request};
+    const auto name = directory_.Choose(demand, now_)->member.name;
+    CHECK(other.Choose(demand, now_)->member.name == name);
+    chosen.insert(name);
+    other.OnNotServing(name, now_);
+    const auto next = other.Choose(demand, now_);
+    REQUIRE(next);
+    CHECK(next->member.name != name);
+    now_ += seconds(3);
+  }
+  CHECK(chosen.size() == 4);
+}
+
 }  // namespace
 }  // namespace pomelohall
--- a/libs/quarantine/include/quarantine/crash_history.h
+++ b/libs/quarantine/include/quarantine/crash_history.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,28 +20,62 @@
   bool operator==(const server_crash&) const = default;
 };
 
+/// A crash that one request may have caused.
+struct suspected_crash {
+  server_crash crash;
+  /// Whether the request was on trial then: it alone is to blame.
+  bool on_trial = false;
+
+  bool operator==(const suspected_crash&) const = default;
+};
+
 /// A crash and the fingerprints of the requests that may have caused it.
 struct crash_report {
   server_crash crash;
   std::vector<std::uint64_t> requests;
+  /// The one of them that was on trial, if any.
+  std::optional<std::uint64_t> trial = {};
 
   bool operator==(const crash_report&) const = default;
 };
 
+/// How a request may run.
+enum class crash_verdict {
+  kAllow,
+  /// On trial: on the server that the caller's daemon selects by
+  /// server_demand::trial, one such request at a time.
+  kTrial,
+  kRefuse,
+};
+
 /// Settings of a crash_history.
 struct crash_history_options {
-  /// Crashes that make a request a culprit: it is refused from then on.
-  std::size_t culprit_crashes = 3;
-  /// Crashes that make it a suspect: it is not repeated any more.
+  /// Crashes that make a request a suspect: its daemons do not repeat it any
+  /// more.
   std::size_t suspect_crashes = 2;
-  /// Crashes within this time count as one: servers that end together, for
-  /// example with their VMs, say nothing about a request that all of them ran.
+  /// Crashes within this time count as one for that: servers that end together
+  /// say nothing about a request that all of them ran.
   std::int64_t separation_ms = 1'000;
+  /// Crashes from which a request runs on trial only, however close together.
+  /// The platform's bound on a request that crashes servers counts from its
+  /// third crash.
+  std::size_t trial_crashes = 3;
+  /// Crashes on trial that make a request a culprit: it is refused from then
+  /// on. The platform allows three late attempts; the third is left for daemons
+  /// that do not know of the trials yet. One crash is not enough, as the server
+  /// may have ended for another reason.
+  std::size_t culprit_trials = 2;
+  /// Time from a crash on trial until the next trial. Servers that crash one
+  /// after the other for another reason do not make a culprit of a request that
+  /// each of them ran.
+  std::int64_t trial_pause_ms = 3'000;
   /// How long a crash counts.
   std::int64_t lifetime_ms = 600'000;
   /// Maximum number of requests; the ones with the fewest and earliest crashes
   /// are forgotten first.
   std::size_t max_requests = 4096;
+  /// Maximum number of crashes of a request.
+  std::size_t max_suspicions = 64;
   /// Maximum number of crashes of the server beside this daemon that are
   /// reported to others, and of requests of each.
   std::size_t max_reports = 8;
@@ -54,9 +89,15 @@
 /// reports the crashes of the server beside it; the other daemons learn them
 /// from its record and with requests that come again.
 ///
+/// Servers that end for other reasons leave the same traces as those that a
+/// request crashes: requests that ran at several crashes, also repeats that
+/// follow each other within milliseconds. So crashes alone do not make a
+/// culprit; a request that ran at several of them is put on trial.
+///
 /// A request that crashes the servers that run it never completes, so one that
-/// completes is cleared of all crashes that are known by then. Times are of the
-/// clocks of the VMs, which may differ by seconds. Not thread-safe.
+/// completes is cleared of all crashes that are known by then. Times of crashes
+/// are of the clocks of the VMs, which may differ by seconds; verdicts do not
+/// depend on them. Not thread-safe.
 class crash_history {
  public:
   explicit crash_history(crash_history_options options = {});
@@ -74,24 +115,29 @@
                   std::int64_t now_unix_ms);
 
   /// Adds crashes that another daemon knows for a request.
-  void Add(std::uint64_t fingerprint, const std::vector<server_crash>& crashes,
+  void Add(std::uint64_t fingerprint,
+           const std::vector<suspected_crash>& crashes,
            std::int64_t now_unix_ms);
 
   /// Clears a request: a server has run it to its end.
   void OnCompleted(std::uint64_t fingerprint);
 
+  /// Clears a request that IsCleared() at another daemon.
+  void OnClearedElsewhere(std::uint64_t fingerprint) { ClearAll(fingerprint); }
+
   /// Returns the crashes that a request may have caused.
-  std::vector<server_crash> Crashes(std::uint64_t fingerprint) const;
+  std::vector<suspected_crash> Crashes(std::uint64_t fingerprint) const;
+
+  /// Returns whether a request that ran at enough crashes for a trial has
+  /// completed since. Other daemons may not know that yet.
+  bool IsCleared(std::uint64_t fingerprint) const;
 
   /// Returns whether a request is only to be sent again if its caller asks.
-  bool IsSuspect(std::uint64_t fingerprint) const {
-    return Count(fingerprint) >= options_.suspect_crashes;
-  }
+  bool IsSuspect(std::uint64_t fingerprint) const;
 
-  /// Returns whether a request must not run any more.
-  bool IsCulprit(std::uint64_t fingerprint) const {
-    return Count(fingerprint) >= options_.culprit_crashes;
-  }
+  /// Returns how a request may run now.
+  crash_verdict Verdict(std::uint64_t fingerprint,
+                        std::int64_t now_unix_ms) const;
 
   /// Returns the crashes of the server beside this daemon, for its record.
   std::vector<crash_report> OwnReports() const;
@@ -116,28 +162,38 @@
  private:
   struct suspicion {
     server_crash crash;
+    bool on_trial = false;
+    /// When this daemon learned of it, by its clock.
+    std::int64_t known_at_unix_ms = 0;
     bool cleared = false;
   };
+  using suspicions = std::vector<suspicion>;
 
   struct cleared_request {
     std::uint64_t fingerprint = 0;
     std::int64_t since_unix_ms = 0;  ///< 0 until the next Expire().
   };
 
-  std::size_t Count(std::uint64_t fingerprint) const;
-  /// Returns the crashes that the request is not cleared of.
-  std::size_t Count(const std::vector<suspicion>& suspicions) const;
+  /// Returns the number of crashes that the request is not cleared of.
+  static std::size_t Count(const suspicions& known);
+  /// Returns the number of those at which it was on trial.
+  static std::size_t CountTrials(const suspicions& known);
+  /// Returns whether a request ran at enough crashes to be of interest to
+  /// others.
+  bool IsSuspect(const suspicions& known) const;
   /// Counts crashes within `separation_ms` of each other once.
   std::size_t CountSeparate(std::vector<std::int64_t> times) const;
   bool IsExpired(const server_crash& crash, std::int64_t now_unix_ms) const;
-  void AddSuspicion(std::uint64_t fingerprint, const server_crash& crash);
+  void AddSuspicion(std::uint64_t fingerprint, const suspected_crash& crash,
+                    std::int64_t now_unix_ms);
+  void AddReport(const crash_report& report, std::int64_t now_unix_ms);
   void Clear(std::uint64_t fingerprint, std::uint64_t crash_id);
   void ClearAll(std::uint64_t fingerprint);
   void EvictOne();
   void Notify();
 
   crash_history_options options_;
-  std::unordered_map<std::uint64_t, std::vector<suspicion>> requests_;
+  std::unordered_map<std::uint64_t, suspicions> requests_;
   std::vector<crash_report> own_;         ///< The latest one last.
   std::vector<cleared_request> cleared_;  ///< The latest one last.
   /// What the records of the other daemons reported last.
--- a/libs/quarantine/src/crash_history.cc
+++ b/libs/quarantine/src/crash_history.cc
@@ -1,6 +1,7 @@
 #include "quarantine/crash_history.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace pomelohall {
@@ -34,8 +35,7 @@
       Find(own_, report.crash.id) != nullptr) {
     return;
   }
-  for (const auto fingerprint : report.requests)
-    AddSuspicion(fingerprint, report.crash);
+  AddReport(report, now_unix_ms);
   own_.push_back(report);
   std::stable_sort(own_.begin(), own_.end(),
                    [](const crash_report& left, const crash_report& right) {
@@ -60,9 +60,7 @@
     }
   }
   for (const auto& report : reports) {
-    if (IsExpired(report.crash, now_unix_ms)) continue;
-    for (const auto fingerprint : report.requests)
-      AddSuspicion(fingerprint, report.crash);
+    if (!IsExpired(report.crash, now_unix_ms)) AddReport(report, now_unix_ms);
   }
   known = reports;
   if (known.empty()) reported_.erase(member);
@@ -70,34 +68,60 @@
 }
 
 void crash_history::Add(std::uint64_t fingerprint,
-                        const std::vector<server_crash>& crashes,
+                        const std::vector<suspected_crash>& crashes,
                         std::int64_t now_unix_ms) {
-  for (const auto& crash : crashes) {
-    if (!IsExpired(crash, now_unix_ms)) AddSuspicion(fingerprint, crash);
+  for (const auto& entry : crashes) {
+    if (!IsExpired(entry.crash, now_unix_ms))
+      AddSuspicion(fingerprint, entry, now_unix_ms);
+  }
+}
+
+void crash_history::AddReport(const crash_report& report,
+                              std::int64_t now_unix_ms) {
+  for (const auto fingerprint : report.requests) {
+    AddSuspicion(
+        fingerprint,
+        {.crash = report.crash, .on_trial = report.trial == fingerprint},
+        now_unix_ms);
   }
 }
 
 void crash_history::AddSuspicion(std::uint64_t fingerprint,
-                                 const server_crash& crash) {
+                                 const suspected_crash& crash,
+                                 std::int64_t now_unix_ms) {
+  const suspicion added{.crash = crash.crash,
+                        .on_trial = crash.on_trial,
+                        .known_at_unix_ms = now_unix_ms};
   const auto found = requests_.find(fingerprint);
-  if (found != requests_.end()) {
-    auto& suspicions = found->second;
-    const bool known = std::any_of(
-        suspicions.begin(), suspicions.end(),
-        [&](const suspicion& other) { return other.crash.id == crash.id; });
-    // A culprit needs no more; the oldest ones expire first.
-    if (!known && suspicions.size() < options_.max_reported_requests) {
-      suspicions.push_back({.crash = crash});
-    }
+  if (found == requests_.end()) {
+    if (requests_.size() >= options_.max_requests) EvictOne();
+    requests_[fingerprint].push_back(added);
     return;
   }
-  if (requests_.size() >= options_.max_requests) EvictOne();
-  requests_[fingerprint].push_back({.crash = crash});
+  auto& known = found->second;
+  const auto same = std::find_if(
+      known.begin(), known.end(),
+      [&](const suspicion& other) { return other.crash.id == crash.crash.id; });
+  if (same != known.end()) {
+    if (crash.on_trial && !same->on_trial) {
+      same->on_trial = true;
+      same->known_at_unix_ms = now_unix_ms;
+    }
+  } else if (known.size() < options_.max_suspicions) {
+    known.push_back(added);
+  } else if (crash.on_trial) {
+    // More crashes without a trial change no verdict.
+    const auto replaced =
+        std::find_if(known.begin(), known.end(),
+                     [](const suspicion& other) { return !other.on_trial; });
+    if (replaced != known.end()) *replaced = added;
+  }
 }
 
 void crash_history::EvictOne() {
-  const auto rank = [this](const std::vector<suspicion>& suspicions) {
-    return std::pair(Count(suspicions), suspicions.back().crash.at_unix_ms);
+  const auto rank = [](const suspicions& known) {
+    return std::tuple(CountTrials(known), Count(known),
+                      known.back().crash.at_unix_ms);
   };
   const auto evicted =
       std::min_element(requests_.begin(), requests_.end(),
@@ -126,18 +150,14 @@
 void crash_history::OnCompleted(std::uint64_t fingerprint) {
   const auto found = requests_.find(fingerprint);
   if (found == requests_.end()) return;
-  const auto& suspicions = found->second;
-  const bool was_cleared = Count(suspicions) == 0;
-  ClearAll(fingerprint);
+  auto& known = found->second;
+  const bool was_cleared = Count(known) == 0;
   // Counts all crashes: other daemons may have seen none of the completions
   // that cleared the request of the earlier ones here.
-  std::vector<std::int64_t> times;
-  times.reserve(suspicions.size());
-  for (const auto& entry : suspicions) times.push_back(entry.crash.at_unix_ms);
-  if (was_cleared ||
-      CountSeparate(std::move(times)) < options_.suspect_crashes) {
-    return;
-  }
+  for (auto& entry : known) entry.cleared = false;
+  const bool others_suspect = IsSuspect(known);
+  ClearAll(fingerprint);
+  if (was_cleared || !others_suspect) return;
   std::erase_if(cleared_, [&](const cleared_request& entry) {
     return entry.fingerprint == fingerprint;
   });
@@ -153,13 +173,54 @@
   return requests;
 }
 
-std::size_t crash_history::Count(
-    const std::vector<suspicion>& suspicions) const {
+std::size_t crash_history::Count(const suspicions& known) {
+  return static_cast<std::size_t>(
+      std::count_if(known.begin(), known.end(),
+                    [](const suspicion& entry) { return !entry.cleared; }));
+}
+
+std::size_t crash_history::CountTrials(const suspicions& known) {
+  return static_cast<std::size_t>(std::count_if(
+      known.begin(), known.end(),
+      [](const suspicion& entry) { return !entry.cleared && entry.on_trial; }));
+}
+
+bool crash_history::IsSuspect(const suspicions& known) const {
+  if (Count(known) >= options_.trial_crashes) return true;
   std::vector<std::int64_t> times;
-  for (const auto& suspicion : suspicions) {
-    if (!suspicion.cleared) times.push_back(suspicion.crash.at_unix_ms);
+  for (const auto& entry : known) {
+    if (!entry.cleared) times.push_back(entry.crash.at_unix_ms);
   }
-  return CountSeparate(std::move(times));
+  return CountSeparate(std::move(times)) >= options_.suspect_crashes;
+}
+
+bool crash_history::IsSuspect(std::uint64_t fingerprint) const {
+  const auto found = requests_.find(fingerprint);
+  return found != requests_.end() && IsSuspect(found->second);
+}
+
+bool crash_history::IsCleared(std::uint64_t fingerprint) const {
+  const auto found = requests_.find(fingerprint);
+  return found != requests_.end() && Count(found->second) == 0 &&
+         found->second.size() >= options_.trial_crashes;
+}
+
+crash_verdict crash_history::Verdict(std::uint64_t fingerprint,
+                                     std::int64_t now_unix_ms) const {
+  const auto found = requests_.find(fingerprint);
+  if (found == requests_.end()) return crash_verdict::kAllow;
+  const auto& known = found->second;
+  if (CountTrials(known) >= options_.culprit_trials)
+    return crash_verdict::kRefuse;
+  if (Count(known) < options_.trial_crashes) return crash_verdict::kAllow;
+  const bool pauses =
+      std::any_of(known.begin(), known.end(), [&](const suspicion& entry) {
+        // The clock may have gone back.
+        const auto age = now_unix_ms - entry.known_at_unix_ms;
+        return entry.on_trial && !entry.cleared && age >= 0 &&
+               age < options_.trial_pause_ms;
+      });
+  return pauses ? crash_verdict::kRefuse : crash_verdict::kTrial;
 }
 
 std::size_t crash_history::CountSeparate(
@@ -175,19 +236,14 @@
   return count;
 }
 
-std::size_t crash_history::Count(std::uint64_t fingerprint) const {
-  if (requests_.empty()) return 0;
-  const auto found = requests_.find(fingerprint);
-  return found == requests_.end() ? 0 : Count(found->second);
-}
-
-std::vector<server_crash> crash_history::Crashes(
+std::vector<suspected_crash> crash_history::Crashes(
     std::uint64_t fingerprint) const {
-  std::vector<server_crash> crashes;
+  std::vector<suspected_crash> crashes;
   const auto found = requests_.find(fingerprint);
   if (found == requests_.end()) return crashes;
-  for (const auto& suspicion : found->second) {
-    if (!suspicion.cleared) crashes.push_back(suspicion.crash);
+  for (const auto& entry : found->second) {
+    if (!entry.cleared)
+      crashes.push_back({.crash = entry.crash, .on_trial = entry.on_trial});
   }
   return crashes;
 }
@@ -200,17 +256,17 @@
     for (const auto fingerprint : own_[i].requests) {
       const auto found = requests_.find(fingerprint);
       if (found == requests_.end()) continue;
-      const auto& suspicions = found->second;
-      const bool counts = std::any_of(
-          suspicions.begin(), suspicions.end(), [&](const suspicion& entry) {
+      const auto& known = found->second;
+      const bool counts =
+          std::any_of(known.begin(), known.end(), [&](const suspicion& entry) {
             return !entry.cleared && entry.crash.id == reported.crash.id;
           });
       // Of earlier crashes, only requests that come again are of interest.
-      const bool is_wanted =
-          i >= latest || Count(suspicions) >= options_.suspect_crashes;
+      const bool is_wanted = i >= latest || IsSuspect(known);
       if (counts && is_wanted &&
           reported.requests.size() < options_.max_reported_requests) {
         reported.requests.push_back(fingerprint);
+        if (own_[i].trial == fingerprint) reported.trial = fingerprint;
       }
     }
     if (!reported.requests.empty()) reports.push_back(std::move(reported));
@@ -228,8 +284,8 @@
   std::erase_if(own_, [&](const crash_report& report) {
     return IsExpired(report.crash, now_unix_ms);
   });
-  for (auto& [fingerprint, suspicions] : requests_) {
-    std::erase_if(suspicions, [&](const suspicion& entry) {
+  for (auto& [fingerprint, known] : requests_) {
+    std::erase_if(known, [&](const suspicion& entry) {
       return IsExpired(entry.crash, now_unix_ms);
     });
   }
@@ -240,7 +296,7 @@
 std::size_t crash_history::CulpritCount() const {
   return static_cast<std::size_t>(std::count_if(
       requests_.begin(), requests_.end(), [this](const auto& entry) {
-        return Count(entry.second) >= options_.culprit_crashes;
+        return CountTrials(entry.second) >= options_.culprit_trials;
       }));
 }
 
--- a/libs/quarantine/tests/crash_history_test.cc
+++ b/libs/quarantine/tests/crash_history_test.cc
@@ -8,6 +8,9 @@
 
 constexpr std::int64_t kStart = 1'000'000;
 constexpr std::int64_t kSecond = 1'000;
+constexpr std::int64_t kFirstTrial = kStart + 3 * kSecond;
+constexpr std::int64_t kSecondTrial = kStart + 9 * kSecond;
+constexpr std::int64_t kLater = kStart + 60 * kSecond;
 constexpr std::uint64_t kPoison = 7;
 constexpr std::uint64_t kOther = 8;
 
@@ -19,15 +22,37 @@
             .requests = std::move(requests)};
   }
 
+  crash_report NextTrialCrash(std::int64_t at) {
+    auto report = NextCrash({kPoison, kOther}, at);
+    report.trial = kPoison;
+    return report;
+  }
+
   /// Crashes of the servers beside three daemons, of which this is one.
   void CrashThrice(std::int64_t interval) {
     history_.OnCrash(NextCrash({kPoison, kOther}, kStart), kStart);
     history_.OnReported("a", {NextCrash({kPoison}, kStart + interval)}, {},
                         kStart + interval);
-    history_.Add(kPoison, {NextCrash({kPoison}, kStart + 2 * interval).crash},
+    history_.Add(kPoison,
+                 {{.crash = NextCrash({}, kStart + 2 * interval).crash}},
                  kStart + 2 * interval);
   }
 
+  /// Then it crashes two on trial, beside this daemon and another one.
+  void Convict() {
+    CrashThrice(100);
+    history_.OnCrash(NextTrialCrash(kFirstTrial), kFirstTrial);
+    history_.OnReported("b", {NextTrialCrash(kSecondTrial)}, {}, kSecondTrial);
+  }
+
+  bool IsRefused(std::uint64_t request, std::int64_t now) const {
+    return history_.Verdict(request, now) == crash_verdict::kRefuse;
+  }
+
+  bool IsOnTrial(std::uint64_t request, std::int64_t now) const {
+    return history_.Verdict(request, now) == crash_verdict::kTrial;
+  }
+
   /// Adds a crash to the record of another daemon, which this one and a third
   /// read.
   void ReportCrash(std::vector<std::uint64_t> requests, std::int64_t at) {
@@ -43,15 +68,64 @@
 };
 
 // Guards against a request that goes on crashing servers because each daemon
-// counts its own crashes only.
+// counts its own crashes only, or because its crashes follow each other within
+// milliseconds, as those of repeats do.
 TEST_CASE_METHOD(crash_history_fixture,
-                 "CrashHistory_CrashesAtThreeDaemons_MakeACulprit",
+                 "CrashHistory_CrashesAtThreeDaemons_LeadToTrials",
                  "[quarantine]") {
-  CrashThrice(2 * kSecond);
-  CHECK(history_.IsCulprit(kPoison));
+  const std::int64_t interval = GENERATE(0, 1, 2 * kSecond);
+  CrashThrice(interval);
+  CHECK(IsOnTrial(kPoison, kLater));
+  CHECK(history_.IsSuspect(kPoison));
+  CHECK(history_.Verdict(kOther, kLater) == crash_verdict::kAllow);
   CHECK_FALSE(history_.IsSuspect(kOther));
   CHECK(history_.Crashes(kPoison).size() == 3);
+}
+
+// Guards against a request that is tried as often as it comes.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_CrashesOnTrialAtTwoDaemons_MakeACulprit",
+                 "[quarantine]") {
+  Convict();
+  CHECK(IsRefused(kPoison, kLater));
   CHECK(history_.CulpritCount() == 1);
+  CHECK_FALSE(IsRefused(kOther, kLater));
+  CHECK(history_.Crashes(kPoison).back().on_trial);
+}
+
+// Guards against a trial that is not known as such because another source told
+// of the crash first.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_TrialToldAfterTheCrash_Counts", "[quarantine]") {
+  CrashThrice(100);
+  for (const auto at : {kFirstTrial, kSecondTrial}) {
+    const auto report = NextTrialCrash(at);
+    history_.Add(kPoison, {{.crash = report.crash}}, at);
+    history_.OnReported(std::to_string(at), {report}, {}, at);
+  }
+  CHECK(IsRefused(kPoison, kLater));
+}
+
+// Guards against a correct request that is refused for minutes because the
+// servers that ran it on trial were two of a series that crashes.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_CrashOnTrial_NextTrialIsLater", "[quarantine]") {
+  CrashThrice(100);
+  history_.OnCrash(NextTrialCrash(kFirstTrial), kFirstTrial);
+  CHECK(IsRefused(kPoison, kFirstTrial + 2 * kSecond));
+  CHECK(IsOnTrial(kPoison, kFirstTrial + 3 * kSecond));
+  history_.OnCompleted(kPoison);
+  CHECK(history_.Verdict(kPoison, kLater) == crash_verdict::kAllow);
+  CHECK(history_.IsCleared(kPoison));
+}
+
+// Guards against a daemon that refuses or tries a request that another one has
+// seen complete.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_ClearedElsewhere_IsAllowed", "[quarantine]") {
+  CrashThrice(2 * kSecond);
+  history_.OnClearedElsewhere(kPoison);
+  CHECK(history_.Verdict(kPoison, kLater) == crash_verdict::kAllow);
 }
 
 // Guards against a crash that counts more than once because several daemons
@@ -64,18 +138,36 @@
   for (int i = 0; i < 3; ++i) {
     history_.OnCrash(report, kStart);
     history_.OnReported("a", {report}, {}, kStart);
-    history_.Add(kPoison, {report.crash}, kStart);
+    history_.Add(kPoison, {{.crash = report.crash}}, kStart);
   }
   CHECK_FALSE(history_.IsSuspect(kPoison));
+  CHECK(history_.Crashes(kPoison).size() == 1);
 }
 
-// Guards against the refusal of a request that many servers ran when their VMs
-// lost power together.
+// Guards against the refusal of a request that many servers ran when they
+// crashed together or one after the other.
 TEST_CASE_METHOD(crash_history_fixture,
-                 "CrashHistory_ServersCrashTogether_CountOnce",
+                 "CrashHistory_ManyServersCrash_RequestIsNotRefused",
                  "[quarantine]") {
-  CrashThrice(100);
-  CHECK_FALSE(history_.IsSuspect(kPoison));
+  const std::int64_t interval = GENERATE(0, 100, 700, 2 * kSecond);
+  for (std::int64_t i = 0; i < 20; ++i) {
+    const auto at = kStart + i * interval;
+    history_.OnReported(std::to_string(i), {NextCrash({kOther}, at)}, {}, at);
+    CHECK_FALSE(IsRefused(kOther, at));
+  }
+}
+
+// Guards against a request that ran at two servers that crashed together and is
+// not repeated although others are there.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_TwoServersCrashTogether_RequestIsRepeated",
+                 "[quarantine]") {
+  history_.OnCrash(NextCrash({kOther}, kStart), kStart);
+  history_.OnReported("a", {NextCrash({kOther}, kStart + 900)}, {}, kStart);
+  CHECK_FALSE(history_.IsSuspect(kOther));
+  history_.OnReported("b", {NextCrash({kPoison}, kStart)}, {}, kStart);
+  history_.OnReported("c", {NextCrash({kPoison}, kStart + 1100)}, {}, kStart);
+  CHECK(history_.IsSuspect(kPoison));
 }
 
 // Guards against the refusal of a correct request that many callers send while
@@ -89,7 +181,7 @@
     const auto now = kStart + i * 2 * kSecond;
     history_.OnCrash(NextCrash({kOther}, now), now);
     history_.OnReported("a", {at_other}, {}, now);
-    CHECK_FALSE(history_.IsCulprit(kOther));
+    CHECK(history_.Verdict(kOther, now) == crash_verdict::kAllow);
     history_.OnCompleted(kOther);
   }
   CHECK(history_.OwnReports().empty());
@@ -109,7 +201,7 @@
     history_.OnReported(member, {report}, {}, now);
   }
   CHECK_FALSE(history_.IsSuspect(kOther));
-  CHECK(history_.IsCulprit(kPoison));
+  CHECK(IsOnTrial(kPoison, kLater));
 }
 
 // Guards against a correct request that is refused everywhere but where it has
@@ -121,11 +213,11 @@
     const auto now = kStart + i * 2 * kSecond;
     ReportCrash({kOther, kPoison}, now);
   }
-  CHECK(history_.IsCulprit(kOther));
+  CHECK(IsOnTrial(kOther, kLater));
   other_.OnCompleted(kOther);
   history_.OnReported("b", {}, other_.ClearedRequests(), kStart + 5 * kSecond);
   CHECK_FALSE(history_.IsSuspect(kOther));
-  CHECK(history_.IsCulprit(kPoison));
+  CHECK(IsOnTrial(kPoison, kLater));
   other_.Expire(kStart + 5 * kSecond);
   CHECK(other_.ClearedRequests().size() == 1);
   other_.Expire(kStart + 70 * kSecond);
@@ -151,21 +243,25 @@
 TEST_CASE_METHOD(crash_history_fixture,
                  "CrashHistory_RecordWithoutTheCrash_KeepsTheCulprit",
                  "[quarantine]") {
-  CrashThrice(2 * kSecond);
+  Convict();
   history_.OnReported("a", {}, {}, kStart + 10 * kSecond);
-  CHECK(history_.IsCulprit(kPoison));
+  history_.OnReported("b", {}, {}, kStart + 10 * kSecond);
+  CHECK(IsRefused(kPoison, kLater));
   crash_history next_process;
   for (const auto& report : history_.OwnReports())
     next_process.OnCrash(report, kStart + 10 * kSecond);
   CHECK(next_process.OwnReports() == history_.OwnReports());
+  next_process.Add(kPoison, history_.Crashes(kPoison), kStart + 10 * kSecond);
+  CHECK(next_process.Verdict(kPoison, kLater) == crash_verdict::kRefuse);
 }
 
 // Guards against requests that are refused for ever.
 TEST_CASE_METHOD(crash_history_fixture, "CrashHistory_OldCrashes_Expire",
                  "[quarantine]") {
-  CrashThrice(2 * kSecond);
+  Convict();
   history_.Expire(kStart + 10'000 * kSecond);
   CHECK_FALSE(history_.IsSuspect(kPoison));
+  CHECK_FALSE(IsRefused(kPoison, kStart + 10'000 * kSecond));
   CHECK(history_.RequestCount() == 0);
   CHECK(history_.OwnReports().empty());
 }
@@ -175,7 +271,8 @@
 TEST_CASE_METHOD(crash_history_fixture,
                  "CrashHistory_ManyCrashes_ReportsStayBounded",
                  "[quarantine]") {
-  history_.Add(kPoison, {NextCrash({}, kStart - 5 * kSecond).crash}, kStart);
+  history_.Add(kPoison, {{.crash = NextCrash({}, kStart - 5 * kSecond).crash}},
+               kStart);
   history_.OnCrash(NextCrash({kPoison, kOther}, kStart), kStart);
   std::vector<std::uint64_t> requests(100);
   for (std::int64_t i = 1; i <= 100; ++i) {
@@ -192,5 +289,18 @@
   CHECK(history_.IsSuspect(kPoison));
 }
 
+// Guards against a culprit that is not recognised because it ran at too many
+// crashes before its trials.
+TEST_CASE_METHOD(crash_history_fixture,
+                 "CrashHistory_ManyCrashesOfARequest_TrialsCount",
+                 "[quarantine]") {
+  for (int i = 0; i < 200; ++i)
+    history_.OnReported("a", {NextCrash({kPoison}, kStart)}, {}, kStart);
+  Convict();
+  CHECK(history_.Crashes(kPoison).size() ==
+        crash_history_options().max_suspicions);
+  CHECK(IsRefused(kPoison, kLater));
+}
+
 }  // namespace
 }  // namespace pomelohall
--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -57,8 +57,13 @@
 inline constexpr std::string_view kMeshHeldField = "Pomelohall-Mesh-Held";
 
 /// Crashes of backend servers that the request may have caused: "ID:TIME,..."
-/// with hexadecimal IDs and Unix milliseconds. On requests and error responses.
+/// with hexadecimal IDs and Unix milliseconds, "ID:TIME:trial" for one at which
+/// it was on trial. On requests and error responses.
 inline constexpr std::string_view kMeshCrashesField = "Pomelohall-Mesh-Crashes";
+/// Tells that the request has completed at the sender since it ran at crashes.
+inline constexpr std::string_view kMeshClearedField = "Pomelohall-Mesh-Cleared";
+/// Marks a request that the sender offers on trial, see crash_verdict.
+inline constexpr std::string_view kMeshTrialField = "Pomelohall-Mesh-Trial";
 
 /// Active roll-outs that the sender knows, on requests and answers.
 inline constexpr std::string_view kMeshRolloutField = "Pomelohall-Mesh-Rollout";
--- a/libs/sidecar/src/crash_codec.cc
+++ b/libs/sidecar/src/crash_codec.cc
@@ -49,6 +49,19 @@
   return static_cast<std::int64_t>(*number);
 }
 
+std::optional<suspected_crash> DecodeCrash(std::string_view item) {
+  constexpr std::string_view kTrialSuffix = ":trial";
+  const bool on_trial = item.ends_with(kTrialSuffix);
+  if (on_trial) item.remove_suffix(kTrialSuffix.size());
+  const auto colon = item.find(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const auto id = DecodeId(item.substr(0, colon));
+  const auto at = DecodeTime(item.substr(colon + 1));
+  if (!id || !at) return std::nullopt;
+  return suspected_crash{.crash = {.id = *id, .at_unix_ms = *at},
+                         .on_trial = on_trial};
+}
+
 std::optional<crash_report> DecodeReport(const json& entry) {
   if (!entry.is_object() || !entry.contains("id") || !entry.contains("at") ||
       !entry.contains("requests")) {
@@ -61,6 +74,10 @@
   crash_report report{
       .crash = {.id = *id, .at_unix_ms = at.get<std::int64_t>()},
       .requests = std::move(*requests)};
+  if (const auto trial = entry.find("trial"); trial != entry.end()) {
+    report.trial = DecodeId(*trial);
+    if (!report.trial) return std::nullopt;
+  }
   // Differences of times do not overflow.
   if (report.crash.at_unix_ms < 0) return std::nullopt;
   return report;
@@ -81,26 +98,24 @@
   return hash;
 }
 
-std::string EncodeCrashes(const std::vector<server_crash>& crashes) {
+std::string EncodeCrashes(const std::vector<suspected_crash>& crashes) {
   std::string text;
-  for (const auto& crash : crashes) {
+  for (const auto& [crash, on_trial] : crashes) {
     if (!text.empty()) text += ',';
     text += EncodeId(crash.id) + ':' + std::to_string(crash.at_unix_ms);
+    if (on_trial) text += ":trial";
   }
   return text;
 }
 
-std::optional<std::vector<server_crash>> DecodeCrashes(std::string_view text) {
-  std::vector<server_crash> crashes;
+std::optional<std::vector<suspected_crash>> DecodeCrashes(
+    std::string_view text) {
+  std::vector<suspected_crash> crashes;
   while (true) {
     const auto item = text.substr(0, text.find(','));
-    const auto colon = item.find(':');
-    if (colon == std::string_view::npos || crashes.size() == kMaxCrashes)
-      return std::nullopt;
-    const auto id = DecodeId(item.substr(0, colon));
-    const auto at = DecodeTime(item.substr(colon + 1));
-    if (!id || !at) return std::nullopt;
-    crashes.push_back({.id = *id, .at_unix_ms = *at});
+    const auto crash = DecodeCrash(item);
+    if (!crash || crashes.size() == kMaxCrashes) return std::nullopt;
+    crashes.push_back(*crash);
     if (item.size() == text.size()) return crashes;
     text.remove_prefix(item.size() + 1);
   }
@@ -109,12 +124,19 @@
 void SetCrashes(http_fields& fields, const crash_history& history,
                 std::uint64_t fingerprint) {
   const auto crashes = history.Crashes(fingerprint);
-  if (!crashes.empty())
+  if (!crashes.empty()) {
     SetField(fields, kMeshCrashesField, EncodeCrashes(crashes));
+  } else if (history.IsCleared(fingerprint)) {
+    SetField(fields, kMeshClearedField, "1");
+  }
 }
 
 void TakeCrashes(http_fields& fields, crash_history& history,
                  std::uint64_t fingerprint) {
+  if (FindField(fields, kMeshClearedField) != nullptr) {
+    history.OnClearedElsewhere(fingerprint);
+    RemoveField(fields, kMeshClearedField);
+  }
   const auto* text = FindField(fields, kMeshCrashesField);
   if (text == nullptr) return;
   if (const auto crashes = DecodeCrashes(*text)) {
@@ -129,6 +151,7 @@
     list.push_back({{"id", EncodeId(report.crash.id)},
                     {"at", report.crash.at_unix_ms},
                     {"requests", EncodeRequests(report.requests)}});
+    if (report.trial) list.back()["trial"] = EncodeId(*report.trial);
   }
   return list;
 }
--- a/libs/sidecar/src/crash_codec.h
+++ b/libs/sidecar/src/crash_codec.h
@@ -21,14 +21,14 @@
 std::uint64_t FingerprintOf(const request_head& head, const body_prefix& body,
                             const header_field_names& names);
 
-// Returns the value of kMeshCrashesField, "ID:TIME,ID:TIME" with hexadecimal
-// IDs.
-std::string EncodeCrashes(const std::vector<server_crash>& crashes);
+// Returns the value of kMeshCrashesField.
+std::string EncodeCrashes(const std::vector<suspected_crash>& crashes);
 // Returns std::nullopt if the text is malformed.
-std::optional<std::vector<server_crash>> DecodeCrashes(std::string_view text);
+std::optional<std::vector<suspected_crash>> DecodeCrashes(
+    std::string_view text);
 
 // Adds the crashes of a request to a message to another daemon, if there are
-// any.
+// any, or that it is cleared of them.
 void SetCrashes(http_fields& fields, const crash_history& history,
                 std::uint64_t fingerprint);
 // Removes the crashes of a request from a message of another daemon and adds
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -89,28 +89,64 @@
         "the roll-out of the service does not use version " + offer->version,
         run_state::kNotRun);
   }
-  if (crashes_.IsCulprit(request.fingerprint)) {
-    return CulpritError();
+  return CheckCrashes(request);
+}
+
+crash_verdict local_dispatcher::VerdictOf(std::uint64_t fingerprint) const {
+  return crashes_.RequestCount() == 0
+             ? crash_verdict::kAllow
+             : crashes_.Verdict(fingerprint, UnixMillisNow());
+}
+
+std::optional<error> local_dispatcher::CheckCrashes(
+    const local_request& request) const {
+  switch (VerdictOf(request.fingerprint)) {
+    case crash_verdict::kAllow:
+      return std::nullopt;
+    case crash_verdict::kRefuse:
+      return CulpritError();
+    case crash_verdict::kTrial:
+      break;
   }
-  return std::nullopt;
+  if (request.on_trial) return std::nullopt;
+  // The sender learns of the crashes with the refusal.
+  return error(error_kind::kPoisonSuspected,
+               "the request ran at crashes and is not offered on trial",
+               run_state::kNotRun);
 }
 
 std::shared_ptr<exchange> local_dispatcher::Start(local_request request,
                                                   exchange_events events) {
-  const auto now = MonotonicNow();
-  auto refusal = CheckAdmission(request);
-  const auto kind = request.kind;
   if (latest_deadline_) {
     request.deadline = std::min(request.deadline, *latest_deadline_);
   }
-  work_item item{.id = ++last_id_,
+  const auto id = ++last_id_;
+  auto local = std::make_shared<local_exchange>(*this, id, std::move(request),
+                                                std::move(events));
+  exchanges_.emplace(id, local);
+  Admit(id, local);
+  return local;
+}
+
+void local_dispatcher::Admit(std::uint64_t id,
+                             const std::shared_ptr<local_exchange>& local) {
+  const auto now = MonotonicNow();
+  const auto& request = local->Request();
+  auto refusal = CheckAdmission(request);
+  const bool needs_trial =
+      VerdictOf(request.fingerprint) == crash_verdict::kTrial;
+  if (!refusal && needs_trial && trial_) {
+    awaiting_trial_.push_back(id);
+    return;
+  }
+  work_item item{.id = id,
                  .work_class = request.work_class,
                  .priority = request.priority,
                  .target_at = request.target_at,
                  .deadline = request.deadline,
                  .max_wait = request.max_wait};
   // Answers to the callers on this VM use the link as well.
-  item.link_time = link_.ExpectedLinkTime(item.work_class, kind);
+  item.link_time = link_.ExpectedLinkTime(item.work_class, request.kind);
   // Small answers do not queue behind large ones.
   if (item.link_time.count() > 0) {
     item.link_free_at = link_.DrainedAt(now);
@@ -121,9 +157,6 @@
                       run_state::kNotRun);
     }
   }
-  auto local = std::make_shared<local_exchange>(
-      *this, item.id, std::move(request), std::move(events));
-  exchanges_.emplace(item.id, local);
   auto decision = queue_decision::kRefuse;
   if (!refusal) {
     decision = queue_.Offer(item, now);
@@ -132,9 +165,17 @@
                       "the backend server cannot run the request in time",
                       run_state::kNotRun);
     } else if (item.link_time.count() > 0) {
-      link_.Reserve(item.id, item.work_class, kind);
+      link_.Reserve(item.id, item.work_class, request.kind);
     }
   }
+  if (!refusal && needs_trial) {
+    trial_ = {.id = id, .fingerprint = request.fingerprint};
+    log_event(log_level::kInfo, "trial_started")
+        .With("request", request.attempt_id)
+        .With("instance", request.instance)
+        .With("crashes", static_cast<std::uint64_t>(
+                             crashes_.Crashes(request.fingerprint).size()));
+  }
   // Posted, as Start() has to return the exchange before its first event.
   if (refusal) {
     boost::asio::post(io_,
@@ -142,7 +183,26 @@
   } else if (decision == queue_decision::kRun) {
     boost::asio::post(io_, [local] { local->Send(); });
   }
-  return local;
+}
+
+void local_dispatcher::AdmitAfterTrial() {
+  // Whether the trial has crashed the server is not known yet.
+  if (trial_ || !lost_requests_.empty()) return;
+  for (const auto id : std::exchange(awaiting_trial_, {})) {
+    const auto found = exchanges_.find(id);
+    if (found != exchanges_.end()) Admit(id, found->second);
+  }
+}
+
+bool local_dispatcher::IsTooLateForTrial(const local_request& request,
+                                         instant now) const {
+  return now + queue_.MeanRunTime(request.work_class) > request.deadline;
+}
+
+void local_dispatcher::RefuseUnsent(error_kind kind,
+                                    const std::string& reason) {
+  Refuse(std::exchange(awaiting_trial_, {}), kind, reason);
+  Refuse(queue_.TakeAll(), kind, reason);
 }
 
 template <typename Change>
@@ -206,8 +266,7 @@
     // It may have closed its listening socket before it ends.
     pool_.CloseIdle();
     ChangeServer([&] { server_.OnEnded(now, MonotonicNow()); });
-    Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
-           "the backend server has ended");
+    RefuseUnsent(error_kind::kNoBackendServer, "the backend server has ended");
   }));
 }
 
@@ -221,15 +280,15 @@
 }
 
 void local_dispatcher::RefuseWaiting(const std::string& reason) {
-  Refuse(queue_.TakeAll(), error_kind::kDraining, reason);
+  RefuseUnsent(error_kind::kDraining, reason);
 }
 
 void local_dispatcher::OnUnreachable(const std::string& instance) {
   const auto previous = server_.Phase();
   ChangeServer([&] { server_.OnUnreachable(instance, MonotonicNow()); });
   if (server_.Phase() == previous) return;
-  Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
-         "the backend server is unreachable");
+  RefuseUnsent(error_kind::kNoBackendServer,
+               "the backend server is unreachable");
 }
 
 void local_dispatcher::OnConnectionLost(std::uint64_t fingerprint,
@@ -261,6 +320,7 @@
   if (result == probe_result::kRefused) RecordCrash();
   lost_requests_.clear();
   for (const auto& done : std::exchange(awaiting_probe_, {})) done();
+  AdmitAfterTrial();
 }
 
 void local_dispatcher::RecordCrash() {
@@ -276,24 +336,39 @@
       .id = FastHash(announced->instance,
                      static_cast<std::uint64_t>(announced->started_unix_ms)),
       .at_unix_ms = now};
+  const auto trial = TrialAmong(requests);
   log_event(log_level::kWarning, "server_crashed")
       .With("instance", announced->instance)
-      .With("requests", static_cast<std::uint64_t>(requests.size()));
-  crashes_.OnCrash(
-      {.crash = crash, .requests = {requests.begin(), requests.end()}}, now);
+      .With("requests", static_cast<std::uint64_t>(requests.size()))
+      .With("on_trial", std::string(trial ? "yes" : "no"));
+  crashes_.OnCrash({.crash = crash,
+                    .requests = {requests.begin(), requests.end()},
+                    .trial = trial},
+                   now);
   const auto phase = server_.Phase();
   OnUnreachable(announced->instance);
   if (server_.Phase() == phase && on_server_changed_) on_server_changed_();
 }
 
+std::optional<std::uint64_t> local_dispatcher::TrialAmong(
+    const std::set<std::uint64_t>& requests) const {
+  const auto& run = trial_ && HasStarted(*trial_) ? trial_ : last_trial_;
+  // One that has completed is not on trial any more.
+  if (run && requests.contains(run->fingerprint) &&
+      VerdictOf(run->fingerprint) == crash_verdict::kTrial) {
+    return run->fingerprint;
+  }
+  return std::nullopt;
+}
+
 void local_dispatcher::SetServer(const std::string& address,
                                  const std::string& service) {
   const auto previous = server_.Phase();
   server_address_ = address;
   ChangeServer([&] { server_.SetServer(address, service, MonotonicNow()); });
   if (server_.Phase() == previous) return;
-  Refuse(queue_.TakeAll(), error_kind::kNoBackendServer,
-         "the settings name another backend server");
+  RefuseUnsent(error_kind::kNoBackendServer,
+               "the settings name another backend server");
 }
 
 void local_dispatcher::LimitDeadlines(instant latest) {
@@ -340,10 +415,10 @@
   SendWaiting(now);
   if (server_.Phase() == server_phase::kLeaving &&
       now - server_.PhaseSince() > options_.leaving_grace) {
-    Refuse(queue_.TakeAll(), error_kind::kDraining,
-           "the backend server is leaving");
+    RefuseUnsent(error_kind::kDraining, "the backend server is leaving");
   }
   std::vector<std::uint64_t> stopped;
+  std::vector<std::uint64_t> too_late;
   std::vector<std::shared_ptr<local_exchange>> overdue;
   for (const auto& [id, local] : exchanges_) {
     if (!local->IsSent() && EndsAfterStop(local->Request(), now)) {
@@ -352,8 +427,17 @@
       overdue.push_back(local);
     }
   }
+  for (const auto id : awaiting_trial_) {
+    const auto found = exchanges_.find(id);
+    if (found != exchanges_.end() &&
+        IsTooLateForTrial(found->second->Request(), now)) {
+      too_late.push_back(id);
+    }
+  }
   Refuse(stopped, error_kind::kDraining,
          "the daemon stops before the request could end");
+  Refuse(too_late, error_kind::kOverloaded,
+         "the backend server cannot try the request in time");
   for (const auto& local : overdue) local->CheckDeadline(now);
 }
 
@@ -383,9 +467,21 @@
 void local_dispatcher::Remove(std::uint64_t id) {
   queue_.Remove(id);
   link_.Release(id);
+  std::erase(awaiting_trial_, id);
+  if (trial_ && trial_->id == id) {
+    last_trial_ = HasStarted(*trial_) ? trial_ : std::nullopt;
+    trial_.reset();
+    // Posted, as its exchange may report a lost connection after this.
+    boost::asio::post(io_, trials_.Bind([this] { AdmitAfterTrial(); }));
+  }
   exchanges_.erase(id);
 }
 
+bool local_dispatcher::HasStarted(const trial_run& run) const {
+  const auto found = exchanges_.find(run.id);
+  return found != exchanges_.end() && found->second->IsSent();
+}
+
 void local_dispatcher::SendWaiting(instant now) {
   const error expired(error_kind::kOverloaded,
                       "the request cannot start in time any more",
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,7 @@
   std::string sender;
   std::string instance;           // Instance that the sender chose.
   std::uint64_t fingerprint = 0;  // See FingerprintOf().
+  bool on_trial = false;          // Whether the sender offers it on trial.
   std::string work_class;
   request_kind kind = request_kind::kUnsafe;
   int priority = 0;
@@ -66,7 +68,8 @@
 // Returns whether a backend server reports that it did not run the request.
 bool IsRefusal(const response_head& head, const header_field_names& fields);
 
-// Returns the refusal of a request that crashes backend servers.
+// Returns the refusal of a request that crashes backend servers, or may do so:
+// its verdict is crash_verdict::kRefuse.
 error CulpritError();
 
 // Admission control and dispatch for the backend server beside this daemon, for
@@ -148,7 +151,24 @@
  private:
   friend class local_exchange;
 
+  struct trial_run {
+    std::uint64_t id = 0;
+    std::uint64_t fingerprint = 0;
+  };
+
   std::optional<error> CheckAdmission(const local_request& request) const;
+  // Sends a new request, queues it or refuses it.
+  void Admit(std::uint64_t id, const std::shared_ptr<local_exchange>& local);
+  // Returns the refusal of a request by its crashes, if it is refused.
+  std::optional<error> CheckCrashes(const local_request& request) const;
+  crash_verdict VerdictOf(std::uint64_t fingerprint) const;
+  // Admits the requests that waited for the end of a trial.
+  void AdmitAfterTrial();
+  // Returns whether a request that waits for the end of a trial cannot end in
+  // time any more.
+  bool IsTooLateForTrial(const local_request& request, instant now) const;
+  // Refuses all requests that have not been sent.
+  void RefuseUnsent(error_kind kind, const std::string& reason);
   // Runs `change` on the state of the backend server, and calls the observer if
   // it had an effect.
   template <typename Change>
@@ -171,6 +191,11 @@
   // Checks whether the process of a withdrawn backend server has ended.
   void CheckWithdrawnServer(instant now);
   void RecordCrash();
+  // Returns whether the request has been sent to the backend server.
+  bool HasStarted(const trial_run& run) const;
+  // Returns the request on trial if it may have caused a crash.
+  std::optional<std::uint64_t> TrialAmong(
+      const std::set<std::uint64_t>& requests) const;
 
   boost::asio::io_context& io_;
   const local_dispatcher_options options_;
@@ -187,11 +212,18 @@
   response_observer on_response_;
   crash_history& crashes_;
   in_flight_tracker in_flight_;
+  // The request that waits or runs here on trial, and the last one that has run
+  // so: a crash is noticed when its exchange has ended.
+  std::optional<trial_run> trial_;
+  // Requests to run on trial that wait for its end.
+  std::vector<std::uint64_t> awaiting_trial_;
+  std::optional<trial_run> last_trial_;
   // A possible crash that is being checked.
   std::vector<std::uint64_t> lost_requests_;
   std::vector<std::function<void()>> awaiting_probe_;
   instant probing_since_;
   callback_scope probes_;
+  callback_scope trials_;
   std::optional<instant> latest_deadline_;  // Set while the daemon stops.
   bool accepting_ = true;
 };
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -142,6 +142,7 @@
   local.sender = sender;
   local.fingerprint = FingerprintOf(outgoing.head, body, fields_);
   TakeCrashes(fields, crashes_, local.fingerprint);
+  local.on_trial = !TakeField(fields, kMeshTrialField).empty();
   local.instance = TakeField(fields, kMeshInstanceField);
   local.work_class = TakeField(fields, kMeshClassField);
   local.kind = kRequestKindNames.Find(TakeField(fields, kMeshKindField))
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -282,10 +282,6 @@
     SetField(head_.fields, router_.options_.fields.tenant, tenant_->name);
   }
   fingerprint_ = FingerprintOf(head_, body, router_.options_.fields);
-  if (router_.crashes_.IsCulprit(fingerprint_)) {
-    Fail(CulpritError());
-    return;
-  }
   plan_ = Planner().Plan(MonotonicNow());
   if (router_.rollouts_ != nullptr) {
     demand_.versions = router_.rollouts_->Choose(service_);
@@ -321,9 +317,23 @@
          (!streamed_body_ || !streamed_body_->Consumed());
 }
 
+crash_verdict routed_request::Verdict() const {
+  return router_.crashes_.RequestCount() == 0
+             ? crash_verdict::kAllow
+             : router_.crashes_.Verdict(fingerprint_, UnixMillisNow());
+}
+
 void routed_request::OfferNext() {
   const auto now = MonotonicNow();
   std::optional<server_choice> choice;
+  // Earlier offers may have told of further crashes.
+  const auto verdict = Verdict();
+  if (verdict == crash_verdict::kRefuse) {
+    Fail(CulpritError());
+    return;
+  }
+  demand_.trial = verdict == crash_verdict::kTrial ? std::optional(fingerprint_)
+                                                   : std::nullopt;
   if (MayOffer()) {
     if (offers_ > 0) LeaveCanary();
     choice = router_.directory_.Choose(demand_, now);
@@ -397,6 +407,7 @@
        .attempt_id = attempt_id_,
        .instance = choice.member.server->instance,
        .fingerprint = fingerprint_,
+       .on_trial = demand_.trial.has_value(),
        .work_class = route_->name,
        .kind = route_->kind,
        .priority = priority_,
@@ -428,6 +439,7 @@
   if (IsShortWait())
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
   SetCrashes(fields, router_.crashes_, fingerprint_);
+  if (demand_.trial) SetField(fields, kMeshTrialField, "1");
   router_.versions_.AddState(fields);
   if (router_.rollouts_ != nullptr) router_.rollouts_->AddState(fields);
   if (choice.member.data_centre == router_.options_.data_centre &&
@@ -554,10 +566,22 @@
       ++busy_refusals_;
       EndOffer(send_outcome::kRefused);
       break;
-    case error_kind::kPoisonSuspected:  // At all other servers too.
+    case error_kind::kPoisonSuspected: {
+      const bool was_on_trial = demand_.trial.has_value();
+      const auto member = offer_->member.name;
       EndOffer(send_outcome::kRefused);
-      Fail(*last_failure_);
-      return;
+      const auto verdict = Verdict();
+      // One on trial is not offered elsewhere meanwhile.
+      if (verdict == crash_verdict::kRefuse ||
+          (verdict == crash_verdict::kTrial && was_on_trial)) {
+        Fail(*last_failure_);
+        return;
+      }
+      // The refusal told of the crashes. Without a trial, it has completed here
+      // and the other daemon does not know that yet.
+      if (verdict == crash_verdict::kTrial) demand_.excluded.erase(member);
+      break;
+    }
     case error_kind::kDraining:
     case error_kind::kNoBackendServer:
       // A server that only the roll-out leaves out may be used again soon.
@@ -721,8 +745,12 @@
     // stop has to wait for the next start, about as long as for an overload to
     // end.
     auto cause = refusal_cause::kNoServer;
-    if (reported.kind == error_kind::kOverloaded ||
-        reported.kind == error_kind::kPoisonSuspected || router_.stop_) {
+    if (reported.kind == error_kind::kPoisonSuspected && !router_.stop_ &&
+        Verdict() == crash_verdict::kTrial) {
+      // Another one is on trial, which takes no longer than a run.
+      cause = refusal_cause::kServerFault;
+    } else if (reported.kind == error_kind::kOverloaded ||
+               reported.kind == error_kind::kPoisonSuspected || router_.stop_) {
       cause = refused_by_server_ && busy_refusals_ == 0 && !router_.stop_
                   ? refusal_cause::kServerFault
                   : refusal_cause::kOverload;
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -61,6 +61,8 @@
   void ReleaseServer();
 
   // Offers to backend servers.
+  // Returns how the crashes of the request allow it to run now.
+  crash_verdict Verdict() const;
   void OfferNext();
   bool MayOffer() const;
   // The planner of this request's kind.
--- a/libs/sidecar/tests/odd_message_test.cc
+++ b/libs/sidecar/tests/odd_message_test.cc
@@ -22,7 +22,7 @@
         "server":{"instance":"i-1","service":"shop","slots":18},
         "departed":[{"instance":"i-0","latest_start_unix_ms":77,
                      "withdrawn":true}],
-        "crashes":[{"id":"ab12","at":99,"requests":["c3","d4"]}],
+        "crashes":[{"id":"ab12","at":99,"requests":["c3","d4"],"trial":"d4"}],
         "cleared":["e5"]})";
 
 std::string WithValue(std::string text, const std::string& from,
@@ -65,6 +65,7 @@
         WithValue(kRecord, "99", "-1"),
         WithValue(kRecord, "ab12", "xy"),
         WithValue(kRecord, "e5", "zz"),
+        WithValue(kRecord, "\"trial\":\"d4\"", "\"trial\":1"),
         WithValue(kRecord, "\"c3\"", "3"),
         WithValue(kRecord, "c3", "11112222333344445")}) {
     INFO(text);
@@ -75,11 +76,13 @@
 // Guards against a header field of another program that ends a daemon or counts
 // as a crash.
 TEST_CASE("CrashCodec_MalformedField_IsRefused", "[sidecar]") {
-  const std::vector<server_crash> crashes{{.id = 0xab12, .at_unix_ms = 99},
-                                          {.id = ~0ULL, .at_unix_ms = 0}};
+  const std::vector<suspected_crash> crashes{
+      {.crash = {.id = 0xab12, .at_unix_ms = 99}},
+      {.crash = {.id = ~0ULL, .at_unix_ms = 0}, .on_trial = true}};
   CHECK(DecodeCrashes(EncodeCrashes(crashes)) == crashes);
   for (const char* text :
        {"", ",", "ab12", ":", "ab12:", ":99", "ab12:-1", "ab12:99,", "xy:1",
+        "ab12:trial", "ab12::trial", "ab12:99:", "ab12:99:guilty",
         "ab12:18446744073709551615", "11112222333344445:1"}) {
     INFO(text);
     CHECK_FALSE(DecodeCrashes(text));
--- a/tests/sidecar/crashing_request_test.cc
+++ b/tests/sidecar/crashing_request_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -71,6 +72,22 @@
     return others;
   }
 
+  /// Sends a request as a caller of the platform does: safe ones are repeated
+  /// after any failure and others after a refusal, both after Retry-After.
+  raw_response CallWithRepeats(std::size_t vm, const std::string& method,
+                               const std::string& target) {
+    raw_response response;
+    for (int i = 0; i <= repeats_; ++i) {
+      response = Call(vm, method, target, "", method == "POST" ? "{}" : "");
+      const bool refused = response.status == 503 || response.status == 429;
+      if (response.status == 200 || (method == "POST" && !refused)) break;
+      const auto hint = response.Field("Retry-After");
+      std::this_thread::sleep_for(
+          std::chrono::duration<double>(hint.empty() ? 0 : std::stod(hint)));
+    }
+    return response;
+  }
+
   /// Sends the requests in turn at the VMs of one caller service, with others
   /// beside them, and starts the servers again after each round.
   void SendForAWhile(
@@ -82,10 +99,10 @@
       std::vector<std::future<raw_response>> sent;
       for (const auto& [method, target] : method_and_target) {
         const auto vm = kServers + next_vm_++ % 2;
-        sent.push_back(std::async(
-            std::launch::async, [this, vm, method = method, target = target] {
-              return Call(vm, method, target, "", method == "POST" ? "{}" : "");
-            }));
+        sent.push_back(std::async(std::launch::async,
+                                  [this, vm, method = method, target = target] {
+                                    return CallWithRepeats(vm, method, target);
+                                  }));
       }
       for (auto& response : sent) last_status_ = response.get().status;
       for (auto& other : others) other.get();
@@ -98,13 +115,15 @@
   /// Checks that the requests crash no more servers, and that others run.
   void CheckThatTheyAreRefused(
       const std::vector<std::pair<std::string, std::string>>& requests) {
-    SendForAWhile(requests, 3);
+    SendForAWhile(requests, rounds_until_contact_);
     std::this_thread::sleep_for(kContactTime);
     StartCrashedServers();
     const int before = crashes_;
     SendForAWhile(requests, 4);
+    const std::set<std::pair<std::string, std::string>> different(
+        requests.begin(), requests.end());
     CHECK(crashes_ - before <=
-          kMaxLateCrashes * static_cast<int>(requests.size()));
+          kMaxLateCrashes * static_cast<int>(different.size()));
     CHECK(last_status_ == 503);
     std::this_thread::sleep_for(kInterval);
     for (auto& other : SendOthers()) CHECK(other.get().status == 200);
@@ -114,6 +133,10 @@
   std::atomic<const char*> crashing_caller_{"front"};
   std::function<void(int round)> on_round_;
   int last_status_ = 0;
+  int repeats_ = 0;  ///< Of callers.
+  /// Rounds that crash three servers at least.
+  int rounds_until_contact_ = 3;
+  std::atomic<milliseconds> run_time_{milliseconds(30)};
 
  private:
   scripted_reply Respond(const std::string& header) {
@@ -123,7 +146,7 @@
       ++crashes_;
       return {.bytes = "", .crash = true};
     }
-    return {.bytes = OkResponse(header), .delay = milliseconds(30)};
+    return {.bytes = OkResponse(header), .delay = run_time_};
   }
 
   std::atomic<int> crashes_{0};
@@ -142,6 +165,26 @@
   CheckThatTheyAreRefused({request});
 }
 
+// Guards against a request whose crashes count as one because its repeats by
+// daemons and callers follow each other within milliseconds.
+TEST_CASE_METHOD(crashing_request_fixture,
+                 "Sidecar_CrashingRequestWithRepeats_IsRefused", "[sidecar]") {
+  repeats_ = 2;
+  rounds_until_contact_ = 1;
+  CheckThatTheyAreRefused({{"GET", "/safe/poison"}});
+}
+
+// Guards against the same request at several VMs at once, each of which tries
+// it before it hears of the others' crashes.
+TEST_CASE_METHOD(crashing_request_fixture,
+                 "Sidecar_CrashingRequestAtSeveralVmsAtOnce_IsRefused",
+                 "[sidecar]") {
+  repeats_ = GENERATE(0, 2);
+  rounds_until_contact_ = 1;
+  CheckThatTheyAreRefused(std::vector<std::pair<std::string, std::string>>(
+      6, {"GET", "/safe/poison"}));
+}
+
 // Guards against several such requests of which only one is recognised.
 TEST_CASE_METHOD(crashing_request_fixture,
                  "Sidecar_SeveralCrashingRequests_AreRefused", "[sidecar]") {
@@ -161,6 +204,7 @@
     }
     Restart(kServers + static_cast<std::size_t>(round) % 2);
   };
+  repeats_ = GENERATE(0, 2);
   CheckThatTheyAreRefused({{"GET", "/safe/poison"}});
 }
 
@@ -223,5 +267,43 @@
   }
 }
 
+// Guards against the refusal of a correct request that callers repeat at each
+// of the servers while these crash one after the other, or all together: none
+// of its runs completes meanwhile.
+TEST_CASE_METHOD(crashing_request_fixture,
+                 "Sidecar_ServersCrashInSeries_CorrectRequestsAreServed",
+                 "[sidecar]") {
+  const milliseconds interval =
+      GENERATE(milliseconds(0), milliseconds(200), milliseconds(1200));
+  repeats_ = 2;
+  const auto call_everywhere = [this] {
+    std::vector<std::future<raw_response>> calls;
+    for (std::size_t vm = 0; vm < nodes_.size(); ++vm) {
+      for (int i = 0; i < 2; ++i) {
+        calls.push_back(std::async(std::launch::async, [this, vm] {
+          return CallWithRepeats(vm, "GET", "/safe/same");
+        }));
+      }
+    }
+    return calls;
+  };
+  for (int round = 0; round < 2; ++round) {
+    run_time_ = milliseconds(5000);  // Above the time-out of the route.
+    auto calls = call_everywhere();
+    std::this_thread::sleep_for(milliseconds(100));
+    for (const auto& server : servers_) {
+      server->Crash();
+      std::this_thread::sleep_for(interval);
+    }
+    run_time_ = milliseconds(100);
+    StartCrashedServers();
+    for (auto& response : calls) response.get();
+    std::this_thread::sleep_for(2 * kInterval);
+    AnnounceAgain();
+    for (auto& response : call_everywhere())
+      CHECK(response.get().status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace pomelohall
