Soak: servers that leave before their first report, crashes in series

Cause: the soak's late reports were of the start that had left, its crashing requests came from one VM without repeats, and nothing checked that a correct request is served after the crashes that it met.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -22,7 +22,7 @@
 
 
 class Backend:
-    """A backend server on a VM. Every start has a new instance ID."""
+    """A backend server on a VM. Most starts have a new instance ID."""
 
     SLOTS = 8
 
@@ -50,15 +50,19 @@
         self.writers = set()
         self.announce_task = None
 
-    async def start(self):
-        self.instance = f"i-{self.random.getrandbits(40):010x}"
+    async def start(self, keeps_instance=False, clock_error_s=0.0,
+                    announces=True):
+        if not keeps_instance:
+            self.instance = f"i-{self.random.getrandbits(40):010x}"
         self.state = "ready"
         self.drained_at = None
-        self.started_unix_ms = int(time.time() * 1000)
+        self.started_unix_ms = int((time.time() + clock_error_s) * 1000)
         self.sequence = 0
         self.server = await asyncio.start_server(
             self.handle_connection, "127.0.0.1", self.port)
-        self.announce_task = asyncio.create_task(self.announce_periodically())
+        if announces:
+            self.announce_task = asyncio.create_task(
+                self.announce_periodically())
 
     async def crash(self):
         """Stops at once, without telling the daemon."""
@@ -77,15 +81,7 @@
         late_report = self.report() if self.late_report_share else None
         self.state = "draining"
         self.announce_task.cancel()
-        acknowledged = False
-        for _ in range(20):
-            acknowledged = await (self.withdraw() if delete_announcement
-                                  else self.announce())
-            if acknowledged:
-                break
-            await asyncio.sleep(0.2)
-        if acknowledged:
-            self.drained_at = time.monotonic()
+        if await self.leave(delete_announcement):
             if (late_report and
                     self.random.random() < self.late_report_share):
                 await asyncio.sleep(self.random.uniform(0.1, 4))
@@ -94,6 +90,35 @@
         await asyncio.sleep(drain_s + self.random.uniform(1, 5))
         await self.crash()
 
+    async def leave(self, delete_announcement):
+        """Returns whether the daemon has acknowledged that the server leaves."""
+        for _ in range(20):
+            if await (self.withdraw() if delete_announcement
+                      else self.announce()):
+                self.drained_at = time.monotonic()
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    async def withdraw_unannounced(self, drain_s, clock_error_s):
+        """Starts again with its instance, and leaves before its first report.
+
+        The reports arrive after that.
+        """
+        self.announce_task.cancel()
+        await self.crash()
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        await self.start(True, clock_error_s, announces=False)
+        reports = [self.report() for _ in range(self.random.choice((1, 1, 3)))]
+        await asyncio.sleep(self.random.uniform(0, 1))
+        self.state = "draining"
+        acknowledged = await self.leave(True)
+        for report in reports if acknowledged else ():
+            await asyncio.sleep(self.random.uniform(0.1, 3))
+            await self.send_to_daemon("PUT", report)
+        await asyncio.sleep(drain_s + self.random.uniform(1, 5))
+        await self.crash()
+
     async def announce_periodically(self):
         # wait_for() of Python 3.11 can swallow a cancellation.
         while self.server.is_serving():
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -167,6 +167,19 @@
                 "BUDGET", f"{target} crashed {len(times)} servers, "
                 f"{self.late_crashes[target]} of them late")
 
+    def on_series_end(self, vm, target, since, served, control_served):
+        """Checks that a correct request is served after crashes that it met.
+
+        `control_served`: whether another one was, at the end.
+        """
+        if not control_served or not self.is_undisrupted(vm, since):
+            return
+        self.check_counts["SERVED"] += 1
+        if not served:
+            self.report_violation(
+                "SERVED", f"{target} is not served at {vm} "
+                f"{time.monotonic() - since:.1f} s after the last crash")
+
     # Callers -----------------------------------------------------------------
 
     def on_response(self, sent, response, ending):
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -201,6 +201,19 @@
         return self.at(after_s, self.checks.check_server, "vm-0", 8.0,
                        is_ready, has_record)
 
+    def test_reports_a_correct_request_that_stays_refused_after_crashes(self):
+        self.checks.on_series_end("vm-0", "/safe/a", time.monotonic(),
+                                  served=False, control_served=True)
+        self.assertEqual(len(self.checks.violations), 1)
+
+    def test_excuses_a_request_that_is_refused_like_all_others(self):
+        self.checks.on_series_end("vm-0", "/safe/a", time.monotonic(),
+                                  served=False, control_served=False)
+        self.checks.begin_disruption("vm-0")
+        self.checks.on_series_end("vm-0", "/safe/a", time.monotonic(),
+                                  served=False, control_served=True)
+        self.assertEqual(self.checks.violations, [])
+
     def test_known_checks_do_not_hide_other_violations(self):
         self.checks.report_violation("IDLE", "vm-0")
         self.assertTrue(self.checks.has_unknown([]))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,6 +2,7 @@
 
 Usage: soak.py BIN_DIR [--seed N] [--minutes M] [--vms N] [--keep] [--calm]
                [--store-faults restored|odd|all] [--server-faults]
+               [--server-restarts]
 
 Each daemon is a process of its own. The store, the backend servers, the callers
 and the proxies (in front of the store and between the daemons) run in this
@@ -38,6 +39,11 @@
 # Periods with and without unplanned faults alternate.
 FAULT_PERIOD_S = 10.0
 CALM_PERIOD_S = 20.0
+# Announcements and withdrawals are not late by more than this.
+MAX_LATENESS_S = 9.0
+# Time from CONTACT_S after the last crash of a series until a correct request
+# that ran at all of them is served again: servers start, and it is tried.
+SERVED_AGAIN_S = 6.0
 # Memory of the smallest VM in the users' deployments.
 MEMORY_MB = 160
 
@@ -530,6 +536,31 @@
             await vm.backend.start()
         await self.on_random_backend(replace)
 
+    def clock_error_s(self):
+        return self.random.choice((0, self.random.uniform(-20, 20)))
+
+    async def withdraw_unannounced(self):
+        """Lets a start of a backend server leave before its first report.
+
+        Then the server starts again with the same instance or with another one.
+        The withdrawal of the start before may arrive late.
+        """
+        async def withdraw(vm):
+            restart = (asyncio.create_task(self.restart_when_drained(vm))
+                       if self.random.random() < 0.3 else None)
+            await vm.backend.withdraw_unannounced(DRAIN_S, self.clock_error_s())
+            await asyncio.sleep(self.random.uniform(0.1, 3))
+            if restart:
+                await restart
+            await vm.backend.start(self.random.random() < 0.7,
+                                   self.clock_error_s())
+            if self.random.random() < 0.3:
+                await asyncio.sleep(self.random.uniform(0, 2))
+                await vm.backend.withdraw()
+                # Which start has withdrawn itself cannot be told meanwhile.
+                await asyncio.sleep(MAX_LATENESS_S)
+        await self.on_random_backend(withdraw)
+
     async def restart_when_drained(self, vm):
         """Restarts the daemon whose backend server leaves, once or twice."""
         for _ in range(30):
@@ -575,6 +606,60 @@
             await asyncio.sleep(self.random.uniform(0.5, 1.5))
         await asyncio.gather(*companions)
 
+    async def probe_with_repeats(self, vm, target, kind="safe", method="GET"):
+        """Repeats a request as a caller does; returns the last status."""
+        status = 0
+        for _ in range(3):
+            status = await Caller(vm, self.checks, 0, self.load).probe(
+                target, kind, method)
+            if status == 200 or method == "POST" and status != 503:
+                break
+            await asyncio.sleep(0.2 if status == 503 else 0)
+        return status
+
+    async def send_crashing_requests_at_once(self):
+        """The same at several VMs at once, with the repeats of callers."""
+        self.crashing_requests += 1
+        route = self.random.choice([r for r in ROUTES if r.kind != "download"])
+        target = f"{route.prefix}{CRASHING_NAME}{self.crashing_requests}"
+        vms = [vm for vm in self.vms if vm.service == "shop"]
+        for _ in range(8):
+            senders = self.random.sample(vms, min(3, len(vms)))
+            self.crashing_senders[target] = senders[0].name
+            await asyncio.gather(*(self.probe_with_repeats(
+                vm, target, route.kind, route.method) for vm in senders))
+            await asyncio.sleep(self.random.uniform(1, 4))
+
+    async def crash_in_series(self):
+        """Crashes servers that run one correct request, and then repeats it."""
+        self.crashing_requests += 1
+        target = f"{ROUTES[0].prefix}series-{self.crashing_requests}"
+        vms = [vm for vm in self.vms if vm.service == "shop"]
+        calls = [asyncio.create_task(
+            self.probe_with_repeats(vm, target + "?work=1"))
+            for vm in vms for _ in range(3)]
+        interval_s = self.random.choice((0, self.random.uniform(0, 1.2)))
+        crashes = []
+        for vm in self.random.sample(vms, min(4, len(vms))):
+            await asyncio.sleep(interval_s or 0.1)
+            crashes.append(asyncio.create_task(self.on_backend(
+                vm, functools.partial(self.crash_and_start, min_down_s=0.2))))
+        await asyncio.gather(*calls, *crashes)
+        since = time.monotonic()
+        sender = self.random.choice(vms)
+        served = control_served = False
+        while time.monotonic() < since + CONTACT_S + SERVED_AGAIN_S:
+            status, control = await asyncio.gather(
+                self.probe_with_repeats(sender, target + "?work=1"),
+                self.probe_with_repeats(sender, f"{target}-other"))
+            served = served or status == 200
+            control_served = control == 200
+            if served:
+                break
+            await asyncio.sleep(0.3)
+        self.checks.on_series_end(sender.name, target, since, served,
+                                  control_served)
+
     async def on_crashing_request(self, vm, target):
         print(f"{target} crashes the server of {vm.name}", flush=True)
         self.checks.on_crash(self.crashing_senders[target], target)
@@ -605,6 +690,9 @@
         if self.options.server_faults:
             actions += 3 * (self.send_crashing_requests,) + (
                 self.announce_as_others,)
+        if self.options.server_restarts:
+            actions += 5 * (self.withdraw_unannounced,) + 3 * (
+                self.send_crashing_requests_at_once, self.crash_in_series)
         store_faults = {
             "restored": (self.restore_store,), "odd": (self.write_odd_entries,),
             "all": (self.restore_store, self.write_odd_entries)}.get(
@@ -689,6 +777,11 @@
                         "servers which run them, late announcements and those "
                         "of other programs, and restarts daemons whose server "
                         "leaves")
+    parser.add_argument("--server-restarts", action="store_true",
+                        help="also lets backend servers start again with their "
+                        "instance, leave before their first report, have other "
+                        "clocks and crash in series, and sends requests that "
+                        "crash them at several VMs at once")
     parser.add_argument("--known-check", action="append", default=[],
                         help="check whose violations do not count as a "
                         "failure, see KNOWN-RED.txt")
