A configuration reader without an age bound no longer recurses

Cause: after a failed read, config_reader waits for the shorter of the pause and max_age. The test's reader has no max_age (0), so the pacer called back at once, thousands of times deep, until the pause was over or the stack was. A faster machine gets deeper. The sidecar itself always sets max_age.

Change: without max_age, the pause alone counts.

--- a/libs/sidecar/src/config_reader.cc
+++ b/libs/sidecar/src/config_reader.cc
@@ -174,7 +174,10 @@
     ReadAgain();
     return;
   }
-  pacer_.RunAfter(std::min(left, options_.max_age), [this] {
+  // Without a bound on the age there is nothing to check until then.
+  const auto pause =
+      options_.max_age.count() > 0 ? std::min(left, options_.max_age) : left;
+  pacer_.RunAfter(pause, [this] {
     if (!options_.is_designated() && Age() >= options_.ask_age) {
       options_.ask_peer();
     }
