Follow a changed header limit in the buffer of open connections

Callers saw all connections to a daemon break, and orders that backend servers were running without an answer, when the operator raised maxHeaderBytes while lookups were pipelined.

Cause: the read buffer throws above a maximum that was set from the limit when the last header was parsed, and reading ahead compares with the limit in force. While 16 requests are in progress no header is parsed. Evidence: "basic_flat_buffer too long" as the last line of the daemon, and the same exception in the new test.

Change: the maximum follows the limit before each read and is never below what the buffer holds, so that neither a raised nor a lowered limit can be exceeded by a read.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -30,6 +30,8 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::size_t kReadAheadBytes = 4096;
+// Largest header limit of the parser.
+constexpr std::size_t kMaxLimit = std::numeric_limits<std::uint32_t>::max();
 // Maximum number of concurrent requests per connection. Limits the memory and
 // backend server capacity that one caller can use.
 constexpr std::size_t kMaxPipelined = 16;
@@ -99,6 +101,7 @@
 
 // Reads pipelined requests, which also detects that the caller disconnected.
 void call_session::ReadAhead() {
+  BoundBuffer();
   error_code failure;
   socket_.non_blocking(true, failure);
   const auto bytes =
@@ -160,11 +163,18 @@
 
 void call_session::ResetParser() {
   parser_.emplace();
-  constexpr std::size_t kMaxLimit = std::numeric_limits<std::uint32_t>::max();
   parser_->header_limit(static_cast<std::uint32_t>(
       std::min(options_.max_header_bytes, kMaxLimit)));
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  buffer_.max_size(options_.max_header_bytes + kMaxUnparsedBytes);
+  BoundBuffer();
+}
+
+// Applies the limit in force to the buffer, which throws if a read exceeds its
+// bound. What an earlier limit let in stays, whatever the limit is now.
+void call_session::BoundBuffer() {
+  const auto bound =
+      std::min(options_.max_header_bytes, kMaxLimit) + kMaxUnparsedBytes;
+  buffer_.max_size(std::max(bound, buffer_.size() + kReadAheadBytes));
 }
 
 void call_session::ReadHeader() {
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -83,6 +83,7 @@
   std::optional<error> CheckHeader() const;
   request_head CopyHead() const;
   void ResetParser();
+  void BoundBuffer();
   void AcceptRequest();
   void StartRequest(request_head head);
   bool MayPipeline() const;
--- a/tests/http/session_test.cc
+++ b/tests/http/session_test.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -10,6 +11,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "backend_stub/pattern.h"
 #include "caller/call_server.h"
@@ -83,6 +85,72 @@
   }
 }
 
+/// Holds all requests until ReleaseAll().
+class holding_handler : public call_handler {
+ public:
+  void OnRequest(std::shared_ptr<incoming_request> request) override {
+    held.push_back(std::move(request));
+  }
+
+  void ReleaseAll() {
+    for (const auto& request : std::exchange(held, {})) {
+      incoming_response response;
+      response.head.status = 200;
+      response.head.length = 0;
+      request->Respond(std::move(response), nullptr);
+    }
+  }
+
+  std::vector<std::shared_ptr<incoming_request>> held;
+};
+
+// Guards against a limit that is changed while requests are read ahead: the
+// bytes above the earlier limit ended the process.
+TEST_CASE("Session_LimitChangedWhilePipelining_AllRequestsAreServed",
+          "[session]") {
+  constexpr std::size_t kHeld = 16;
+  constexpr int kRequests = 90;
+  const auto later_limits = GENERATE(
+      std::vector<std::size_t>{131'072}, std::vector<std::size_t>{4096},
+      std::vector<std::size_t>{131'072, 4096, 262'144, 8192});
+  // Ends after the server, whose end ends the client.
+  std::future<int> answered;
+  boost::asio::io_context io;
+  holding_handler handler;
+  call_server server(io, {.address = "127.0.0.1:0"}, handler);
+  REQUIRE(server.Listen());
+  std::atomic<bool> changed = false;
+  answered = std::async(std::launch::async, [&] {
+    raw_client client(server.Address());
+    const auto send = [&client](int count) {
+      const std::string field = "Cookie: " + std::string(2800, 'c') + "\r\n";
+      for (int i = 0; i < count; ++i) client.SendRequest("GET", "/", field);
+    };
+    send(kHeld);
+    while (!changed) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    send(kRequests - static_cast<int>(kHeld));
+    int count = 0;
+    while (count < kRequests && client.Read().status == 200) ++count;
+    return count;
+  });
+  const auto run_for = [&io](std::chrono::milliseconds time) {
+    io.restart();
+    io.run_for(time);
+  };
+  while (handler.held.size() < kHeld) run_for(std::chrono::milliseconds(1));
+  for (const auto limit : later_limits) {
+    server.SetLimits({.max_header_bytes = limit});
+    changed = true;
+    run_for(std::chrono::milliseconds(100));
+  }
+  while (answered.wait_for(std::chrono::seconds(0)) !=
+         std::future_status::ready) {
+    handler.ReleaseAll();
+    run_for(std::chrono::milliseconds(1));
+  }
+  CHECK(answered.get() == kRequests);
+}
+
 // Guards against a malformed request that breaks other connections, crashes the
 // daemon or is forwarded.
 TEST_CASE_METHOD(two_daemons, "Session_MalformedRequest_EndsOnlyItsConnection",
