--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -8,6 +8,7 @@
 
 #include "backend/exchange.h"
 #include "base/error.h"
+#include "base/http_limits.h"
 #include "base/time.h"
 
 namespace boost::asio {
@@ -41,6 +42,8 @@
   /// if the peer does not respond to TCP keep-alive probes. 0 keeps the system
   /// defaults.
   duration dead_peer_timeout{0};
+  /// Limit of a response's head. A larger one is broken.
+  std::size_t max_head_bytes = kMaxResponseHeadBytes;
   /// Name of the field that a response echoes from its request. A response with
   /// a different value belongs to an earlier request and is skipped.
   std::string echo_field{kCallIdField};
--- a/libs/backend/include/backend/http_message.h
+++ b/libs/backend/include/backend/http_message.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "response/http_field.h"
+#include "http1/http_field.h"
 
 namespace pomelohall {
 
--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -1,16 +1,18 @@
 #include "client_exchange.h"
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/asio/write.hpp>
 #include <cassert>
 #include <string_view>
 #include <utility>
 
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
 #include "base/ascii_text.h"
-#include "response/broken_responses.h"
+#include "http1/broken_responses.h"
+#include "http1/head_writer.h"
 
 namespace pomelohall {
 
@@ -18,11 +20,13 @@
 // because the operations use its socket and buffer until they complete, even
 // after the exchange has released it.
 
-namespace http = boost::beast::http;
+namespace asio = boost::asio;
 using boost::system::error_code;
 
 namespace {
 
+// Maximum size of a single read.
+constexpr std::size_t kReadBytes = 16UL * 1024;
 // A faulty server may occasionally send a response twice. If a connection
 // yields more unexpected responses than this, the server no longer matches
 // responses to requests, and the call fails.
@@ -83,7 +87,7 @@
   last_progress_ = MonotonicNow();
   connection_is_fresh_ =
       !std::exchange(connection_->used, true) && !IsStale(connection_->socket);
-  BuildMessage();
+  BuildHead();
   if (request_.body) {
     ReadRequestPart();
   } else {
@@ -91,18 +95,19 @@
   }
 }
 
-void client_exchange::BuildMessage() {
+// The fields are not needed any more, and may be large.
+void client_exchange::BuildHead() {
   const auto& head = request_.head;
-  message_.version(11);
-  message_.method_string(ToBeast(head.method));
-  message_.target(ToBeast(head.target));
-  AddFields(head.fields, message_);
+  auto writer = head_writer::Request(head.method, head.target);
+  for (const auto& field : std::exchange(request_.head.fields, {})) {
+    writer.Add(field.name, field.value);
+  }
   if (head.framing == body_framing::kLength) {
-    message_.content_length(head.length);
+    writer.AddLength(head.length);
   } else if (head.framing == body_framing::kChunked) {
-    message_.chunked(true);
+    writer.AddChunked();
   }
-  serializer_.emplace(message_);
+  head_text_ = writer.Finish();
 }
 
 void client_exchange::ReadRequestPart() {
@@ -122,42 +127,52 @@
 }
 
 void client_exchange::Write(body_part part, bool more) {
-  auto& body = message_.body();
-  // Beast's buffer_body takes a mutable pointer even for writing.
-  body.data =
-      part.bytes.empty() ? nullptr : const_cast<char*>(part.bytes.data());
-  body.size = part.bytes.size();
-  body.more = more;
   if (!sending_started_) {
     sending_started_ = true;
     if (events_.on_sent) events_.on_sent();
     if (done_) return;
   }
-  http::async_write(connection_->socket, *serializer_,
-                    [self = shared_from_this(), connection = connection_](
+  write_prefix_ = std::exchange(head_text_, {});
+  std::string_view suffix;
+  if (request_.head.framing == body_framing::kChunked) {
+    if (!part.bytes.empty()) {
+      write_prefix_ += ChunkSizeLine(part.bytes.size());
+      suffix = more ? kChunkEnd : kChunkEndAndLastChunk;
+    } else if (!more) {
+      suffix = kLastChunk;
+    }
+  }
+  const std::array buffers{
+      asio::const_buffer(write_prefix_.data(), write_prefix_.size()),
+      asio::const_buffer(part.bytes.data(), part.bytes.size()),
+      asio::const_buffer(suffix.data(), suffix.size()),
+  };
+  asio::async_write(connection_->socket, buffers,
+                    [self = shared_from_this(), connection = connection_, more](
                         error_code failure, std::size_t bytes) {
-                      if (!self->done_) self->OnWritten(failure, bytes);
+                      if (!self->done_) self->OnWritten(failure, bytes, more);
                     });
 }
 
-void client_exchange::OnWritten(error_code failure, std::size_t bytes) {
+void client_exchange::OnWritten(error_code failure, std::size_t bytes,
+                                bool more) {
   const bool first = written_bytes_ == 0;
   written_bytes_ += bytes;
   last_progress_ = MonotonicNow();
-  if (failure && failure != http::error::need_buffer) {
+  if (failure) {
     // A backend server may respond and close before it has read the complete
     // request, so the result of reading the response decides.
     if (first) OnConnectionLost(failure);
     return;
   }
-  request_written_ = !failure;
+  request_written_ = !more;
   if (first) ReadHeader();
-  if (failure && !done_) ReadRequestPart();
+  if (more && !done_) ReadRequestPart();
 }
 
 void client_exchange::ReadHeader() {
   parser_.emplace(
-      response_parser_options{.max_head_bytes = kMaxHeaderBytes,
+      response_parser_options{.max_head_bytes = options_.max_head_bytes,
                               .to_head = request_.head.method == "HEAD"});
   ParseHeader();
 }
@@ -348,7 +363,7 @@
 
 void client_exchange::ReadMore(void (client_exchange::*next)()) {
   connection_->socket.async_read_some(
-      connection_->buffer.prepare(kMaxHeaderBytes),
+      connection_->buffer.prepare(kReadBytes),
       [self = shared_from_this(), connection = connection_, next](
           error_code failure, std::size_t bytes) {
         if (self->done_) return;
@@ -422,10 +437,10 @@
 
 // The server may have run the request, and bytes that follow on the connection
 // cannot be told from its next response.
-void client_exchange::OnBrokenResponse(response_fault fault) {
+void client_exchange::OnBrokenResponse(message_fault fault) {
   ReportBrokenResponse(fault, connection_->address);
   const auto text =
-      "the response is broken: " + std::string(kResponseFaultNames.Name(fault));
+      "the response is broken: " + std::string(kMessageFaultNames.Name(fault));
   Fail({response_started_ ? error_kind::kAnswerCutShort
                           : options_.disconnect_error,
         text, run_state::kUnknown});
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -1,9 +1,6 @@
 #ifndef POMELOHALL_BACKEND_SRC_CLIENT_EXCHANGE_H_
 #define POMELOHALL_BACKEND_SRC_CLIENT_EXCHANGE_H_
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
@@ -15,7 +12,7 @@
 #include "backend/connection_pool.h"
 #include "backend/exchange.h"
 #include "client_connection.h"
-#include "response/response_parser.h"
+#include "http1/response_parser.h"
 
 namespace pomelohall {
 
@@ -48,16 +45,12 @@
   void Read(callback done) override;
 
  private:
-  using message_type =
-      boost::beast::http::request<boost::beast::http::buffer_body>;
-  using serializer_type =
-      boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
-
-  void BuildMessage();
+  void BuildHead();
   void ReadRequestPart();
   void OnRequestPart(result<body_part> part);
   void Write(body_part part, bool more);
-  void OnWritten(boost::system::error_code failure, std::size_t bytes);
+  void OnWritten(boost::system::error_code failure, std::size_t bytes,
+                 bool more);
   void ReadHeader();
   void ParseHeader();
   void OnHeader();
@@ -85,7 +78,7 @@
   void DeliverPart(result<body_part> part);
   void Fail(error failure);
   void OnConnectionLost(const boost::system::error_code& failure);
-  void OnBrokenResponse(response_fault fault);
+  void OnBrokenResponse(message_fault fault);
   void Finish(bool reusable);
   run_state CurrentRunState() const;
 
@@ -95,8 +88,8 @@
   release_callback release_;
   client_connection_ptr connection_;
   std::string echo_value_;
-  message_type message_;
-  std::optional<serializer_type> serializer_;
+  std::string head_text_;     // Head of the request until it is being written.
+  std::string write_prefix_;  // Bytes before the part that is being written.
   std::optional<response_parser> parser_;
   std::size_t written_bytes_ = 0;
   std::unique_ptr<char[]> part_;
--- a/libs/backend/src/connection_pool.cc
+++ b/libs/backend/src/connection_pool.cc
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
 #include "client_connection.h"
 #include "client_exchange.h"
 
--- a/libs/backend/src/http_message.cc
+++ b/libs/backend/src/http_message.cc
@@ -16,7 +16,16 @@
          EqualsIgnoringCase(text.substr(0, prefix.size()), prefix);
 }
 
-// Returns the options listed in the `Connection` fields.
+std::string ToLowerCase(std::string_view text) {
+  std::string lower(text);
+  for (auto& c : lower) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return lower;
+}
+
+// Returns the options listed in the `Connection` fields, in lower case and
+// sorted: a caller may list as many as its header can hold.
 std::vector<std::string> ConnectionOptions(const http_fields& fields) {
   std::vector<std::string> options;
   for (const auto& field : fields) {
@@ -24,11 +33,12 @@
     std::string_view rest = field.value;
     while (!rest.empty()) {
       const auto comma = rest.find(',');
-      options.emplace_back(TrimBlanks(rest.substr(0, comma)));
+      options.push_back(ToLowerCase(TrimBlanks(rest.substr(0, comma))));
       if (comma == std::string_view::npos) break;
       rest.remove_prefix(comma + 1);
     }
   }
+  std::sort(options.begin(), options.end());
   return options;
 }
 
@@ -62,7 +72,9 @@
       return EqualsIgnoringCase(field.name, name);
     };
     return std::any_of(kHopByHopNames.begin(), kHopByHopNames.end(), matches) ||
-           std::any_of(options.begin(), options.end(), matches);
+           (!options.empty() &&
+            std::binary_search(options.begin(), options.end(),
+                               ToLowerCase(field.name)));
   });
 }
 
--- a/libs/backend/src/beast_fields.cc
+++ b/libs/backend/src/tcp_socket.cc
@@ -1,36 +1,15 @@
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
 
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
-#include <boost/beast/http/field.hpp>
 #include <boost/system/error_code.hpp>
 #include <cerrno>
 #include <limits>
+#include <string>
 
 namespace pomelohall {
 
-namespace http = boost::beast::http;
-
-http_fields CopyFields(const http::fields& fields) {
-  http_fields copy;
-  for (const auto& field : fields) {
-    if (field.name() == http::field::content_length ||
-        field.name() == http::field::transfer_encoding) {
-      continue;
-    }
-    copy.push_back({std::string(ToView(field.name_string())),
-                    std::string(ToView(field.value()))});
-  }
-  return copy;
-}
-
-void AddFields(const http_fields& fields, http::fields& message) {
-  for (const auto& field : fields) {
-    message.insert(ToBeast(field.name), ToBeast(field.value));
-  }
-}
-
 std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
     std::string_view address) {
   const auto colon = address.rfind(':');
--- a/libs/caller/include/caller/call_server.h
+++ b/libs/caller/include/caller/call_server.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "base/http_limits.h"
 #include "base/time.h"
 #include "caller/incoming_request.h"
 
@@ -33,7 +34,13 @@
   duration header_timeout = std::chrono::seconds(10);
   /// A connection is closed if a body makes no progress for this time.
   duration progress_timeout = std::chrono::seconds(60);
+  /// Limit of a request header. That of a trailer and of a chunk extension is
+  /// the same, but kMinTrailerLimit at least.
   std::size_t max_header_bytes = 16'384;
+  /// Memory for the headers of all requests in progress, apart from some
+  /// kilobytes a connection. A request beyond it gets 503, or 431 if it needs
+  /// more than this alone.
+  std::size_t max_head_memory_bytes = kMaxHeadMemoryBytes;
 };
 
 /// HTTP/1.1 server with keep-alive, pipelining and back-pressure on bodies.
@@ -56,7 +63,8 @@
   /// Returns the bound address, "ip:port". Listen() must have succeeded.
   std::string Address() const;
 
-  /// Changes the limits of all connections, but not the address.
+  /// Changes the timeouts and the header limit of all connections, also of open
+  /// ones. A header that is arriving is held to the larger limit.
   void SetLimits(const call_server_options& options);
 
   /// Closes each connection after its next response. Idle connections and the
--- a/libs/caller/src/call_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
 #include "call_session.h"
 
 namespace pomelohall {
@@ -32,6 +32,8 @@
   impl(asio::io_context& io, call_server_options options, call_handler& handler)
       : io_(io),
         options_(std::move(options)),
+        head_memory_(
+            std::make_shared<memory_budget>(options_.max_head_memory_bytes)),
         handler_(handler),
         acceptor_(io),
         timer_(io) {}
@@ -54,6 +56,7 @@
 
   asio::io_context& io_;
   call_server_options options_;
+  std::shared_ptr<memory_budget> head_memory_;
   bool close_after_responses_ = false;
   call_handler& handler_;
   asio::ip::tcp::acceptor acceptor_;
@@ -109,8 +112,8 @@
     });
     return;
   }
-  const auto session =
-      std::make_shared<call_session>(std::move(socket), options_, handler_);
+  const auto session = std::make_shared<call_session>(
+      std::move(socket), options_, head_memory_, handler_);
   sessions_.insert(session);
   if (close_after_responses_) session->CloseAfterResponse();
   session->Start();
@@ -118,9 +121,10 @@
 }
 
 void call_server::impl::SetLimits(const call_server_options& options) {
-  auto address = std::move(options_.address);
-  options_ = options;
-  options_.address = std::move(address);
+  options_.idle_timeout = options.idle_timeout;
+  options_.header_timeout = options.header_timeout;
+  options_.progress_timeout = options.progress_timeout;
+  options_.max_header_bytes = options.max_header_bytes;
 }
 
 void call_server::impl::CloseAfterResponses() {
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -6,38 +6,38 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
-#include <boost/beast/http/write.hpp>
 #include <cassert>
-#include <limits>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
+#include "base/ascii_text.h"
 #include "base/http_limits.h"
 #include "caller/error_response.h"
+#include "http1/head_writer.h"
 #include "server_request.h"
 
 namespace pomelohall {
 
-namespace http = boost::beast::http;
 namespace asio = boost::asio;
 
 namespace {
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr std::size_t kReadAheadBytes = 4096;
-// Largest header limit of the parser.
-constexpr std::size_t kMaxLimit = std::numeric_limits<std::uint32_t>::max();
+// Maximum size of a single read.
+constexpr std::size_t kReadBytes = 16UL * 1024;
+// Input behind the requests in progress is left in the socket beyond this size.
+constexpr std::size_t kMaxReadAheadBytes = 16UL * 1024;
+// Memory for the heads of a connection's requests that is not taken from the
+// budget of the server. Heads are rarely larger than a few kilobytes.
+constexpr std::size_t kUncountedHeadBytes = 16UL * 1024;
+// Time after which a caller may retry a request that exceeds that budget, in
+// seconds: about as long as the requests that use it take.
+constexpr const char* kHeadMemoryRetryAfter = "1";
 // Maximum number of concurrent requests per connection. Limits the memory and
 // backend server capacity that one caller can use.
 constexpr std::size_t kMaxPipelined = 16;
-// Reserved buffer space per read: Beast reads no more than the spare capacity,
-// or 512 bytes if there is none.
-constexpr std::size_t kReadBytes = 4096;
 // Time for which input is read and discarded after the last response. Closing a
 // socket with unread input resets the connection, and the caller may lose the
 // response.
@@ -47,36 +47,37 @@
 
 call_session::call_session(asio::ip::tcp::socket socket,
                            const call_server_options& options,
+                           std::shared_ptr<memory_budget> head_memory,
                            call_handler& handler)
     : socket_(std::move(socket)),
       options_(options),
       handler_(handler),
+      head_memory_(std::move(head_memory)),
       last_progress_(MonotonicNow()) {}
 
 void call_session::Start() {
   error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   NextRequest();
 }
 
 void call_session::NextRequest() {
   last_progress_ = MonotonicNow();
-  if (deferred_) {
-    AcceptRequest();
-  } else if (buffer_.size() > 0) {
-    ReadHeader();
-  } else {
-    WaitReadable();
-  }
+  if (deferred_) AcceptRequest();
+  ParseRequests();
+}
+
+// Returns whether input can be read now: not beyond what a handler takes of a
+// body, nor far ahead of the requests in progress.
+bool call_session::WantsInput() const {
+  if (linger_until_) return true;
+  if (IsReadingBody()) return pending_read_ != nullptr;
+  return input_.size() < kMaxReadAheadBytes;
 }
 
-// Waits for input without reading it: a pending read would have to complete
-// before the next buffered request can be parsed.
 void call_session::WaitReadable() {
-  if (waiting_readable_ || closed_ ||
-      buffer_.size() >= options_.max_header_bytes) {
-    return;
-  }
+  if (waiting_readable_ || closed_ || !WantsInput()) return;
   waiting_readable_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](error_code failure) {
@@ -90,63 +91,122 @@
     Disconnected();
   } else if (linger_until_) {
     ReadLinger();
-  } else if (reading_header_) {
-    return;  // The pending read consumes the input.
-  } else if (pending_.empty()) {
-    ReadHeader();
-  } else if (deferred_ || IsBodyRead()) {
-    ReadAhead();
+  } else if (WantsInput()) {
+    ReadInput();
   }
 }
 
-// Reads pipelined requests, which also detects that the caller disconnected.
-void call_session::ReadAhead() {
-  BoundBuffer();
+// Also detects that the caller disconnected while its requests are in progress.
+void call_session::ReadInput() {
+  std::array<char, kReadBytes> bytes;
   error_code failure;
-  socket_.non_blocking(true, failure);
-  const auto bytes =
-      socket_.read_some(buffer_.prepare(kReadAheadBytes), failure);
-  if (failure && failure != asio::error::would_block) {
-    Disconnected();
+  const auto count = socket_.read_some(asio::buffer(bytes), failure);
+  if (failure == asio::error::would_block) {
+    WaitReadable();
+  } else if (failure) {
+    OnInputEnd(failure);
+  } else {
+    input_.append(bytes.data(), count);
+    if (IsReadingBody()) {
+      ParseBodyPart();
+    } else {
+      ParseRequests();
+    }
+  }
+}
+
+void call_session::OnInputEnd(error_code failure) {
+  if (pending_.empty() && IsReadingHead() && failure == asio::error::eof) {
+    RejectRequest({error_kind::kInvalidRequest,
+                   "the connection ended within the request header"});
     return;
   }
-  buffer_.commit(bytes);
-  WaitReadable();
-  ParsePipelined();
+  if (pending_read_) {
+    pending_.back().keep_alive = false;
+    DeliverPart(Fail(error_kind::kCancelled,
+                     "the request body ended early: " + failure.message()));
+  }
+  Disconnected();
+}
+
+// Returns whether the head of a further request can be parsed. One behind other
+// requests waits until it can be handled along with them.
+bool call_session::MayParseHead() const {
+  if (closed_ || deferred_ || linger_until_ || IsReadingBody()) return false;
+  if (pending_.empty()) return true;
+  return pending_.size() < kMaxPipelined && pending_.back().keep_alive &&
+         !draining_ && !(writing_response_ && close_after_write_);
 }
 
-// Starts pipelined requests that are already in the buffer.
-void call_session::ParsePipelined() {
+void call_session::ParseRequests() {
   const auto keep_alive = shared_from_this();
-  while (!closed_ && !deferred_ && !reading_header_ && !linger_until_ &&
-         !(writing_response_ && close_after_write_) && buffer_.size() > 0 &&
-         !pending_.empty() && pending_.size() < kMaxPipelined && IsBodyRead() &&
-         pending_.back().keep_alive && !draining_) {
-    ResetParser();
-    error_code failure;
-    const auto used = parser_->put(buffer_.data(), failure);
-    if (failure == http::error::need_more) {
-      // The header is parsed again when more bytes have arrived.
-      parser_.reset();
-      return;
-    }
-    buffer_.consume(used);
-    if (failure) {
-      RejectHeader(failure);
-      return;
-    }
-    if (MayPipeline()) {
+  while (!input_.empty() && MayParseHead()) {
+    ParseHead();
+    if (const auto fault = HeadFault()) {
+      RejectRequest(*fault);
+    } else if (!parser_->IsHeadDone()) {
+      break;
+    } else if (pending_.empty() || MayPipeline()) {
       AcceptRequest();
     } else {
       deferred_ = true;
     }
   }
+  WaitReadable();
+}
+
+void call_session::ParseHead() {
+  if (!parser_ || parser_->IsHeadDone()) {
+    parser_.emplace(request_parser_options{
+        .max_head_bytes = options_.max_header_bytes,
+        .max_framing_bytes =
+            std::max(options_.max_header_bytes, kMinTrailerLimit)});
+    if (pending_.empty()) last_progress_ = MonotonicNow();
+  }
+  // The limits may have changed since the first bytes arrived.
+  parser_->RaiseMaxHeadBytes(options_.max_header_bytes);
+  input_.erase(0, parser_->ParseHead(input_));
+  if (input_.empty()) input_ = {};
+}
+
+std::optional<error> call_session::HeadFault() {
+  if (const auto fault = parser_->Fault()) {
+    return error(*fault == message_fault::kTooLarge
+                     ? error_kind::kHeadersTooLarge
+                     : error_kind::kInvalidRequest,
+                 "invalid request header: " +
+                     std::string(kMessageFaultNames.Name(*fault)));
+  }
+  if (HoldHeadMemory()) return std::nullopt;
+  if (!head_memory_.CanHold(parser_->StoredBytes())) {
+    return error(error_kind::kHeadersTooLarge,
+                 "the request header takes more memory than the daemon has "
+                 "for headers");
+  }
+  return error(error_kind::kOverloaded,
+               "the headers of other requests take the memory for headers",
+               run_state::kNotRun);
+}
+
+bool call_session::HoldHeadMemory() {
+  auto held = pending_head_bytes_;
+  if (parser_) held += parser_->StoredBytes();
+  // While a body is being read, the head of its request is pending, and the
+  // parser has lines of chunk sizes or of the trailer.
+  if (IsReadingBody() && !pending_.empty()) held -= pending_.back().head_bytes;
+  return head_memory_.Resize(
+      held > kUncountedHeadBytes ? held - kUncountedHeadBytes : 0);
 }
 
 bool call_session::MayPipeline() const {
-  const auto method = parser_->get().method();
-  return (method == http::verb::get || method == http::verb::head) &&
-         parser_->is_done() && !CheckHeader();
+  const auto& method = parser_->Method();
+  return (method == "GET" || method == "HEAD") && parser_->IsDone() &&
+         !CheckHead();
+}
+
+bool call_session::IsReadingHead() const {
+  return parser_ && parser_->HasStarted() && !parser_->IsHeadDone() &&
+         !parser_->Fault();
 }
 
 void call_session::Disconnected() {
@@ -161,148 +221,95 @@
   for (const auto& handler : handlers) handler();
 }
 
-void call_session::ResetParser() {
-  parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(
-      std::min(options_.max_header_bytes, kMaxLimit)));
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  BoundBuffer();
-}
-
-// Applies the limit in force to the buffer, which throws if a read exceeds its
-// bound. What an earlier limit let in stays, whatever the limit is now.
-void call_session::BoundBuffer() {
-  const auto bound =
-      std::min(options_.max_header_bytes, kMaxLimit) + kMaxUnparsedBytes;
-  buffer_.max_size(std::max(bound, buffer_.size() + kReadAheadBytes));
-}
-
-void call_session::ReadHeader() {
-  last_progress_ = MonotonicNow();
-  reading_header_ = true;
-  ResetParser();
-  buffer_.reserve(kReadBytes);
-  http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](error_code failure, std::size_t) {
-        self->reading_header_ = false;
-        if (!self->closed_) self->OnHeader(failure);
-      });
-}
-
-void call_session::OnHeader(error_code failure) {
-  if (failure) {
-    RejectHeader(failure);
-  } else {
-    AcceptRequest();
-  }
-}
-
 void call_session::AcceptRequest() {
   deferred_ = false;
-  if (auto fault = CheckHeader()) {
-    RejectRequest(MakeErrorResponse(*fault));
+  if (const auto fault = CheckHead()) {
+    RejectRequest(*fault);
   } else {
-    StartRequest(CopyHead());
+    StartRequest();
   }
 }
 
 // Responds to a request that cannot be handled, then closes the connection.
-void call_session::RejectRequest(incoming_response response) {
+void call_session::RejectRequest(const error& failure) {
   pending_.push_back({});
-  pending_.back().responded = true;
-  pending_.back().response = std::move(response);
+  auto& entry = pending_.back();
+  entry.responded = true;
+  entry.response = MakeErrorResponse(failure);
+  if (failure.kind == error_kind::kOverloaded) {
+    SetField(entry.response.head.fields, "Retry-After", kHeadMemoryRetryAfter);
+  }
+  parser_.reset();
+  HoldHeadMemory();
   WriteNextResponse();
 }
 
-void call_session::RejectHeader(const error_code& failure) {
-  if (failure == http::error::end_of_stream ||
-      failure.category() !=
-          make_error_code(http::error::bad_method).category()) {
-    Close();
-    return;
-  }
-  const bool too_large = failure == http::error::header_limit ||
-                         failure == http::error::buffer_overflow;
-  RejectRequest(MakeErrorResponse(
-      {too_large ? error_kind::kHeadersTooLarge : error_kind::kInvalidRequest,
-       "invalid request header: " + failure.message()}));
-}
-
-std::optional<error> call_session::CheckHeader() const {
-  const auto& message = parser_->get();
+std::optional<error> call_session::CheckHead() const {
   const auto fault = [](std::string text) {
     return error(error_kind::kInvalidRequest, std::move(text));
   };
-  if (message.version() != 10 && message.version() != 11) {
-    return fault("the HTTP version must be 1.0 or 1.1");
-  }
-  if (!message.target().starts_with('/')) {
+  if (!parser_->Target().starts_with('/')) {
     return fault("the request target must start with '/'");
   }
-  if (message.version() == 11 && message.count(http::field::host) != 1) {
+  const auto& fields = parser_->Fields();
+  const auto hosts =
+      std::count_if(fields.begin(), fields.end(), [](const http_field& field) {
+        return EqualsIgnoringCase(field.name, "Host");
+      });
+  if (parser_->MinorVersion() == 1 && hosts != 1) {
     return fault("the request must have exactly one Host field");
   }
-  // With any other transfer coding the end of the body is ambiguous.
-  if (message.count(http::field::transfer_encoding) > 0 &&
-      !parser_->chunked()) {
-    return fault("the transfer encoding must be chunked");
-  }
   return std::nullopt;
 }
 
-request_head call_session::CopyHead() const {
-  const auto& message = parser_->get();
+request_head call_session::TakeHead() {
   request_head head;
-  head.method = std::string(ToView(message.method_string()));
-  head.target = std::string(ToView(message.target()));
-  head.fields = CopyFields(message);
-  if (parser_->chunked()) {
+  head.method = parser_->Method();
+  head.target = parser_->Target();
+  if (parser_->IsChunked()) {
     head.framing = body_framing::kChunked;
-  } else if (parser_->content_length().value_or(0) > 0) {
+  } else if (parser_->ContentLength().value_or(0) > 0) {
     head.framing = body_framing::kLength;
-    head.length = *parser_->content_length();
+    head.length = *parser_->ContentLength();
   }
+  head.fields = parser_->TakeFields();
   return head;
 }
 
-void call_session::StartRequest(request_head head) {
-  const auto& message = parser_->get();
-  continue_expected_ =
-      message.version() == 11 &&
-      boost::beast::iequals(message[http::field::expect], "100-continue");
-  parser_->eager(true);
+void call_session::StartRequest() {
   pending_response entry;
-  entry.version = message.version() == 10 ? 10U : 11U;
-  entry.keep_alive = message.keep_alive();
+  entry.minor_version = parser_->MinorVersion();
+  entry.head_bytes = parser_->StoredBytes();
+  entry.keep_alive = parser_->KeepsConnection();
+  auto head = TakeHead();
+  const auto* expected = FindField(head.fields, "Expect");
+  continue_expected_ = entry.minor_version == 1 && expected != nullptr &&
+                       EqualsIgnoringCase(*expected, "100-continue");
   entry.head_only = head.method == "HEAD";
   entry.request =
       std::make_shared<server_request>(std::move(head), weak_from_this());
   const auto request = entry.request;
+  pending_head_bytes_ += entry.head_bytes;
   pending_.push_back(std::move(entry));
-  if (IsBodyRead()) WaitReadable();
+  if (parser_->IsDone()) parser_.reset();
   handler_.OnRequest(request);
-  ParsePipelined();
 }
 
-bool call_session::IsBodyRead() const { return !parser_ || parser_->is_done(); }
+bool call_session::IsReadingBody() const {
+  return parser_ && parser_->IsHeadDone() && !parser_->IsDone() && !deferred_;
+}
 
 void call_session::ReadBody(body_source::callback done) {
-  assert(!pending_read_ && parser_ && !parser_->is_done());
+  assert(!pending_read_ && IsReadingBody());
   pending_read_ = std::move(done);
   last_progress_ = MonotonicNow();
   if (!part_) {
     part_capacity_ = static_cast<std::size_t>(std::min<std::uint64_t>(
-        kBodyPartBytes, parser_->content_length().value_or(kBodyPartBytes)));
+        kBodyPartBytes, parser_->ContentLength().value_or(kBodyPartBytes)));
     part_.reset(new char[part_capacity_]);
   }
-  parser_->get().body().data = part_.get();
-  parser_->get().body().size = part_capacity_;
-  if (continue_expected_ && buffer_.size() == 0) {
-    WriteContinue();
-  } else {
-    OnPart(ParseBuffered());
-  }
+  if (continue_expected_ && input_.empty()) WriteContinue();
+  ParseBodyPart();
 }
 
 void call_session::WriteContinue() {
@@ -315,61 +322,43 @@
                       // Resumes a response that waited for this write.
                       if (self->writing_response_) self->ReadResponsePart();
                     });
-  ReadPart();
 }
 
-// Parses body bytes that were read along with the header.
-boost::system::error_code call_session::ParseBuffered() {
-  error_code failure;
-  while (buffer_.size() > 0 && !parser_->is_done() && !failure) {
-    buffer_.consume(parser_->put(buffer_.data(), failure));
-  }
-  if (failure == http::error::need_more) failure = {};
-  return failure;
-}
-
-void call_session::ReadPart() {
-  buffer_.reserve(kReadBytes);
-  reading_body_ = true;
-  http::async_read_some(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](error_code failure, std::size_t) {
-        self->reading_body_ = false;
-        if (!self->closed_) self->OnPart(failure);
-      });
-}
-
-void call_session::OnPart(error_code failure) {
-  if (linger_until_) {
-    // The response was written before the body had arrived.
-    if (failure && failure != http::error::need_buffer) {
-      Close();
-    } else {
-      ReadLinger();
-    }
-    return;
-  }
-  last_progress_ = MonotonicNow();
-  if (failure && failure != http::error::need_buffer) {
-    pending_.back().keep_alive = false;
-    const bool malformed =
-        failure.category() ==
-            make_error_code(http::error::bad_chunk).category() &&
-        failure != http::error::partial_message;
-    DeliverPart(
-        Fail(malformed ? error_kind::kInvalidRequest : error_kind::kCancelled,
-             "the request body ended early: " + failure.message()));
-    if (!malformed) Disconnected();
+// Parses received bytes of the body into the part until it is full.
+void call_session::ParseBodyPart() {
+  std::size_t size = 0;
+  std::string_view bytes = input_;
+  auto step = parser_->ParseBody(bytes, part_capacity_);
+  while (step.consumed > 0) {
+    std::copy(step.content.begin(), step.content.end(), part_.get() + size);
+    size += step.content.size();
+    bytes.remove_prefix(step.consumed);
+    step = parser_->ParseBody(bytes, part_capacity_ - size);
+  }
+  input_.erase(0, input_.size() - bytes.size());
+  if (input_.empty()) input_ = {};
+  if (const auto fault = parser_->Fault()) {
+    OnBodyFault(*fault);
     return;
   }
-  const auto size = part_capacity_ - parser_->get().body().size;
-  const body_part part{{part_.get(), size}, parser_->is_done()};
-  if (part.bytes.empty() && !part.last) {
-    ReadPart();
+  if (!HoldHeadMemory()) {
+    OnBodyFault(message_fault::kTooLarge);
     return;
   }
-  if (part.last) WaitReadable();
-  DeliverPart(part);
+  const body_part part{{part_.get(), size}, parser_->IsDone()};
+  if (size > 0) last_progress_ = MonotonicNow();
+  if (part.last) parser_.reset();
+  // With the last part, waits for further requests or a disconnect.
+  if (size == 0 || part.last) WaitReadable();
+  if (size > 0 || part.last) DeliverPart(part);
+}
+
+void call_session::OnBodyFault(message_fault fault) {
+  pending_.back().keep_alive = false;
+  DeliverPart(Fail(
+      fault == message_fault::kTooLarge ? error_kind::kHeadersTooLarge
+                                        : error_kind::kInvalidRequest,
+      "invalid request body: " + std::string(kMessageFaultNames.Name(fault))));
 }
 
 void call_session::DeliverPart(result<body_part> part) {
@@ -421,33 +410,36 @@
   last_progress_ = MonotonicNow();
   const bool last = pending_.size() == 1;
   // Later requests in progress still get their responses.
-  const bool unread = !deferred_ && !IsBodyRead();
-  close_after_write_ = !entry.keep_alive || (last && (draining_ || unread));
-  BuildMessage(entry.response.head);
+  close_after_write_ =
+      !entry.keep_alive || (last && (draining_ || IsReadingBody()));
+  BuildHead(entry.response.head);
   if (!writing_continue_) ReadResponsePart();
 }
 
-void call_session::BuildMessage(const response_head& head) {
-  const auto version = pending_.front().version;
-  message_ = {};
+void call_session::BuildHead(const response_head& head) {
+  const auto minor_version = pending_.front().minor_version;
+  auto writer = head_writer::Response(minor_version, head.status, head.reason);
+  for (const auto& field : head.fields) {
+    if (!EqualsIgnoringCase(field.name, "Connection"))
+      writer.Add(field.name, field.value);
+  }
   ends_with_connection_ = false;
-  message_.version(version);
-  message_.result(static_cast<unsigned>(head.status));
-  message_.reason(ToBeast(head.reason));
-  AddFields(head.fields, message_);
-  if (head.framing == body_framing::kChunked) {
-    if (version == 11) {
-      message_.chunked(true);
-    } else {
-      // HTTP/1.0 has no chunked encoding: closing the connection ends the body.
-      close_after_write_ = true;
-      ends_with_connection_ = true;
-    }
+  chunked_ = head.framing == body_framing::kChunked && minor_version == 1;
+  if (chunked_) {
+    writer.AddChunked();
+  } else if (head.framing == body_framing::kChunked) {
+    // HTTP/1.0 has no chunked encoding: closing the connection ends the body.
+    close_after_write_ = true;
+    ends_with_connection_ = true;
   } else if (head.length) {
-    message_.content_length(*head.length);
+    writer.AddLength(*head.length);
+  }
+  if (close_after_write_) {
+    writer.Add("Connection", "close");
+  } else if (minor_version == 0) {
+    writer.Add("Connection", "keep-alive");
   }
-  message_.keep_alive(!close_after_write_);
-  serializer_.emplace(message_);
+  head_text_ = writer.Finish();
 }
 
 void call_session::ReadResponsePart() {
@@ -462,6 +454,8 @@
     return;
   }
   reading_part_ = true;
+  // The head is written with the first part: if that breaks, the caller gets an
+  // error response instead of a truncated one.
   body->Read([self = shared_from_this()](result<body_part> part) {
     self->reading_part_ = false;
     if (self->closed_ || !self->writing_response_) return;
@@ -471,11 +465,6 @@
       self->OnResponsePart(std::move(part));
     }
   });
-  // Do not delay the header until the first part of a slow body arrives.
-  if (reading_part_ && !closed_ && !serializer_->is_header_done() &&
-      !writing_) {
-    Write({}, true);
-  }
 }
 
 void call_session::OnResponsePart(result<body_part> part) {
@@ -493,7 +482,7 @@
     response = MakeErrorResponse(
         {error_kind::kAnswerCutShort, failure.message, run_state::kUnknown});
     response_replaced_ = true;
-    BuildMessage(response.head);
+    BuildHead(response.head);
     ReadResponsePart();
     return;
   }
@@ -501,35 +490,52 @@
 }
 
 void call_session::Write(body_part part, bool more) {
-  auto& body = message_.body();
-  // Beast's buffer_body takes a mutable pointer even for writing.
-  body.data =
-      part.bytes.empty() ? nullptr : const_cast<char*>(part.bytes.data());
-  body.size = part.bytes.size();
-  body.more = more;
+  write_prefix_ = std::exchange(head_text_, {});
+  std::string_view suffix;
+  if (chunked_) {
+    if (!part.bytes.empty()) {
+      write_prefix_ += ChunkSizeLine(part.bytes.size());
+      suffix = more ? kChunkEnd : kChunkEndAndLastChunk;
+    } else if (!more) {
+      suffix = kLastChunk;
+    }
+  }
+  more_parts_ = more;
   response_bytes_ += part.bytes.size();
+  unwritten_ = {
+      asio::buffer(write_prefix_),
+      asio::const_buffer(part.bytes.data(), part.bytes.size()),
+      asio::const_buffer(suffix.data(), suffix.size()),
+  };
   WriteSome();
 }
 
 void call_session::WriteSome() {
   writing_ = true;
-  http::async_write_some(
-      socket_, *serializer_,
+  socket_.async_write_some(
+      unwritten_,
       [self = shared_from_this()](error_code failure, std::size_t bytes) {
         self->writing_ = false;
         if (bytes > 0) self->response_started_ = true;
-        if (!self->closed_) self->OnWritten(failure);
+        if (!self->closed_) self->OnWritten(failure, bytes);
       });
 }
 
-void call_session::OnWritten(error_code failure) {
+void call_session::OnWritten(error_code failure, std::size_t bytes) {
   last_progress_ = MonotonicNow();
-  if (failure == http::error::need_buffer) {
-    ReadResponsePart();
-  } else if (failure) {
+  if (failure) {
     Disconnected();
-  } else if (!serializer_->is_done()) {
+    return;
+  }
+  for (auto& buffer : unwritten_) {
+    const auto written = std::min(bytes, buffer.size());
+    buffer += written;
+    bytes -= written;
+  }
+  if (asio::buffer_size(unwritten_) > 0) {
     WriteSome();
+  } else if (more_parts_) {
+    ReadResponsePart();
   } else {
     FinishResponse();
   }
@@ -540,9 +546,11 @@
   auto entry = std::move(pending_.front());
   pending_.pop_front();
   writing_response_ = false;
+  pending_head_bytes_ -= entry.head_bytes;
+  HoldHeadMemory();
   if (entry.request) entry.request->Detach();
   // Sized for one request.
-  if (pending_.empty() && !reading_body_) part_.reset();
+  if (pending_.empty()) part_.reset();
   if (close_after_write_) Linger();
   if (entry.on_written)
     entry.on_written({!response_replaced_, response_bytes_});
@@ -552,35 +560,32 @@
     return;
   }
   WriteNextResponse();
-  ParsePipelined();
+  ParseRequests();
 }
 
 void call_session::Linger() {
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   linger_until_ = MonotonicNow() + kLingerTime;
-  // A pending wait or read resumes in ReadLinger().
-  if (!waiting_readable_ && !reading_body_) ReadLinger();
+  input_ = {};
+  WaitReadable();
 }
 
 void call_session::ReadLinger() {
-  buffer_.clear();
-  socket_.async_read_some(
-      buffer_.prepare(kReadAheadBytes),
-      [self = shared_from_this()](error_code failure, std::size_t) {
-        if (self->closed_) return;
-        if (failure) {
-          self->Close();
-        } else {
-          self->ReadLinger();
-        }
-      });
+  std::array<char, kReadBytes> bytes;
+  error_code failure;
+  socket_.read_some(asio::buffer(bytes), failure);
+  if (failure && failure != asio::error::would_block) {
+    Close();
+  } else {
+    WaitReadable();
+  }
 }
 
 void call_session::Drain() {
   draining_ = true;
-  const bool idle = pending_.empty() && !deferred_ && !reading_header_ &&
-                    !linger_until_ && buffer_.size() == 0;
+  const bool idle = pending_.empty() && !deferred_ && !IsReadingHead() &&
+                    !linger_until_ && input_.empty();
   // A request that has arrived but was not read yet still gets a response.
   if (idle && !IsStale(socket_)) Close();
 }
@@ -596,6 +601,9 @@
   }
   socket_.close(ignored);
   auto pending = std::exchange(pending_, {});
+  pending_head_bytes_ = 0;
+  parser_.reset();
+  HoldHeadMemory();
   for (auto& entry : pending) {
     if (entry.response.body) entry.response.body->Cancel();
     if (entry.request) entry.request->Detach();
@@ -630,7 +638,7 @@
     }
   } else if (pending_read_) {
     if (waited >= options_.progress_timeout) Disconnected();
-  } else if (reading_header_) {
+  } else if (pending_.empty() && IsReadingHead()) {
     if (waited >= options_.header_timeout) Close();
   } else if (pending_.empty() && waited >= options_.idle_timeout) {
     Close();
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -1,12 +1,9 @@
 #ifndef POMELOHALL_CALLER_SRC_CALL_SESSION_H_
 #define POMELOHALL_CALLER_SRC_CALL_SESSION_H_
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -14,9 +11,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include "caller/call_server.h"
 #include "caller/incoming_request.h"
+#include "http1/request_parser.h"
+#include "memory_budget.h"
 
 namespace pomelohall {
 
@@ -30,7 +31,9 @@
 class call_session final : public std::enable_shared_from_this<call_session> {
  public:
   call_session(boost::asio::ip::tcp::socket socket,
-               const call_server_options& options, call_handler& handler);
+               const call_server_options& options,
+               std::shared_ptr<memory_budget> head_memory,
+               call_handler& handler);
 
   void Start();
   // Closes the connection after the next response.
@@ -50,18 +53,13 @@
                             std::function<void()> handler);
 
  private:
-  using parser_type =
-      boost::beast::http::request_parser<boost::beast::http::buffer_body>;
-  using message_type =
-      boost::beast::http::response<boost::beast::http::buffer_body>;
-  using serializer_type =
-      boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
   using error_code = boost::system::error_code;
 
   // A request in progress, or the rejection of a malformed one.
   struct pending_response {
     std::shared_ptr<server_request> request;  // Null for a rejection.
-    unsigned version = 11;
+    int minor_version = 1;
+    std::size_t head_bytes = 0;  // Memory of the request's head.
     bool keep_alive = false;
     bool head_only = false;
     bool responded = false;
@@ -72,40 +70,41 @@
 
   // Reading requests and detecting that the peer disconnected.
   void NextRequest();
+  bool WantsInput() const;
   void WaitReadable();
   void OnReadable(error_code failure);
-  void ReadAhead();
-  void ParsePipelined();
-  void ReadHeader();
-  void OnHeader(error_code failure);
-  void RejectHeader(const error_code& failure);
-  void RejectRequest(incoming_response response);
-  std::optional<error> CheckHeader() const;
-  request_head CopyHead() const;
-  void ResetParser();
-  void BoundBuffer();
+  void ReadInput();
+  void OnInputEnd(error_code failure);
+  bool MayParseHead() const;
+  void ParseRequests();
+  void ParseHead();
+  std::optional<error> HeadFault();
+  bool HoldHeadMemory();
+  void RejectRequest(const error& failure);
+  std::optional<error> CheckHead() const;
+  request_head TakeHead();
   void AcceptRequest();
-  void StartRequest(request_head head);
+  void StartRequest();
   bool MayPipeline() const;
+  bool IsReadingHead() const;
   void Disconnected();
 
   // Reading the request body.
   void WriteContinue();
-  void ReadPart();
-  error_code ParseBuffered();
-  void OnPart(error_code failure);
+  void ParseBodyPart();
+  void OnBodyFault(message_fault fault);
   void DeliverPart(result<body_part> part);
-  bool IsBodyRead() const;
+  bool IsReadingBody() const;
 
   // Writing the response to the oldest request in progress.
   void WriteNextResponse();
-  void BuildMessage(const response_head& head);
+  void BuildHead(const response_head& head);
   void ReadResponsePart();
   void OnResponsePart(result<body_part> part);
   void OnResponseCutShort(const error& failure);
   void Write(body_part part, bool more);
   void WriteSome();
-  void OnWritten(error_code failure);
+  void OnWritten(error_code failure, std::size_t bytes);
   void FinishResponse();
   void Linger();
   void ReadLinger();
@@ -114,11 +113,13 @@
   boost::asio::ip::tcp::socket socket_;
   const call_server_options& options_;
   call_handler& handler_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<parser_type> parser_;
+  std::string input_;  // Received bytes that are not parsed yet.
+  // Has the request whose head or body is being read.
+  std::optional<request_parser> parser_;
   std::deque<pending_response> pending_;  // In request order.
+  std::size_t pending_head_bytes_ = 0;    // Of all requests in `pending_`.
+  memory_share head_memory_;
   bool waiting_readable_ = false;
-  bool reading_header_ = false;
   // The parser holds a request that waits for the responses before it.
   bool deferred_ = false;
   bool draining_ = false;
@@ -128,12 +129,14 @@
   std::unique_ptr<char[]> part_;
   std::size_t part_capacity_ = 0;
   body_source::callback pending_read_;
-  bool reading_body_ = false;  // A read of the socket for the body is pending.
   bool continue_expected_ = false;
   bool writing_continue_ = false;
 
-  message_type message_;
-  std::optional<serializer_type> serializer_;
+  std::string head_text_;     // Head of the response until it is being written.
+  bool chunked_ = false;      // The response is written in chunks.
+  std::string write_prefix_;  // Bytes before the part that is being written.
+  std::array<boost::asio::const_buffer, 3> unwritten_;
+  bool more_parts_ = false;  // The part being written is not the last one.
   std::uint64_t response_bytes_ = 0;
   bool writing_response_ = false;
   bool writing_ = false;
--- a/libs/daemon/src/daemon_metrics.cc
+++ b/libs/daemon/src/daemon_metrics.cc
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "response/broken_responses.h"
+#include "http1/broken_responses.h"
 
 namespace pomelohall {
 namespace {
--- a/libs/http/src/client_call.cc
+++ b/libs/http/src/client_call.cc
@@ -1,30 +1,48 @@
 #include "client_call.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
-#include "response/broken_responses.h"
+#include "base/ascii_text.h"
+#include "endpoint.h"
+#include "http1/broken_responses.h"
+#include "http1/head_writer.h"
 
 namespace pomelohall {
 namespace {
 
-namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 constexpr int kOk = 200;
 constexpr std::size_t kReadBytes = 64UL * 1024;
 
+std::string FormatHead(const http_request& request, const std::string& host) {
+  auto head = head_writer::Request(request.method, request.target);
+  head.Add("Host", host);
+  for (const auto& [name, value] : request.headers) {
+    if (!EqualsIgnoringCase(name, "Host")) head.Add(name, value);
+  }
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT") {
+    head.AddLength(request.body.size());
+  }
+  return head.Finish();
+}
+
 }  // namespace
 
 client_call::client_call(std::shared_ptr<client_core> core, std::string address,
                          http_request request, instant deadline)
     : core_(std::move(core)),
       address_(std::move(address)),
-      request_(ToBeast(std::move(request), address_)),
+      request_(std::move(request)),
+      head_text_(FormatHead(request_, address_)),
       deadline_(deadline) {}
 
 void client_call::Start(http_client::body_callback on_body,
@@ -73,8 +91,12 @@
 void client_call::Write() {
   write_started_ = true;
   connection_->stream.expires_at(deadline_);
-  http::async_write(
-      connection_->stream, request_,
+  const std::array buffers{
+      boost::asio::const_buffer(head_text_.data(), head_text_.size()),
+      boost::asio::const_buffer(request_.body.data(), request_.body.size()),
+  };
+  boost::asio::async_write(
+      connection_->stream, buffers,
       [self = shared_from_this()](const error_code& code, std::size_t) {
         self->OnWritten(code);
       });
@@ -88,7 +110,7 @@
   if (code == boost::beast::error::timeout) return OnError(code);
   parser_.emplace(response_parser_options{
       .max_head_bytes = core_->Options().max_header_bytes,
-      .to_head = request_.method() == http::verb::head});
+      .to_head = request_.method == "HEAD"});
   ReadResponse();
 }
 
@@ -131,7 +153,7 @@
   const bool too_large = !on_body_ && parser_->ContentLength().value_or(0) >
                                           core_->Options().max_body_bytes;
   if (too_large && !parser_->IsDone()) {
-    OnBrokenResponse(response_fault::kTooLarge);
+    OnBrokenResponse(message_fault::kTooLarge);
   } else {
     ParseBody();
   }
@@ -153,7 +175,7 @@
     buffer.consume(step.consumed);
     if (const auto fault = parser_->Fault()) return OnBrokenResponse(*fault);
     if (body_.size() > core_->Options().max_body_bytes) {
-      return OnBrokenResponse(response_fault::kTooLarge);
+      return OnBrokenResponse(message_fault::kTooLarge);
     }
   }
   if (parser_->IsDone()) return Succeed();
@@ -189,11 +211,11 @@
   Finish(std::move(response));
 }
 
-void client_call::OnBrokenResponse(response_fault fault) {
+void client_call::OnBrokenResponse(message_fault fault) {
   ReportBrokenResponse(fault, address_);
   Finish(Fail(error_kind::kProtocolError,
               "the response from " + address_ + " is broken: " +
-                  std::string(kResponseFaultNames.Name(fault))));
+                  std::string(kMessageFaultNames.Name(fault))));
 }
 
 void client_call::OnError(const error_code& code) {
@@ -202,8 +224,7 @@
 }
 
 bool client_call::CanRetry(const error_code& code) const {
-  const bool idempotent = request_.method() == http::verb::get ||
-                          request_.method() == http::verb::head;
+  const bool idempotent = request_.method == "GET" || request_.method == "HEAD";
   const bool response_started = parser_ && parser_->HasStarted();
   return connection_reused_ && idempotent && !response_started &&
          code != boost::beast::error::timeout;
--- a/libs/http/src/client_call.h
+++ b/libs/http/src/client_call.h
@@ -8,10 +8,10 @@
 #include <string_view>
 
 #include "base/time.h"
-#include "beast_message.h"
 #include "client_core.h"
 #include "http/http_client.h"
-#include "response/response_parser.h"
+#include "http/http_message.h"
+#include "http1/response_parser.h"
 
 namespace pomelohall {
 
@@ -44,14 +44,15 @@
   std::string ReceivedBytes() const;
   void Succeed();
   void OnError(const boost::system::error_code& code);
-  void OnBrokenResponse(response_fault fault);
+  void OnBrokenResponse(message_fault fault);
   bool CanRetry(const boost::system::error_code& code) const;
   error ToError(const boost::system::error_code& code) const;
   void Finish(result<http_response> response);
 
   std::shared_ptr<client_core> core_;
   std::string address_;
-  beast_request request_;
+  http_request request_;
+  std::string head_text_;  // Written again if the request is repeated.
   instant deadline_;
   http_client::body_callback on_body_;
   http_client::callback done_;
--- a/libs/http/src/client_core.cc
+++ b/libs/http/src/client_core.cc
@@ -5,7 +5,6 @@
 #include <cerrno>
 #include <utility>
 
-#include "base/http_limits.h"
 #include "client_call.h"
 
 namespace pomelohall {
@@ -23,9 +22,7 @@
 }  // namespace
 
 client_connection_ptr client_core::NewConnection() const {
-  auto connection = std::make_unique<client_connection>(io_);
-  connection->buffer.max_size(options_.max_header_bytes + kMaxUnparsedBytes);
-  return connection;
+  return std::make_unique<client_connection>(io_);
 }
 
 client_connection_ptr client_core::TakeIdle(const std::string& address) {
--- a/libs/http/src/beast_message.cc
+++ b/libs/http/src/endpoint.cc
@@ -1,58 +1,13 @@
-#include "beast_message.h"
+#include "endpoint.h"
 
 #include <boost/asio/ip/address.hpp>
-#include <boost/beast/http/error.hpp>
+#include <boost/system/error_code.hpp>
 #include <charconv>
 #include <cstdint>
 #include <sstream>
-#include <utility>
+#include <string>
 
 namespace pomelohall {
-namespace {
-
-namespace http = boost::beast::http;
-
-constexpr unsigned kHttp11 = 11;
-
-http_headers ToHeaders(const http::fields& fields) {
-  http_headers headers;
-  for (const auto& field : fields) {
-    headers.emplace_back(field.name_string().to_string(),
-                         field.value().to_string());
-  }
-  return headers;
-}
-
-}  // namespace
-
-http_request FromBeast(beast_request&& message) {
-  return {.method = message.method_string().to_string(),
-          .target = message.target().to_string(),
-          .headers = ToHeaders(message),
-          .body = std::move(message.body())};
-}
-
-beast_request ToBeast(http_request&& message, const std::string& host) {
-  beast_request converted;
-  converted.version(kHttp11);
-  converted.method_string(message.method);
-  converted.target(message.target);
-  converted.set(http::field::host, host);
-  CopyHeaders(message.headers, converted);
-  converted.body() = std::move(message.body);
-  converted.prepare_payload();
-  return converted;
-}
-
-void CopyHeaders(const http_headers& headers, http::fields& to) {
-  for (const auto& [name, value] : headers) to.set(name, value);
-}
-
-bool IsHttpError(const boost::system::error_code& code) {
-  return code.category() ==
-         http::make_error_code(http::error::bad_method).category();
-}
-
 result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address) {
   const auto fail = [address] {
     return Fail(error_kind::kInvalidRequest,
--- a/libs/http/src/server_core.cc
+++ b/libs/http/src/server_core.cc
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-#include "beast_message.h"
+#include "endpoint.h"
 #include "server_session.h"
 
 namespace pomelohall {
--- a/libs/http/src/server_session.cc
+++ b/libs/http/src/server_session.cc
@@ -1,26 +1,26 @@
 #include "server_session.h"
 
-#include <boost/asio/dispatch.hpp>
-#include <boost/asio/post.hpp>
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/error.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <utility>
 
+#include "base/ascii_text.h"
 #include "base/http_limits.h"
+#include "http1/head_writer.h"
 #include "server_core.h"
 #include "session_responder.h"
 
 namespace pomelohall {
 namespace {
 
-namespace http = boost::beast::http;
+namespace asio = boost::asio;
 using boost::asio::ip::tcp;
 
-constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr std::size_t kMaxPendingStreamBytes = 8'388'608;
 constexpr std::size_t kDiscardBufferBytes = 16'384;
 // Closing a socket with unread input resets the connection, and the peer may
@@ -28,13 +28,21 @@
 // before the connection is closed.
 constexpr std::chrono::seconds kLingerTimeout{1};
 
-error_kind ToErrorKind(const boost::system::error_code& code) {
-  if (code == http::error::header_limit ||
-      code == http::error::buffer_overflow) {
-    return error_kind::kHeadersTooLarge;
+error FaultError(message_fault fault) {
+  return {fault == message_fault::kTooLarge ? error_kind::kHeadersTooLarge
+                                            : error_kind::kInvalidRequest,
+          "the request was rejected: " +
+              std::string(kMessageFaultNames.Name(fault))};
+}
+
+// Returns the head of a response, without the fields that frame its body.
+head_writer StartHead(const http_response& response, bool keep_alive) {
+  auto head = head_writer::Response(1, response.status, "");
+  for (const auto& [name, value] : response.headers) {
+    if (!EqualsIgnoringCase(name, "Connection")) head.Add(name, value);
   }
-  if (code == http::error::body_limit) return error_kind::kBodyTooLarge;
-  return error_kind::kInvalidRequest;
+  if (!keep_alive) head.Add("Connection", "close");
+  return head;
 }
 
 }  // namespace
@@ -44,52 +52,112 @@
     : tcp_stream_(std::move(socket)),
       linger_timer_(tcp_stream_.get_executor()),
       core_(std::move(core)) {
-  buffer_.max_size(core_->Options().max_header_bytes + kMaxUnparsedBytes);
   boost::system::error_code ignored;
   tcp_stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
 
 void server_session::ReadRequest() {
+  const auto& options = core_->Options();
   state_ = session_state::kReadingRequest;
-  parser_.emplace();
-  parser_->header_limit(
-      static_cast<std::uint32_t>(core_->Options().max_header_bytes));
-  parser_->body_limit(core_->Options().max_body_bytes);
-  tcp_stream_.expires_after(core_->Options().idle_timeout);
-  http::async_read(
-      tcp_stream_, buffer_, *parser_,
+  parser_.emplace(request_parser_options{
+      .max_head_bytes = options.max_header_bytes,
+      .max_framing_bytes =
+          std::max(options.max_header_bytes, kMinTrailerLimit)});
+  request_body_ = {};
+  tcp_stream_.expires_after(options.idle_timeout);
+  // Pipelined requests may be in the buffer.
+  ParseInput();
+}
+
+void server_session::ReadInput() {
+  tcp_stream_.async_read_some(
+      buffer_.prepare(kReadBytes),
       [self = shared_from_this()](const boost::system::error_code& code,
-                                  std::size_t) { self->OnRead(code); });
+                                  std::size_t bytes) {
+        self->OnRead(code, bytes);
+      });
 }
 
-void server_session::OnRead(const boost::system::error_code& code) {
+void server_session::OnRead(const boost::system::error_code& code,
+                            std::size_t bytes) {
   if (state_ == session_state::kClosed) return;
-  if (!code) return HandleRequest();
-  if (code == http::error::end_of_stream || !IsHttpError(code)) return Close();
-  RejectRequest(code);
+  if (code == asio::error::eof && parser_->HasStarted()) {
+    RejectRequest({error_kind::kInvalidRequest,
+                   "the request was rejected: the connection ended within it"});
+  } else if (code) {
+    Close();
+  } else {
+    buffer_.commit(bytes);
+    ParseInput();
+  }
+}
+
+void server_session::ParseInput() {
+  if (!parser_->IsHeadDone()) {
+    buffer_.consume(parser_->ParseHead(BufferedBytes()));
+  }
+  const auto failure = parser_->Fault()        ? FaultError(*parser_->Fault())
+                       : parser_->IsHeadDone() ? ParseBody()
+                                               : std::optional<error>();
+  if (failure) {
+    RejectRequest(*failure);
+  } else if (parser_->IsDone()) {
+    HandleRequest();
+  } else {
+    ReadInput();
+  }
+}
+
+std::optional<error> server_session::ParseBody() {
+  const auto limit = core_->Options().max_body_bytes;
+  const auto too_large = [limit] {
+    return error(error_kind::kBodyTooLarge,
+                 "the request was rejected: its body is above " +
+                     std::to_string(limit) + " bytes");
+  };
+  if (parser_->ContentLength().value_or(0) > limit) return too_large();
+  auto bytes = BufferedBytes();
+  while (!bytes.empty() && !parser_->IsDone() && !parser_->Fault()) {
+    const auto step = parser_->ParseBody(bytes, bytes.size());
+    bytes.remove_prefix(step.consumed);
+    if (step.content.size() > limit - request_body_.size()) return too_large();
+    request_body_.append(step.content);
+  }
+  buffer_.consume(buffer_.size() - bytes.size());
+  if (const auto fault = parser_->Fault()) return FaultError(*fault);
+  return std::nullopt;
+}
+
+std::string_view server_session::BufferedBytes() const {
+  const auto bytes = buffer_.cdata();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
 }
 
 void server_session::HandleRequest() {
   state_ = session_state::kHandlingRequest;
   tcp_stream_.expires_never();
-  beast_request message = parser_->release();
-  keep_alive_ = message.keep_alive();
-  is_head_request_ = message.method() == http::verb::head;
-  core_->Handler()(FromBeast(std::move(message)),
+  keep_alive_ = parser_->KeepsConnection();
+  is_head_request_ = parser_->Method() == "HEAD";
+  http_request request{.method = parser_->Method(),
+                       .target = parser_->Target(),
+                       .body = std::exchange(request_body_, {})};
+  for (auto& field : parser_->TakeFields()) {
+    request.headers.emplace_back(std::move(field.name), std::move(field.value));
+  }
+  core_->Handler()(std::move(request),
                    std::make_shared<session_responder>(shared_from_this()));
 }
 
-void server_session::RejectRequest(const boost::system::error_code& code) {
+void server_session::RejectRequest(const error& failure) {
   keep_alive_ = false;
   is_head_request_ = false;
-  WriteResponse(ErrorResponse(
-      {ToErrorKind(code), "the request was rejected: " + code.message()}));
+  WriteResponse(ErrorResponse(failure));
 }
 
 // A connection with received but unparsed bytes has a request in flight.
 bool server_session::IsIdle() const {
   boost::system::error_code code;
-  return state_ == session_state::kReadingRequest && !parser_->got_some() &&
+  return state_ == session_state::kReadingRequest && !parser_->HasStarted() &&
          buffer_.size() == 0 && tcp_stream_.socket().available(code) == 0;
 }
 
@@ -106,15 +174,16 @@
 void server_session::WriteResponse(http_response response) {
   state_ = session_state::kWritingResponse;
   keep_alive_ = keep_alive_ && !core_->IsStopping();
-  response_ = beast_response();
-  response_.version(kHttp11);
-  response_.result(static_cast<unsigned>(response.status));
-  CopyHeaders(response.headers, response_);
-  response_.keep_alive(keep_alive_);
-  response_.content_length(response.body.size());
-  if (!is_head_request_) response_.body() = std::move(response.body);
+  auto head = StartHead(response, keep_alive_);
+  head.AddLength(response.body.size());
+  response_head_ = head.Finish();
+  response_body_ = is_head_request_ ? std::string() : std::move(response.body);
   tcp_stream_.expires_after(core_->Options().idle_timeout);
-  http::async_write(tcp_stream_, response_,
+  const std::array buffers{
+      asio::const_buffer(response_head_.data(), response_head_.size()),
+      asio::const_buffer(response_body_.data(), response_body_.size()),
+  };
+  asio::async_write(tcp_stream_, buffers,
                     [self = shared_from_this()](
                         const boost::system::error_code& code, std::size_t) {
                       self->OnResponseWritten(code);
@@ -133,19 +202,16 @@
   if (state_ != session_state::kHandlingRequest) return;
   state_ = session_state::kStreamingResponse;
   keep_alive_ = false;
-  stream_head_.emplace();
-  stream_head_->version(kHttp11);
-  stream_head_->result(static_cast<unsigned>(head.status));
-  CopyHeaders(head.headers, *stream_head_);
-  stream_head_->keep_alive(false);
-  stream_head_->chunked(true);
-  stream_serializer_.emplace(*stream_head_);
+  auto writer = StartHead(head, keep_alive_);
+  writer.AddChunked();
+  response_head_ = writer.Finish();
   stream_write_pending_ = true;
   tcp_stream_.expires_never();
-  http::async_write_header(tcp_stream_, *stream_serializer_,
-                           [self = shared_from_this()](
-                               const boost::system::error_code& code,
-                               std::size_t) { self->OnStreamWritten(code); });
+  asio::async_write(tcp_stream_, asio::buffer(response_head_),
+                    [self = shared_from_this()](
+                        const boost::system::error_code& code, std::size_t) {
+                      self->OnStreamWritten(code);
+                    });
   DiscardInput();
   if (core_->IsStopping()) FinishStream();
 }
@@ -174,13 +240,17 @@
   if (!pending_chunks_.empty()) {
     stream_write_pending_ = true;
     chunks_in_flight_ = std::exchange(pending_chunks_, {});
-    boost::asio::async_write(
-        tcp_stream_, http::make_chunk(boost::asio::buffer(chunks_in_flight_)),
-        written);
+    chunk_size_line_ = ChunkSizeLine(chunks_in_flight_.size());
+    const std::array buffers{
+        asio::const_buffer(chunk_size_line_.data(), chunk_size_line_.size()),
+        asio::const_buffer(chunks_in_flight_.data(), chunks_in_flight_.size()),
+        asio::const_buffer(kChunkEnd.data(), kChunkEnd.size()),
+    };
+    asio::async_write(tcp_stream_, buffers, written);
   } else if (stream_finished_) {
     stream_write_pending_ = true;
     state_ = session_state::kWritingResponse;
-    boost::asio::async_write(tcp_stream_, http::make_chunk_last(), written);
+    asio::async_write(tcp_stream_, asio::buffer(kLastChunk), written);
   }
 }
 
--- a/libs/http/src/server_session.h
+++ b/libs/http/src/server_session.h
@@ -5,18 +5,18 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
-#include "beast_message.h"
+#include "base/error.h"
+#include "http/http_message.h"
 #include "http/http_responder.h"
+#include "http1/request_parser.h"
 
 namespace pomelohall {
 
@@ -51,17 +51,14 @@
     kStreamingResponse,
     kClosed
   };
-  using stream_head =
-      boost::beast::http::response<boost::beast::http::empty_body>;
-  using stream_serializer =
-      boost::beast::http::response_serializer<boost::beast::http::empty_body>;
-  using request_parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void ReadRequest();
-  void OnRead(const boost::system::error_code& code);
+  void ReadInput();
+  void OnRead(const boost::system::error_code& code, std::size_t bytes);
+  void ParseInput();
+  std::optional<error> ParseBody();
+  std::string_view BufferedBytes() const;
   void HandleRequest();
-  void RejectRequest(const boost::system::error_code& code);
+  void RejectRequest(const error& failure);
   bool IsIdle() const;
   void WriteResponse(http_response response);
   void OnResponseWritten(const boost::system::error_code& code);
@@ -75,11 +72,12 @@
   boost::asio::steady_timer linger_timer_;
   std::shared_ptr<server_core> core_;
   std::optional<request_parser> parser_;
-  beast_response response_;
-  std::optional<stream_head> stream_head_;
-  std::optional<stream_serializer> stream_serializer_;
+  std::string request_body_;
+  std::string response_head_;  // Of a stream as well.
+  std::string response_body_;
   std::string pending_chunks_;    // chunks not passed to the socket
   std::string chunks_in_flight_;  // chunks of the write in flight
+  std::string chunk_size_line_;   // of the write in flight
   std::function<void()> on_stream_closed_;
   bool stream_write_pending_ = false;
   bool stream_finished_ = false;
--- a/libs/http/tests/http_server_test.cc
+++ b/libs/http/tests/http_server_test.cc
@@ -1,6 +1,8 @@
 #include "http/http_server.h"
 
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <string>
 
 #include "base/random.h"
 #include "http_fixture.h"
@@ -27,6 +29,26 @@
   CHECK(response.find("headers_too_large") != std::string::npos);
 }
 
+// Guards against the end of the process for a trailer or an extension above
+// 64 KiB: the library used before could not hold such a field and threw.
+TEST_CASE_METHOD(http_fixture, "Server_LongTrailerOrExtension_KeepsServing") {
+  Listen();
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::size_t size : {60'000, 65'600, 70'000, 200'000}) {
+    INFO(size);
+    const std::string text(size, 'a');
+    const std::string expected =
+        size == 60'000 ? "HTTP/1.1 200" : "HTTP/1.1 431";
+    CHECK(RawExchange(head + "1\r\nx\r\n0\r\nT: " + text + "\r\n\r\n")
+              .starts_with(expected));
+    CHECK(RawExchange(head + "1;" + text + "\r\nx\r\n0\r\n\r\n")
+              .starts_with(expected));
+  }
+  CHECK(Call({.target = "/b"})->body == "GET /b ");
+}
+
 // Guards against a 413 response that the client cannot read because closing
 // with an unread body resets the connection.
 TEST_CASE_METHOD(http_fixture, "Server_BodyAboveLimit_ClientReceives413") {
--- a/libs/response/include/response/http_field.h
+++ b/libs/http1/include/http1/http_field.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_RESPONSE_HTTP_FIELD_H_
-#define POMELOHALL_RESPONSE_HTTP_FIELD_H_
+#ifndef POMELOHALL_HTTP1_HTTP_FIELD_H_
+#define POMELOHALL_HTTP1_HTTP_FIELD_H_
 
 #include <string>
 #include <vector>
@@ -18,4 +18,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_RESPONSE_HTTP_FIELD_H_
+#endif  // POMELOHALL_HTTP1_HTTP_FIELD_H_
--- a/libs/response/src/broken_responses.cc
+++ b/libs/http1/src/broken_responses.cc
@@ -1,4 +1,4 @@
-#include "response/broken_responses.h"
+#include "http1/broken_responses.h"
 
 #include <array>
 #include <atomic>
@@ -11,24 +11,25 @@
 namespace pomelohall {
 namespace {
 
-std::atomic<std::uint64_t>& Count(response_fault fault) {
+std::atomic<std::uint64_t>& Count(message_fault fault) {
   static std::array<std::atomic<std::uint64_t>,
-                    kResponseFaultNames.entries.size()>
+                    kMessageFaultNames.entries.size()>
       counts{};
   return counts[static_cast<std::size_t>(fault)];
 }
 
 }  // namespace
 
-void ReportBrokenResponse(response_fault fault, std::string_view address) {
+void ReportBrokenResponse(message_fault fault, std::string_view address) {
   Count(fault).fetch_add(1, std::memory_order_relaxed);
   log_event(log_level::kWarning, "broken_response")
       .With("from", address)
-      .With("fault", kResponseFaultNames.Name(fault));
+      .With("fault", kMessageFaultNames.Name(fault));
 }
 
 void RecordBrokenResponses(metric_registry& registry) {
-  for (const auto& [fault, name] : kResponseFaultNames.entries) {
+  for (const auto& [fault, name] : kMessageFaultNames.entries) {
+    if (fault == message_fault::kRequestLine) continue;
     registry
         .Counter("pomelohall_broken_responses_total",
                  "Received bytes that are not a response, by fault.",
--- a/libs/response/src/response_grammar.cc
+++ b/libs/http1/src/message_grammar.cc
@@ -1,4 +1,4 @@
-#include "response_grammar.h"
+#include "message_grammar.h"
 
 #include <algorithm>
 #include <charconv>
@@ -35,6 +35,9 @@
   return c == '\t' || (byte >= 0x20 && byte != 0x7F);
 }
 
+// Any visible character or byte above 127: a target is passed on unchanged.
+bool IsTargetText(char c) { return IsText(c) && !IsBlank(c); }
+
 bool IsTokenCharacter(char c) {
   constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
   return IsDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -43,11 +46,11 @@
 
 // Returns the fault of the first character that cannot be part of a reason or
 // of a field's value.
-std::optional<response_fault> CheckText(std::string_view text,
-                                        response_fault fault) {
+std::optional<message_fault> CheckText(std::string_view text,
+                                       message_fault fault) {
   const auto wrong = std::find_if_not(text.begin(), text.end(), IsText);
   if (wrong == text.end()) return std::nullopt;
-  return *wrong == '\r' ? response_fault::kLineEnding : fault;
+  return *wrong == '\r' ? message_fault::kLineEnding : fault;
 }
 
 // Reads the extensions of a chunk:
@@ -108,26 +111,26 @@
 
 }  // namespace
 
-std::optional<response_fault> CheckStatusLine(std::string_view line,
-                                              bool complete) {
+std::optional<message_fault> CheckStatusLine(std::string_view line,
+                                             bool complete) {
   constexpr auto kStart = kStatusLineStart;
   const auto size = std::min(line.size(), kStart.size());
   for (std::size_t i = 0; i < size; ++i) {
     const bool matches = kStart[i] == 'v'   ? line[i] == '0' || line[i] == '1'
                          : kStart[i] == 'd' ? IsDigit(line[i])
                                             : line[i] == kStart[i];
-    if (!matches) return response_fault::kStatusLine;
+    if (!matches) return message_fault::kStatusLine;
   }
   if (size < kStart.size()) {
-    if (complete) return response_fault::kStatusLine;
+    if (complete) return message_fault::kStatusLine;
     return std::nullopt;
   }
   const auto status = StatusOf(line);
   if (status < kMinStatus || status > kMaxStatus) {
-    return response_fault::kStatusCode;
+    return message_fault::kStatusCode;
   }
-  if (status == kSwitchingProtocols) return response_fault::kProtocolSwitch;
-  return CheckText(ReasonOf(line), response_fault::kStatusLine);
+  if (status == kSwitchingProtocols) return message_fault::kProtocolSwitch;
+  return CheckText(ReasonOf(line), message_fault::kStatusLine);
 }
 
 int MinorVersionOf(std::string_view status_line) {
@@ -145,38 +148,63 @@
   return status_line.substr(kStatusLineStart.size());
 }
 
-std::optional<response_fault> CheckFieldLine(std::string_view line,
-                                             bool complete) {
+std::optional<message_fault> CheckRequestLine(std::string_view line,
+                                              bool complete) {
+  if (!complete) return std::nullopt;
+  const auto method_end = line.find(' ');
+  const auto target_end = line.rfind(' ');
+  if (method_end == std::string_view::npos || target_end == method_end) {
+    return message_fault::kRequestLine;
+  }
+  const auto target = line.substr(method_end + 1, target_end - method_end - 1);
+  const auto version = line.substr(target_end + 1);
+  const bool sound = IsToken(line.substr(0, method_end)) && !target.empty() &&
+                     std::all_of(target.begin(), target.end(), IsTargetText) &&
+                     (version == "HTTP/1.0" || version == "HTTP/1.1");
+  return sound ? std::nullopt : std::optional(message_fault::kRequestLine);
+}
+
+request_line_parts SplitRequestLine(std::string_view request_line) {
+  const auto method_end = request_line.find(' ');
+  const auto target_end = request_line.rfind(' ');
+  return {.method = request_line.substr(0, method_end),
+          .target =
+              request_line.substr(method_end + 1, target_end - method_end - 1),
+          .minor_version = request_line.back() - '0'};
+}
+
+std::optional<message_fault> CheckFieldLine(std::string_view line,
+                                            bool complete) {
   if (line.empty()) return std::nullopt;
-  if (IsBlank(line.front())) return response_fault::kFoldedLine;
+  if (IsBlank(line.front())) return message_fault::kFoldedLine;
   const auto name_end =
       std::find_if_not(line.begin(), line.end(), IsTokenCharacter);
   if (name_end == line.end()) {
-    if (complete) return response_fault::kFieldName;
+    if (complete) return message_fault::kFieldName;
     return std::nullopt;
   }
   if (*name_end != ':' || name_end == line.begin()) {
-    return response_fault::kFieldName;
+    return message_fault::kFieldName;
   }
   const auto value_at = static_cast<std::size_t>(name_end - line.begin()) + 1;
-  return CheckText(line.substr(value_at), response_fault::kFieldValue);
+  return CheckText(line.substr(value_at), message_fault::kFieldValue);
 }
 
-std::optional<response_fault> CheckChunkSizeLine(std::string_view line,
-                                                 bool complete) {
+std::optional<message_fault> CheckChunkSizeLine(std::string_view line,
+                                                bool complete) {
   const auto size_end = std::find_if_not(line.begin(), line.end(), IsHexDigit);
   const auto digits = static_cast<std::size_t>(size_end - line.begin());
   const auto rest = line.substr(digits);
   if (complete) {
     const bool sound = ParseDigits(line.substr(0, digits), 16) &&
                        chunk_extension_reader(rest).IsSound();
-    return sound ? std::nullopt : std::optional(response_fault::kChunk);
+    return sound ? std::nullopt : std::optional(message_fault::kChunk);
   }
   if (rest.empty()) return std::nullopt;
   const bool may_be_extension =
       digits > 0 && (IsBlank(rest.front()) || rest.front() == ';') &&
       std::all_of(rest.begin(), rest.end(), IsText);
-  if (!may_be_extension) return response_fault::kChunk;
+  if (!may_be_extension) return message_fault::kChunk;
   return std::nullopt;
 }
 
--- a/libs/response/src/response_grammar.h
+++ b/libs/http1/src/message_grammar.h
@@ -1,11 +1,11 @@
-#ifndef POMELOHALL_RESPONSE_SRC_RESPONSE_GRAMMAR_H_
-#define POMELOHALL_RESPONSE_SRC_RESPONSE_GRAMMAR_H_
+#ifndef POMELOHALL_HTTP1_SRC_MESSAGE_GRAMMAR_H_
+#define POMELOHALL_HTTP1_SRC_MESSAGE_GRAMMAR_H_
 
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
-#include "response/response_fault.h"
+#include "http1/message_fault.h"
 
 namespace pomelohall {
 
@@ -13,19 +13,30 @@
 // start of one: it then fails only if no line with this start is sound.
 
 // RFC 9112, section 4.
-std::optional<response_fault> CheckStatusLine(std::string_view line,
-                                              bool complete);
+std::optional<message_fault> CheckStatusLine(std::string_view line,
+                                             bool complete);
 // Parts of a sound status line.
 int MinorVersionOf(std::string_view status_line);
 int StatusOf(std::string_view status_line);
 std::string_view ReasonOf(std::string_view status_line);
 
+// RFC 9112, section 3. The target is not interpreted.
+std::optional<message_fault> CheckRequestLine(std::string_view line,
+                                              bool complete);
+// Parts of a sound request line.
+struct request_line_parts {
+  std::string_view method;
+  std::string_view target;
+  int minor_version = 1;
+};
+request_line_parts SplitRequestLine(std::string_view request_line);
+
 // RFC 9112, section 5. An empty line ends the fields.
-std::optional<response_fault> CheckFieldLine(std::string_view line,
-                                             bool complete);
+std::optional<message_fault> CheckFieldLine(std::string_view line,
+                                            bool complete);
 // RFC 9112, section 7.1: the size of a chunk and its extensions.
-std::optional<response_fault> CheckChunkSizeLine(std::string_view line,
-                                                 bool complete);
+std::optional<message_fault> CheckChunkSizeLine(std::string_view line,
+                                                bool complete);
 
 // Returns whether `text` is a token (RFC 9110, section 5.6.2).
 bool IsToken(std::string_view text);
@@ -40,4 +51,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_RESPONSE_SRC_RESPONSE_GRAMMAR_H_
+#endif  // POMELOHALL_HTTP1_SRC_MESSAGE_GRAMMAR_H_
--- a/libs/response/tests/response_parser_test.cc
+++ b/libs/http1/tests/response_parser_test.cc
@@ -1,4 +1,4 @@
-#include "response/response_parser.h"
+#include "http1/response_parser.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -15,7 +15,7 @@
 
 /// What a reader got of a response.
 struct parse_result {
-  std::optional<response_fault> fault;
+  std::optional<message_fault> fault;
   bool complete = false;
   int status = 0;
   std::string body;
--- a/libs/sidecar/src/mesh_fields.h
+++ b/libs/sidecar/src/mesh_fields.h
@@ -1,7 +1,7 @@
 #ifndef POMELOHALL_SIDECAR_SRC_MESH_FIELDS_H_
 #define POMELOHALL_SIDECAR_SRC_MESH_FIELDS_H_
 
-#include "response/http_field.h"
+#include "http1/http_field.h"
 
 namespace pomelohall {
 
--- a/libs/sidecar/src/sidecar_metrics.cc
+++ b/libs/sidecar/src/sidecar_metrics.cc
@@ -1,7 +1,7 @@
 #include "sidecar_metrics.h"
 
+#include "http1/broken_responses.h"
 #include "logging/log_event.h"
-#include "response/broken_responses.h"
 
 namespace pomelohall {
 namespace {
--- a/tests/http/raw_client.cc
+++ b/tests/http/raw_client.cc
@@ -11,7 +11,7 @@
 #include <boost/system/error_code.hpp>
 #include <limits>
 
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
 
 namespace pomelohall {
 
@@ -56,8 +56,8 @@
   if (!parser.is_header_done()) return response;
   response.status = static_cast<int>(parser.get().result_int());
   for (const auto& field : parser.get()) {
-    response.fields.push_back({std::string(ToView(field.name_string())),
-                               std::string(ToView(field.value()))});
+    response.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
   }
   response.body = parser.get().body();
   response.complete = !failure;
--- a/tests/http/session_test.cc
+++ b/tests/http/session_test.cc
@@ -151,6 +151,48 @@
   CHECK(answered.get() == kRequests);
 }
 
+// Guards against unbounded memory for the headers of many callers, and against
+// a caller whose large header keeps others from being served.
+TEST_CASE("Session_HeaderMemoryUsedUp_OnlyLargeHeadersAreRefused",
+          "[session]") {
+  constexpr std::size_t kMemory = 100'000;
+  std::future<void> calls;
+  boost::asio::io_context io;
+  holding_handler handler;
+  call_server server(io,
+                     {.address = "127.0.0.1:0",
+                      .max_header_bytes = 1'000'000,
+                      .max_head_memory_bytes = kMemory},
+                     handler);
+  REQUIRE(server.Listen());
+  std::atomic<bool> answering = false;
+  calls = std::async(std::launch::async, [&] {
+    const auto field = [](std::size_t size) {
+      return "Cookie: " + std::string(size, 'c') + "\r\n";
+    };
+    raw_client first(server.Address());
+    first.SendRequest("GET", "/", field(80'000));
+    raw_client second(server.Address());
+    const auto refused = second.Call("GET", "/", field(80'000));
+    CHECK(refused.status == 503);
+    CHECK(refused.Field("Pomelohall-Outcome") == "not_run");
+    CHECK(refused.Field("Retry-After") == "1");
+    answering = true;
+    raw_client small(server.Address());
+    CHECK(small.Call("GET", "/", field(8000)).status == 200);
+    CHECK(first.Read().status == 200);
+    raw_client again(server.Address());
+    CHECK(again.Call("GET", "/", field(80'000)).status == 200);
+    raw_client largest(server.Address());
+    CHECK(largest.Call("GET", "/", field(2 * kMemory)).status == 431);
+  });
+  while (calls.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+    if (answering) handler.ReleaseAll();
+    io.restart();
+    io.run_for(std::chrono::milliseconds(1));
+  }
+}
+
 // Guards against a malformed request that breaks other connections, crashes the
 // daemon or is forwarded.
 TEST_CASE_METHOD(two_daemons, "Session_MalformedRequest_EndsOnlyItsConnection",
--- a/tests/http/slow_link_proxy.cc
+++ b/tests/http/slow_link_proxy.cc
@@ -10,7 +10,7 @@
 #include <sstream>
 #include <utility>
 
-#include "backend/beast_fields.h"
+#include "backend/tcp_socket.h"
 
 namespace pomelohall {
 
--- a/tests/sidecar/broken_response_test.cc
+++ b/tests/sidecar/broken_response_test.cc
@@ -179,7 +179,7 @@
     REQUIRE(at != std::string::npos);
     return std::stoi(metrics.substr(at + name.size()));
   };
-  const auto path = RowPath(FirstRowWith(response_fault::kStatusCode));
+  const auto path = RowPath(FirstRowWith(message_fault::kStatusCode));
   const int before = count();
   CheckBroken(kLocal, "POST", "/order/" + path);
   CHECK(count() == before + 1);
@@ -189,7 +189,7 @@
 // beside its server is taken as unreachable.
 TEST_CASE_METHOD(broken_response_fixture,
                  "Sidecar_BrokenFirstChunk_DaemonStaysReachable", "[broken]") {
-  const auto path = RowPath(FirstRowWith(response_fault::kChunk));
+  const auto path = RowPath(FirstRowWith(message_fault::kChunk));
   for (int i = 0; i < 3; ++i) {
     CheckBroken(kRemote, "GET", "/safe/" + path);
     CHECK(Call(kRemote, "GET", "/safe/1").status == 200);
--- a/tests/support/response_table.cc
+++ b/tests/support/response_table.cc
@@ -7,7 +7,7 @@
 namespace pomelohall {
 namespace {
 
-using fault = response_fault;
+using fault = message_fault;
 using namespace std::string_literals;
 
 /// How the end of a body is marked.
@@ -364,7 +364,7 @@
   return &ResponseTable().at(std::stoul(header.substr(at + kRowMark.size())));
 }
 
-std::size_t FirstRowWith(response_fault expected) {
+std::size_t FirstRowWith(message_fault expected) {
   const auto& table = ResponseTable();
   const auto row = std::find_if(table.begin(), table.end(),
                                 [expected](const response_row& entry) {
--- a/tests/support/response_table.h
+++ b/tests/support/response_table.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "response/http_field.h"
-#include "response/response_fault.h"
+#include "http1/http_field.h"
+#include "http1/message_fault.h"
 
 namespace pomelohall {
 
@@ -21,7 +21,7 @@
   /// Whether only `start` is sent, and the connection stays open.
   bool stops_after_start = false;
   /// Nothing for a sound response.
-  std::optional<response_fault> fault{};
+  std::optional<message_fault> fault{};
 
   // What a caller gets of a sound response. Instead of a broken one it gets
   // 502, or no end of the body if a part of it has been passed on before.
@@ -50,7 +50,7 @@
 /// Returns the row that a request header asks for with RowPath(), or null.
 const response_row* RequestedRow(const std::string& header);
 /// Returns the index of the first row with this fault.
-std::size_t FirstRowWith(response_fault fault);
+std::size_t FirstRowWith(message_fault fault);
 
 }  // namespace pomelohall
 
