Hold a request to the header limit once, at the daemon that takes it

Callers with a header of 16.2 kB, within maxHeaderBytes, got 431, and for about a second all other callers of that daemon got 503 for the service.

Cause: the listener for daemons had a limit of 16,384 bytes of its own, while the daemon before adds fields to the header, and the limit of the configuration was set on the other listener only. A refusal for a reason in the request then counted as a member that cannot be reached, at each member in turn (offer_ended outcome=unreachable, headers_too_large).

Change: listeners for daemons accept the largest limit that can be in force and 64 KiB for the fields of daemons, and so do readers of their responses, whatever the configuration is at the moment there. A limit above 2 MiB is cut to that with a warning. A request that is refused as malformed or too large fails alone.

--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -589,6 +589,13 @@
         router_.directory_.OnNotServing(offer_->member.name, MonotonicNow());
       EndOffer(send_outcome::kRefused);
       break;
+    case error_kind::kInvalidRequest:
+    case error_kind::kHeadersTooLarge:
+    case error_kind::kBodyTooLarge:
+      // The request is at fault, not the member, which other requests use.
+      EndOffer(send_outcome::kRefused);
+      Fail(failure);
+      return;
     default:
       EndOffer(send_outcome::kUnreachable);
       break;
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -10,6 +10,7 @@
 #include "active_config.h"
 #include "answer_sender.h"
 #include "backend/connection_pool.h"
+#include "base/http_limits.h"
 #include "caller/call_server.h"
 #include "collection_watch.h"
 #include "config_reader.h"
@@ -145,13 +146,15 @@
         budget_({.ratio = settings_.retry_ratio,
                  .window = settings_.retry_window,
                  .allowance = settings_.retry_allowance}),
-        peers_(io, {.max_connections = kMaxPeerConnections,
-                    .max_wait = kPeerConnectTimeout,
-                    .connect_timeout = kPeerConnectTimeout,
-                    .dead_peer_timeout = kPeerSilenceTimeout,
-                    .echo_field = platform.fields.attempt_id,
-                    .connect_error = error_kind::kPeerUnreachable,
-                    .disconnect_error = error_kind::kPeerUnreachable}),
+        peers_(io,
+               {.max_connections = kMaxPeerConnections,
+                .max_wait = kPeerConnectTimeout,
+                .connect_timeout = kPeerConnectTimeout,
+                .dead_peer_timeout = kPeerSilenceTimeout,
+                .max_head_bytes = kMaxResponseHeadBytes + kMeshHeadAllowance,
+                .echo_field = platform.fields.attempt_id,
+                .connect_error = error_kind::kPeerUnreachable,
+                .disconnect_error = error_kind::kPeerUnreachable}),
         active_config_(platform.config_name, platform.decode_config,
                        [this](std::shared_ptr<route_table> table) {
                          OnConfigActivated(std::move(table));
@@ -187,8 +190,13 @@
         mesh_endpoint_(dispatcher_, sender_, config_sync_, crashes_,
                        platform.fields),
         caller_listener_(io, {.address = settings_.caller_address}, router_),
-        daemon_listener_(io, {.address = settings_.forward_address},
-                         mesh_endpoint_),
+        // The daemon that took a request has held it to the limit in force
+        // there, which may be another one than here while it changes.
+        daemon_listener_(
+            io,
+            {.address = settings_.forward_address,
+             .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance},
+            mesh_endpoint_),
         publisher_(
             io, *platform.store,
             {.start_delay = kFirstRecordDelay,
@@ -386,11 +394,22 @@
     const auto& limits = table->Config().limits;
     caller_listener_.SetLimits({.idle_timeout = limits.idle_timeout,
                                 .header_timeout = limits.header_timeout,
-                                .max_header_bytes = limits.max_header_bytes});
+                                .max_header_bytes = HeaderLimit(*table)});
     if (quotas_) quotas_->SetTenants(table->Config().tenants);
     router_.SetTable(std::move(table));
   }
 
+  static std::size_t HeaderLimit(const route_table& table) {
+    const auto limit = table.Config().limits.max_header_bytes;
+    if (limit > kMaxRequestHeadBytes) {
+      log_event(log_level::kWarning, "header_limit_cut")
+          .With("version", table.Version())
+          .With("configured", static_cast<std::uint64_t>(limit))
+          .With("in_force", static_cast<std::uint64_t>(kMaxRequestHeadBytes));
+    }
+    return std::min(limit, kMaxRequestHeadBytes);
+  }
+
   // The departures that an earlier process of this daemon acknowledged bind
   // this one as well, and the crashes that it saw count.
   void OnEarlierRecord(const std::string& spec) {
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -159,7 +159,7 @@
             {"routes", std::move(routes)},
             {"services", {{{"name", "shop"}}}},
             {"limits",
-             {{"maxHeaderBytes", 16384},
+             {{"maxHeaderBytes", max_header_bytes_},
               {"maxBodyBytes", 100000},
               {"headerTimeoutMs", 3000},
               {"idleTimeoutMs", 15000}}}};
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstddef>
 #include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -103,6 +104,8 @@
   duration max_config_delay_ = std::chrono::seconds(2);
   /// Slots that the backend servers of sidecars added from now on announce.
   std::size_t slots_ = 18;
+  /// Header limit of configurations published from now on.
+  std::size_t max_header_bytes_ = 16'384;
   /// Further routes of configurations published from now on.
   int idle_routes_ = 0;
   /// Tenants of configurations published from now on; null for none. A route
