Hold chunked bodies to maxBodyBytes and name the fault of a broken body

Callers could send a chunked body of any size, as only Content-Length was compared with the limit. A body that turned out malformed while it was passed on was answered 502, and counted as a failure of the backend server that got a part of it.

Change: the daemon that takes a request counts the bytes of its body as they arrive. A body that breaks under way gets 400, 413 or 431, and neither the member nor the version of a roll-out is charged with it.

--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "caller/body_prefix.h"
+#include "caller/incoming_request.h"
 #include "caller/observed_body.h"
 #include "load_codec.h"
 #include "logging/log_event.h"
@@ -109,6 +110,12 @@
 }
 
 void local_exchange::OnFailure(const error& failure) {
+  if (IsRequestFault(failure.kind)) {
+    Log("upload_failed", failure);
+    End(std::nullopt);
+    NotifyAnswer(tl::unexpected(failure));
+    return;
+  }
   Log("server_failed", failure);
   CountResponse(true, std::nullopt);
   auto* const dispatcher = dispatcher_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -10,6 +10,7 @@
 #include "base/ascii_text.h"
 #include "caller/error_response.h"
 #include "caller/prefixed_body.h"
+#include "caller/size_limited_body.h"
 #include "caller/time_limited_body.h"
 #include "crash_codec.h"
 #include "load_codec.h"
@@ -201,12 +202,14 @@
 }
 
 void routed_request::ReadBody() {
-  const auto body = request_->Body();
-  if (!body) {
+  if (!request_->Body()) {
     OnBody(body_prefix{std::make_shared<const std::string>(), true});
     return;
   }
-  ReadBodyPrefix(body, kMaxBufferedBodyBytes,
+  // A chunked body tells its size only as it arrives.
+  request_body_ = std::make_shared<size_limited_body>(
+      request_->Body(), table_->Config().limits.max_body_bytes);
+  ReadBodyPrefix(request_body_, kMaxBufferedBodyBytes,
                  [self = shared_from_this()](result<body_prefix> start) {
                    self->OnBody(std::move(start));
                  });
@@ -231,7 +234,7 @@
     head_.length = body_->size();
   } else {
     streamed_body_ =
-        std::make_shared<prefixed_body>(start->bytes, request_->Body());
+        std::make_shared<prefixed_body>(start->bytes, request_body_);
   }
   if (tenant_ == nullptr || router_.quotas_ == nullptr) {
     Place(*start);
@@ -607,6 +610,12 @@
   ++sends_;
   OnReachedServer();
   may_have_run_ = true;
+  if (IsRequestFault(failure.kind)) {
+    last_failure_ = failure;
+    EndOffer(send_outcome::kRefused);
+    Fail(failure);
+    return;
+  }
   const auto reported = failure.kind == error_kind::kDeadlineExceeded
                             ? error_kind::kDeadlineExceeded
                             : error_kind::kBackendFailed;
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -113,6 +113,7 @@
   duration initial_time_left_{0};
   std::shared_ptr<const std::string> body_;  // Complete body, if it is small.
   // A large body; it can be sent only once.
+  std::shared_ptr<body_source> request_body_;  // Null without a body.
   std::shared_ptr<class prefixed_body> streamed_body_;
 
   std::uint64_t fingerprint_ = 0;  // See FingerprintOf().
--- a/tests/sidecar/concurrent_server.cc
+++ b/tests/sidecar/concurrent_server.cc
@@ -121,6 +121,17 @@
 void concurrent_server::ReadBody(const std::shared_ptr<connection>& served,
                                  std::size_t header_bytes) {
   const auto header = served->input.substr(0, header_bytes);
+  if (header.find("\r\nTransfer-Encoding: chunked") != std::string::npos) {
+    boost::asio::async_read_until(
+        served->socket, boost::asio::dynamic_buffer(served->input),
+        "\r\n0\r\n\r\n",
+        [this, served, header](error_code failure, std::size_t bytes) {
+          if (failure) return;
+          served->input.erase(0, bytes);
+          Run(served, header);
+        });
+    return;
+  }
   constexpr std::string_view kLength = "\r\nContent-Length: ";
   const auto field = header.find(kLength);
   const auto body_bytes =
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -33,8 +33,8 @@
 };
 
 /// A backend server that keeps connections open and serves them concurrently on
-/// its own thread. Reads request bodies with a Content-Length and discards
-/// them.
+/// its own thread. Reads request bodies with a Content-Length or in chunks and
+/// discards them; the content must not look like the last chunk.
 class concurrent_server {
  public:
   /// Returns the response to a request header. Called on the server's thread
--- a/tests/sidecar/header_limit_test.cc
+++ b/tests/sidecar/header_limit_test.cc
@@ -177,4 +177,24 @@
   }
 }
 
+// Guards against a chunked body that grows above the limit unnoticed, and
+// against taking the member that got a part of it for unreachable.
+TEST_CASE_METHOD(header_limit_fixture, "Sidecar_ChunkedBodyAboveLimit_Gets413",
+                 "[sidecar]") {
+  Start();
+  for (const std::size_t sidecar : {0, 1}) {
+    for (const std::size_t size : {60'000, 100'000, 100'001, 300'000}) {
+      INFO(size);
+      std::string request =
+          "POST /order/1 HTTP/1.1\r\nHost: test\r\n"
+          "Pomelohall-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n";
+      std::array<char, 20> line{};
+      std::snprintf(line.data(), line.size(), "%zx\r\n", size);
+      request.append(line.data()).append(size, 'b').append("\r\n0\r\n\r\n");
+      CHECK(StatusOf(sidecar, request, 20'000) == (size > 100'000 ? 413 : 200));
+      CHECK(Call(sidecar, "GET", "/safe/2").status == 200);
+    }
+  }
+}
+
 }  // namespace pomelohall
