--- a/libs/http/tests/http_server_test.cc
+++ b/libs/http/tests/http_server_test.cc
@@ -41,10 +41,12 @@
     const std::string text(size, 'a');
     const std::string expected =
         size == 60'000 ? "HTTP/1.1 200" : "HTTP/1.1 431";
-    CHECK(RawExchange(head + "1\r\nx\r\n0\r\nT: " + text + "\r\n\r\n")
-              .starts_with(expected));
-    CHECK(RawExchange(head + "1;" + text + "\r\nx\r\n0\r\n\r\n")
-              .starts_with(expected));
+    std::string trailer = head;
+    trailer.append("1\r\nx\r\n0\r\nT: ").append(text).append("\r\n\r\n");
+    CHECK(RawExchange(trailer).starts_with(expected));
+    std::string extension = head;
+    extension.append("1;").append(text).append("\r\nx\r\n0\r\n\r\n");
+    CHECK(RawExchange(extension).starts_with(expected));
   }
   CHECK(Call({.target = "/b"})->body == "GET /b ");
 }
--- a/tests/http/raw_client.cc
+++ b/tests/http/raw_client.cc
@@ -57,7 +57,7 @@
   response.status = static_cast<int>(parser.get().result_int());
   for (const auto& field : parser.get()) {
     response.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
+        {field.name_string().to_string(), field.value().to_string()});
   }
   response.body = parser.get().body();
   response.complete = !failure;
--- a/tests/sidecar/header_limit_test.cc
+++ b/tests/sidecar/header_limit_test.cc
@@ -47,9 +47,13 @@
   int StatusOf(std::size_t sidecar, const std::string& request,
                std::size_t piece_size) {
     raw_client client(CallerAddress(sidecar));
-    for (std::size_t from = 0; from < request.size(); from += piece_size) {
-      if (from > 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
-      client.Send(std::string_view(request).substr(from, piece_size));
+    for (std::string_view rest = request; !rest.empty();) {
+      const auto piece = rest.substr(0, piece_size);
+      client.Send(piece);
+      rest.remove_prefix(piece.size());
+      if (!rest.empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
     }
     return client.Read().status;
   }
