Soak: odd messages to all listeners, changes of the header limit

Cause: no run had long, malformed or incomplete messages beside signals, restarts and changes, and the limits never changed.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -14,6 +14,8 @@
 ANNOUNCE_INTERVAL_S = 0.5
 CRASHING_NAME = "crash-"  # Part of the targets of requests that crash servers.
 SMALL_BYTES = 100  # Body of a response whose request asks for no size.
+# Beyond what the longest header of callers and the daemons add to it takes.
+MAX_HEAD_BYTES = 262_144
 
 
 def expected_body(attempt_id, target, size):
@@ -59,7 +61,8 @@
         self.started_unix_ms = int((time.time() + clock_error_s) * 1000)
         self.sequence = 0
         self.server = await asyncio.start_server(
-            self.handle_connection, "127.0.0.1", self.port)
+            self.handle_connection, "127.0.0.1", self.port,
+            limit=MAX_HEAD_BYTES)
         if announces:
             self.announce_task = asyncio.create_task(
                 self.announce_periodically())
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -29,6 +29,8 @@
           for suffix, timeout_s in (("", 2.0), ("-long", 9.0))]
 SHORT_DEADLINE_S = 2.5
 LONG_DEADLINES_S = (8.0, 10.0)
+DEFAULT_HEADER_BYTES = 16_384
+MAX_HEADER_BYTES = 110_000  # Of callers, whatever the limit is.
 # A caller waits this much longer than its deadline for the end of a response.
 PATIENCE_S = 3.5
 
@@ -61,6 +63,8 @@
         # Bounds the requests a second of all callers, which run in one process.
         self.mean_pause_s = max(0.3, caller_count / 90)
         self.fills_links = False
+        self.has_long_heads = False
+        self.max_head_bytes = DEFAULT_HEADER_BYTES
         self.ended = False
 
     def pause_s(self):
@@ -201,10 +205,17 @@
         return usable
 
     async def send(self, writer, sent):
-        data = encode_request(sent.method, sent.target, {
+        fields = {
             "Host": "test", "Pomelohall-Attempt-Id": sent.attempt_id,
-            "Pomelohall-Request-Deadline": f"{sent.deadline_s * 1000:.0f}"},
-            sent.body)
+            "Pomelohall-Request-Deadline": f"{sent.deadline_s * 1000:.0f}"}
+        data = encode_request(sent.method, sent.target, fields, sent.body)
+        if self.load.has_long_heads and self.random.random() < 0.1:
+            # Half of them are as long as the limit allows.
+            limit = min(self.load.max_head_bytes, MAX_HEADER_BYTES)
+            size = self.random.choice((limit, self.random.randint(1000, limit)))
+            used = len(data) - len(sent.body) + len("Cookie: \r\n")
+            fields["Cookie"] = "c" * (size - used)
+            data = encode_request(sent.method, sent.target, fields, sent.body)
         if sent.body and self.random.random() < 0.1:
             # The head first, then the body in two pieces.
             body_start = len(data) - len(sent.body)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,9 +29,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "process"))
 
 from backend import ANNOUNCE_INTERVAL_S, CRASHING_NAME, Backend
-from callers import ROUTES, Caller, Load
-from checks import CONTACT_S, DRAIN_S, STOP_GRACE_S, Checks
+from callers import DEFAULT_HEADER_BYTES, ROUTES, Caller, Load
+from checks import APPLY_S, CONTACT_S, DRAIN_S, STOP_GRACE_S, Checks
 from fleet_control import PortBlock
+from odd_messages import send_odd_message
 from proxy import MODES, Link, Proxy
 from store import MEMBERS, ODD_VALUES, Store, odd_spec
 
@@ -44,6 +45,9 @@
 # Time from CONTACT_S after the last crash of a series until a correct request
 # that ran at all of them is served again: servers start, and it is tried.
 SERVED_AGAIN_S = 6.0
+# Limits of the operator: below and above the bounds of 16 and 64 KiB, and one
+# that no memory holds.
+HEADER_LIMITS = (4096, DEFAULT_HEADER_BYTES, 131_072, 131_072, 2 ** 40)
 # Memory of the smallest VM in the users' deployments.
 MEMORY_MB = 160
 
@@ -71,6 +75,8 @@
         self.forward_port = forward_port
         self.ready_port = ready_port
         self.listen_port = listen_port
+        self.all_ports = (listen_port, forward_port, local_port, ready_port,
+                          metrics_port)
         is_slow = self.service == "files" or index % 6 == 4
         link_mbps = random.Random(seed).uniform(4, 8) if is_slow else 0
         # A daemon on a link where bytes wait counts as out of touch.
@@ -177,6 +183,7 @@
         self.store_port = self.port_blocks[0].allocate(1)[0]
         self.version = 1
         self.extra_routes = []
+        self.max_header_bytes = DEFAULT_HEADER_BYTES
         files_step = max(3, options.vms // self.MAX_FILES_VMS)
         self.vms = [
             Vm(index, "files" if index % files_step == 2 else "shop",
@@ -190,6 +197,7 @@
         per_vm = max(1, min(self.CALLERS_PER_VM,
                             self.MAX_CALLERS // len(self.vms)))
         self.load = Load(per_vm * len(self.vms))
+        self.load.has_long_heads = options.odd_messages
         self.callers = [
             Caller(vm, self.checks, self.random.random(), self.load)
             for vm in self.vms for _ in range(per_vm)]
@@ -223,7 +231,8 @@
         spec = json.dumps({
             "version": f"r{self.version}", "routes": routes,
             "services": [{"name": "shop"}, {"name": "files"}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
+            "limits": {"maxHeaderBytes": self.max_header_bytes,
+                       "maxBodyBytes": 100000,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
         self.store.put("config", "main", spec.encode())
         self.checks.on_config_acknowledged(self.extra_routes)
@@ -239,6 +248,31 @@
             if prefix in self.extra_routes and vm.should_run:
                 await self.probe(vm, prefix)
 
+    async def change_limits(self):
+        """Changes the header limit, sometimes twice before it is in force.
+
+        Callers send no more than each limit that may be in force allows.
+        """
+        since = time.monotonic()
+        for _ in range(self.random.choice((1, 1, 3))):
+            limit = self.random.choice(HEADER_LIMITS)
+            async with self.operator:
+                self.version += 1
+                self.max_header_bytes = limit
+                self.load.max_head_bytes = min(self.load.max_head_bytes, limit)
+                self.publish_config()
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+        version = self.version
+        await asyncio.sleep(APPLY_S + CONTACT_S)
+        if version == self.version and self.checks.is_calm(since):
+            self.load.max_head_bytes = self.max_header_bytes
+
+    async def send_odd_messages(self):
+        """Sends messages to all listeners that leave the daemons running."""
+        await asyncio.gather(*(
+            send_odd_message(self.random, self.random.choice(vm.all_ports))
+            for vm in self.vms for _ in range(4)))
+
     async def probe(self, vm, prefix):
         """Compares a route that was added with one that all versions have."""
         lifetime = vm.lifetime
@@ -693,6 +727,10 @@
         if self.options.server_restarts:
             actions += 5 * (self.withdraw_unannounced,) + 3 * (
                 self.send_crashing_requests_at_once, self.crash_in_series)
+        if self.options.odd_messages:
+            planned += (self.change_limits,)
+            actions += 5 * (self.send_odd_messages,) + 2 * (
+                self.change_limits,)
         store_faults = {
             "restored": (self.restore_store,), "odd": (self.write_odd_entries,),
             "all": (self.restore_store, self.write_odd_entries)}.get(
@@ -782,6 +820,9 @@
                         "instance, leave before their first report, have other "
                         "clocks and crash in series, and sends requests that "
                         "crash them at several VMs at once")
+    parser.add_argument("--odd-messages", action="store_true",
+                        help="also sends long, malformed and incomplete "
+                        "messages to all listeners, and changes the limits")
     parser.add_argument("--known-check", action="append", default=[],
                         help="check whose violations do not count as a "
                         "failure, see KNOWN-RED.txt")
