Hold requests behind a download until its answer is complete

Callers that sent lookups behind a download got no answer to them when the download's backend server broke off, although sound servers had run them.

Cause: all pipelined requests were passed on at once, and an answer that is forwarded while it arrives can only end with its connection.

Change: a handler can hold the requests behind one; the sidecar does so for download routes until the answer is complete, and for any answer that has started to be forwarded in part.

--- a/libs/caller/include/caller/incoming_request.h
+++ b/libs/caller/include/caller/incoming_request.h
@@ -46,6 +46,12 @@
   virtual void Respond(incoming_response response,
                        std::function<void(response_write_result)> done) = 0;
 
+  /// Sets whether requests that the caller sends behind this one wait until its
+  /// response has been written. A handler sets it while it may write a response
+  /// that can break off: the connection then closes, and requests behind it
+  /// that have run would get no response.
+  virtual void SetHoldsFollowing(bool holds) = 0;
+
   /// Closes the connection without a response.
   virtual void Abort() = 0;
 
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -134,8 +134,12 @@
 bool call_session::MayParseHead() const {
   if (closed_ || deferred_ || linger_until_ || IsReadingBody()) return false;
   if (pending_.empty()) return true;
-  return pending_.size() < kMaxPipelined && pending_.back().keep_alive &&
-         !draining_ && !(writing_response_ && close_after_write_);
+  const bool held = std::any_of(
+      pending_.begin(), pending_.end(),
+      [](const pending_response& entry) { return entry.holds_following; });
+  return !held && pending_.size() < kMaxPipelined &&
+         pending_.back().keep_alive && !draining_ &&
+         !(writing_response_ && close_after_write_);
 }
 
 void call_session::ParseRequests() {
@@ -366,6 +370,16 @@
   std::exchange(pending_read_, nullptr)(std::move(part));
 }
 
+void call_session::SetHoldsFollowing(const server_request* request,
+                                     bool holds) {
+  for (auto& entry : pending_) {
+    if (entry.request.get() != request) continue;
+    const bool held = std::exchange(entry.holds_following, holds);
+    if (held && !holds) ParseRequests();
+    return;
+  }
+}
+
 void call_session::SetDisconnectHandler(const server_request* request,
                                         std::function<void()> handler) {
   for (auto& entry : pending_) {
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -49,6 +49,7 @@
   void ReadBody(body_source::callback done);
   void WriteResponse(const server_request* request, incoming_response response,
                      std::function<void(response_write_result)> done);
+  void SetHoldsFollowing(const server_request* request, bool holds);
   void SetDisconnectHandler(const server_request* request,
                             std::function<void()> handler);
 
@@ -63,6 +64,7 @@
     bool keep_alive = false;
     bool head_only = false;
     bool responded = false;
+    bool holds_following = false;
     std::function<void()> on_disconnect;
     incoming_response response;
     std::function<void(response_write_result)> on_written;
--- a/libs/caller/src/server_request.cc
+++ b/libs/caller/src/server_request.cc
@@ -17,6 +17,12 @@
   if (done) done({});
 }
 
+void server_request::SetHoldsFollowing(bool holds) {
+  if (const auto session = session_.lock()) {
+    session->SetHoldsFollowing(this, holds);
+  }
+}
+
 void server_request::Abort() {
   if (const auto session = session_.lock()) session->Close();
 }
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -63,7 +63,10 @@
   }
   request_->SetDisconnectHandler(
       [self = shared_from_this()] { self->OnCallerDisconnected(); });
-  if (SelectRoute()) ReadBody();
+  if (!SelectRoute()) return;
+  if (route_->kind == request_kind::kDownload)
+    request_->SetHoldsFollowing(true);
+  ReadBody();
 }
 
 bool routed_request::SelectRoute() {
@@ -794,6 +797,7 @@
 
 void routed_request::Answer(incoming_response answer, const char* reason) {
   const int status = answer.head.status;
+  request_->SetHoldsFollowing(delivering_ && !answer_is_complete_);
   auto done = [self = shared_from_this(), status,
                text = std::string(reason)](response_write_result written) {
     self->Finish(written.complete ? status : 0, text);
