End a download that stalls after the time-out of its route

Callers of a download whose machine went dark waited without a byte until their own deadline, 1.3 s after the time-out of the route.

Cause: once an answer is being forwarded, only the deadline of its caller ends it.

Change: from the time-out on, an answer without a byte for 300 ms ends; one that progresses goes on to the deadline of its caller.

--- a/libs/caller/include/caller/time_limited_body.h
+++ b/libs/caller/include/caller/time_limited_body.h
@@ -10,8 +10,15 @@
 
 namespace pomelohall {
 
-// Forwards a body until a deadline. From then on it cancels the body when the
-// reader waits for a part, and the reader gets `kDeadlineExceeded`.
+struct body_time_limits {
+  instant deadline;
+  // From this time on, the reader waits for a part for `max_stall` at most.
+  instant stall_from;
+  duration max_stall;
+};
+
+// Forwards a body until a deadline or until it stalls. It then cancels the body
+// when the reader waits for a part, and the reader gets `kDeadlineExceeded`.
 class time_limited_body final
     : public body_source,
       public std::enable_shared_from_this<time_limited_body> {
@@ -19,21 +26,23 @@
   // `io` must outlive the body.
   static std::shared_ptr<time_limited_body> Create(
       boost::asio::io_context& io, std::shared_ptr<body_source> inner,
-      instant deadline);
+      const body_time_limits& limits);
 
   void Read(callback done) override;
   void Cancel() override;
 
  private:
   time_limited_body(boost::asio::io_context& io,
-                    std::shared_ptr<body_source> inner);
+                    std::shared_ptr<body_source> inner,
+                    const body_time_limits& limits);
 
-  void OnDeadline();
+  void StartTimer();
+  void OnTimeout();
 
   std::shared_ptr<body_source> inner_;
   boost::asio::steady_timer timer_;
+  const body_time_limits limits_;
   callback pending_;
-  bool expired_ = false;
 };
 
 }  // namespace pomelohall
--- a/libs/caller/src/time_limited_body.cc
+++ b/libs/caller/src/time_limited_body.cc
@@ -1,5 +1,6 @@
 #include "caller/time_limited_body.h"
 
+#include <algorithm>
 #include <boost/system/error_code.hpp>
 #include <utility>
 
@@ -16,35 +17,43 @@
 
 std::shared_ptr<time_limited_body> time_limited_body::Create(
     boost::asio::io_context& io, std::shared_ptr<body_source> inner,
-    instant deadline) {
-  std::shared_ptr<time_limited_body> body(
-      new time_limited_body(io, std::move(inner)));
-  body->timer_.expires_at(deadline);
-  body->timer_.async_wait(
-      [weak = std::weak_ptr(body)](boost::system::error_code cancelled) {
-        const auto self = weak.lock();
-        if (!cancelled && self) self->OnDeadline();
-      });
-  return body;
+    const body_time_limits& limits) {
+  return std::shared_ptr<time_limited_body>(
+      new time_limited_body(io, std::move(inner), limits));
 }
 
 time_limited_body::time_limited_body(boost::asio::io_context& io,
-                                     std::shared_ptr<body_source> inner)
-    : inner_(std::move(inner)), timer_(io) {}
+                                     std::shared_ptr<body_source> inner,
+                                     const body_time_limits& limits)
+    : inner_(std::move(inner)), timer_(io), limits_(limits) {}
 
 void time_limited_body::Read(callback done) {
-  if (expired_) {
+  if (MonotonicNow() >= limits_.deadline) {
     inner_->Cancel();
     done(DeadlineError());
     return;
   }
   pending_ = std::move(done);
   inner_->Read([self = shared_from_this()](result<body_part> part) {
-    if (!part || part->last) self->timer_.cancel();
+    self->timer_.cancel();
     if (const auto pending = std::exchange(self->pending_, nullptr)) {
       pending(std::move(part));
     }
   });
+  if (pending_) StartTimer();
+}
+
+// Only a reader that waits is timed out: between its reads it still uses the
+// last part, which a cancellation would invalidate.
+void time_limited_body::StartTimer() {
+  timer_.expires_at(std::min(
+      limits_.deadline,
+      std::max(limits_.stall_from, MonotonicNow() + limits_.max_stall)));
+  timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self) self->OnTimeout();
+      });
 }
 
 void time_limited_body::Cancel() {
@@ -53,10 +62,9 @@
   inner_->Cancel();
 }
 
-void time_limited_body::OnDeadline() {
-  expired_ = true;
-  // Without a pending read, the reader still uses the last part, which a
-  // cancellation would invalidate.
+void time_limited_body::OnTimeout() {
+  // The reader has got a part since and waits for another one.
+  if (MonotonicNow() < timer_.expiry()) return;
   const auto pending = std::exchange(pending_, nullptr);
   if (!pending) return;
   inner_->Cancel();
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -28,6 +28,10 @@
 // Time for one more look for received bytes before a request times out.
 constexpr duration kLastReadTime = std::chrono::milliseconds(2);
 
+// Time without a byte after which an answer that has outlasted the time-out of
+// its route ends. A working link repeats a lost packet within it.
+constexpr duration kMaxStall = std::chrono::milliseconds(300);
+
 std::string FormatSeconds(duration time) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", ToMillis(time) / 1000);
@@ -712,7 +716,9 @@
     answer_->body = time_limited_body::Create(
         router_.io_,
         std::make_shared<prefixed_body>(start->bytes, answer_->body),
-        received_at_ + initial_time_left_);
+        {.deadline = received_at_ + initial_time_left_,
+         .stall_from = deadline_,
+         .max_stall = kMaxStall});
   }
   Deliver();
 }
--- /dev/null
+++ b/tests/http/time_limited_body_test.cc
@@ -0,0 +1,92 @@
+#include "caller/time_limited_body.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace pomelohall {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A body whose parts arrive when a test says so.
+class manual_body : public body_source {
+ public:
+  void Read(callback done) override { pending = std::move(done); }
+  void Cancel() override { cancelled = true; }
+  void Deliver() {
+    std::exchange(pending, nullptr)(body_part{.bytes = "part"});
+  }
+
+  callback pending;
+  bool cancelled = false;
+};
+
+class time_limited_body_fixture {
+ protected:
+  static constexpr milliseconds kStallFrom{100};
+  static constexpr milliseconds kMaxStall{60};
+  static constexpr milliseconds kDeadline{400};
+
+  time_limited_body_fixture()
+      : body_(time_limited_body::Create(io_, source_,
+                                        {.deadline = start_ + kDeadline,
+                                         .stall_from = start_ + kStallFrom,
+                                         .max_stall = kMaxStall})) {}
+
+  /// Starts a read whose error is kept.
+  void Read() {
+    body_->Read([this](const result<body_part>& part) {
+      if (!part) failure_ = part.error().kind;
+    });
+  }
+
+  /// Runs until the time since the start.
+  void RunUntil(duration since_start) {
+    io_.restart();
+    io_.run_until(std::chrono::steady_clock::now() +
+                  (start_ + since_start - MonotonicNow()));
+  }
+
+  boost::asio::io_context io_;
+  const instant start_ = MonotonicNow();
+  std::shared_ptr<manual_body> source_ = std::make_shared<manual_body>();
+  std::shared_ptr<time_limited_body> body_;
+  std::optional<error_kind> failure_;
+};
+
+}  // namespace
+
+// Guards against an answer without a byte that is held until the deadline of
+// its caller, long after the time-out of its route.
+TEST_CASE_METHOD(time_limited_body_fixture,
+                 "TimeLimitedBody_StallsAfterTheTimeout_Fails",
+                 "[time_limited_body]") {
+  Read();
+  RunUntil(kStallFrom - milliseconds(30));
+  CHECK_FALSE(failure_);
+  RunUntil(kDeadline / 2);
+  CHECK(failure_ == error_kind::kDeadlineExceeded);
+  CHECK(source_->cancelled);
+}
+
+// Guards against breaking off an answer that still arrives.
+TEST_CASE_METHOD(
+    time_limited_body_fixture,
+    "TimeLimitedBody_ProgressesAfterTheTimeout_GoesOnToTheDeadline",
+    "[time_limited_body]") {
+  Read();
+  for (milliseconds at{20}; at < kDeadline; at += milliseconds(20)) {
+    RunUntil(at);
+    REQUIRE_FALSE(failure_);
+    source_->Deliver();
+    Read();
+  }
+  RunUntil(kDeadline + milliseconds(50));
+  CHECK(failure_ == error_kind::kDeadlineExceeded);
+}
+
+}  // namespace pomelohall
