pomelohalld: hold a call to the header limit once, too

The same cause as between sidecars: the listener for daemons had the limit of callers, although the daemon that takes a call adds fields to it, and the responses between daemons had that of backend servers.

The stub backend server of the tests takes such headers as well.

--- a/libs/caller/src/call_service.cc
+++ b/libs/caller/src/call_service.cc
@@ -33,6 +33,13 @@
           .progress_timeout = options.progress_timeout};
 }
 
+// The daemon that takes a call holds it to the limit, and adds fields to it.
+call_server_options ForwardServerOptions(const call_service_options& options) {
+  auto server = ServerOptions(options, options.forward_address);
+  server.max_header_bytes += kMeshHeadAllowance;
+  return server;
+}
+
 context_ptr MakeContext(asio::io_context& io, call_service_options options) {
   auto context = std::make_shared<service_context>(io, std::move(options));
   context->dispatcher = std::make_shared<owner_dispatcher>(*context);
@@ -53,10 +60,8 @@
             io,
             ServerOptions(context_->options, context_->options.caller_address),
             entry_handler_),
-        forward_server_(
-            io,
-            ServerOptions(context_->options, context_->options.forward_address),
-            forward_handler_),
+        forward_server_(io, ForwardServerOptions(context_->options),
+                        forward_handler_),
         sweep_timer_(io),
         stop_timer_(io) {}
 
--- a/libs/caller/src/service_context.cc
+++ b/libs/caller/src/service_context.cc
@@ -25,6 +25,7 @@
   // Shorter than the idle timeout of the other daemon, so that this side closes
   // first.
   pool.idle_timeout = options.idle_timeout / 2;
+  pool.max_head_bytes = kMaxResponseHeadBytes + kMeshHeadAllowance;
   pool.connect_error = error_kind::kPeerUnreachable;
   pool.disconnect_error = error_kind::kPeerUnreachable;
   return pool;
--- a/tests/http/session_test.cc
+++ b/tests/http/session_test.cc
@@ -165,6 +165,7 @@
                       .max_head_memory_bytes = kMemory},
                      handler);
   REQUIRE(server.Listen());
+  std::atomic<bool> first_held = false;
   std::atomic<bool> answering = false;
   calls = std::async(std::launch::async, [&] {
     const auto field = [](std::size_t size) {
@@ -172,6 +173,9 @@
     };
     raw_client first(server.Address());
     first.SendRequest("GET", "/", field(80'000));
+    while (!first_held) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     raw_client second(server.Address());
     const auto refused = second.Call("GET", "/", field(80'000));
     CHECK(refused.status == 503);
@@ -187,6 +191,7 @@
     CHECK(largest.Call("GET", "/", field(2 * kMemory)).status == 431);
   });
   while (calls.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+    if (!handler.held.empty()) first_held = true;
     if (answering) handler.ReleaseAll();
     io.restart();
     io.run_for(std::chrono::milliseconds(1));
@@ -242,6 +247,19 @@
   CHECK(client.WaitForClose());
 }
 
+// Guards against a header that one daemon accepts and the next one refuses, as
+// the first one has added fields to it.
+TEST_CASE_METHOD(two_daemons,
+                 "Session_HeaderNearTheLimit_IsServedByAnotherDaemon",
+                 "[session]") {
+  const std::string rest = "GET /look/1 HTTP/1.1\r\nHost: test\r\nX: \r\n\r\n";
+  for (const std::size_t size : {16'250, 16'384}) {
+    raw_client client(CallerAddress(0));
+    const std::string value(size - rest.size(), 'x');
+    CHECK(client.Call("GET", "/look/1", "X: " + value + "\r\n").status == 200);
+  }
+}
+
 // Guards against a body in the response to HEAD, which the caller would parse
 // as the next response.
 TEST_CASE_METHOD(two_daemons, "Session_Head_HasNoBodyAndKeepsTheConnection",
--- a/tools/backend_stub/src/stub_server.cc
+++ b/tools/backend_stub/src/stub_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "backend/http_message.h"
+#include "base/http_limits.h"
 #include "caller/error_response.h"
 #include "generated_body.h"
 #include "stub_run.h"
@@ -65,7 +66,12 @@
 stub_server::stub_server(boost::asio::io_context& io, stub_options options)
     : state_(std::make_shared<stub_state>(
           stub_state{.io = io, .options = std::move(options)})),
-      server_(io, {.address = state_->options.address}, *this),
+      // Daemons add fields to a header that is as long as callers may send it.
+      server_(io,
+              {.address = state_->options.address,
+               .max_header_bytes =
+                   call_server_options().max_header_bytes + kMeshHeadAllowance},
+              *this),
       timers_(std::make_unique<timers>(io)) {}
 
 stub_server::~stub_server() = default;
