Let large pipelined headers wait for each other

Cause: a connection could hold the headers of 16 requests, and with a raised limit a few connections would use up the memory for headers, so that other callers with long headers got 503.

Change: requests behind others wait while the headers of those take 64 KiB. Held requests start only after the response before has been handed over.

Measured: the tests of limits, sessions and broken downloads pass.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -32,6 +32,9 @@
 // Memory for the heads of a connection's requests that is not taken from the
 // budget of the server. Heads are rarely larger than a few kilobytes.
 constexpr std::size_t kUncountedHeadBytes = 16UL * 1024;
+// Requests behind others wait while the heads of those take more memory, so
+// that one caller cannot use up the budget.
+constexpr std::size_t kMaxPipelinedHeadBytes = 64UL * 1024;
 // Time after which a caller may retry a request that exceeds that budget, in
 // seconds: about as long as the requests that use it take.
 constexpr const char* kHeadMemoryRetryAfter = "1";
@@ -138,6 +141,7 @@
       pending_.begin(), pending_.end(),
       [](const pending_response& entry) { return entry.holds_following; });
   return !held && pending_.size() < kMaxPipelined &&
+         pending_head_bytes_ < kMaxPipelinedHeadBytes &&
          pending_.back().keep_alive && !draining_ &&
          !(writing_response_ && close_after_write_);
 }
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -803,7 +803,6 @@
 
 void routed_request::Answer(incoming_response answer, const char* reason) {
   const int status = answer.head.status;
-  request_->SetHoldsFollowing(delivering_ && !answer_is_complete_);
   auto done = [self = shared_from_this(), status,
                text = std::string(reason)](response_write_result written) {
     self->Finish(written.complete ? status : 0, text);
@@ -822,6 +821,8 @@
     request_->Respond(std::move(answer), std::move(done));
   }
   if (!delivering_) finished_ = true;
+  // Last, as it may start requests that were held.
+  request_->SetHoldsFollowing(delivering_ && !answer_is_complete_);
 }
 
 void routed_request::OnTimeout() {
