Hold a trailer to a limit that is raised while its request arrives

Callers that sent a long trailer got 431 if the operator had raised maxHeaderBytes after the first bytes of their request, although it was within the limit in force, as message-limits.md says.

Cause: only the limit of the head was raised under way. That of the trailer stayed as it was when the request began.

Change: both are raised, also while the body is read. How the limit of the trailer follows from that of the head is said once, in the parser's options.

Measured: Session_LimitRaisedWithinBody_TrailerIsHeldToTheNewLimit got 431 before and 200 now; the programs http1_test, http_test and call_http_test pass.

--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -13,7 +13,6 @@
 
 #include "backend/tcp_socket.h"
 #include "base/ascii_text.h"
-#include "base/http_limits.h"
 #include "caller/error_response.h"
 #include "http1/head_writer.h"
 #include "server_request.h"
@@ -165,18 +164,21 @@
 
 void call_session::ParseHead() {
   if (!parser_ || parser_->IsHeadDone()) {
-    parser_.emplace(request_parser_options{
-        .max_head_bytes = options_.max_header_bytes,
-        .max_framing_bytes =
-            std::max(options_.max_header_bytes, kMinTrailerLimit)});
+    parser_.emplace(
+        request_parser_options::ForHeadLimit(options_.max_header_bytes));
     if (pending_.empty()) last_progress_ = MonotonicNow();
   }
-  // The limits may have changed since the first bytes arrived.
-  parser_->RaiseMaxHeadBytes(options_.max_header_bytes);
+  RaiseLimits();
   input_.erase(0, parser_->ParseHead(input_));
   if (input_.empty()) input_ = {};
 }
 
+// The limits may have changed since the first bytes of the request arrived.
+void call_session::RaiseLimits() {
+  parser_->RaiseLimits(
+      request_parser_options::ForHeadLimit(options_.max_header_bytes));
+}
+
 std::optional<error> call_session::HeadFault() {
   if (const auto fault = parser_->Fault()) {
     return error(*fault == message_fault::kTooLarge
@@ -334,6 +336,7 @@
 
 // Parses received bytes of the body into the part until it is full.
 void call_session::ParseBodyPart() {
+  RaiseLimits();
   std::size_t size = 0;
   std::string_view bytes = input_;
   auto step = parser_->ParseBody(bytes, part_capacity_);
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -80,6 +80,7 @@
   bool MayParseHead() const;
   void ParseRequests();
   void ParseHead();
+  void RaiseLimits();
   std::optional<error> HeadFault();
   bool HoldHeadMemory();
   void RejectRequest(const error& failure);
--- a/libs/http/src/server_session.cc
+++ b/libs/http/src/server_session.cc
@@ -1,6 +1,5 @@
 #include "server_session.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -9,7 +8,6 @@
 #include <utility>
 
 #include "base/ascii_text.h"
-#include "base/http_limits.h"
 #include "http1/head_writer.h"
 #include "server_core.h"
 #include "session_responder.h"
@@ -59,10 +57,8 @@
 void server_session::ReadRequest() {
   const auto& options = core_->Options();
   state_ = session_state::kReadingRequest;
-  parser_.emplace(request_parser_options{
-      .max_head_bytes = options.max_header_bytes,
-      .max_framing_bytes =
-          std::max(options.max_header_bytes, kMinTrailerLimit)});
+  parser_.emplace(
+      request_parser_options::ForHeadLimit(options.max_header_bytes));
   request_body_ = {};
   tcp_stream_.expires_after(options.idle_timeout);
   // Pipelined requests may be in the buffer.
--- a/libs/http1/include/http1/request_parser.h
+++ b/libs/http1/include/http1/request_parser.h
@@ -1,11 +1,13 @@
 #ifndef POMELOHALL_HTTP1_REQUEST_PARSER_H_
 #define POMELOHALL_HTTP1_REQUEST_PARSER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "base/http_limits.h"
 #include "http1/message_parser.h"
 
 namespace pomelohall {
@@ -14,7 +16,13 @@
   /// Limit of the head, from the request line to the empty line.
   std::size_t max_head_bytes = 16UL * 1024;
   /// Limit of each chunk's size line with its extension, and of the trailer.
-  std::size_t max_framing_bytes = 64UL * 1024;
+  std::size_t max_framing_bytes = kMinTrailerLimit;
+
+  /// Returns the limits of requests whose head is limited to `bytes`.
+  static request_parser_options ForHeadLimit(std::size_t bytes) {
+    return {.max_head_bytes = bytes,
+            .max_framing_bytes = std::max(bytes, kMinTrailerLimit)};
+  }
 };
 
 /// Parses one request as its bytes arrive. Every reader of requests uses it. A
@@ -31,9 +39,9 @@
  public:
   explicit request_parser(request_parser_options options);
 
-  /// Raises the limit of the head. A lower one has no effect: a request is held
-  /// to the largest limit that was in force while its head arrived.
-  void RaiseMaxHeadBytes(std::size_t bytes);
+  /// Raises the limits. Lower ones have no effect: a request is held to the
+  /// largest limits that were in force while it arrived.
+  void RaiseLimits(const request_parser_options& options);
 
   // The following are valid once the head is done.
 
--- a/libs/http1/src/request_parser.cc
+++ b/libs/http1/src/request_parser.cc
@@ -10,8 +10,10 @@
     : message_parser({.head_bytes = options.max_head_bytes,
                       .framing_bytes = options.max_framing_bytes}) {}
 
-void request_parser::RaiseMaxHeadBytes(std::size_t bytes) {
-  limits_.head_bytes = std::max(limits_.head_bytes, bytes);
+void request_parser::RaiseLimits(const request_parser_options& options) {
+  limits_.head_bytes = std::max(limits_.head_bytes, options.max_head_bytes);
+  limits_.framing_bytes =
+      std::max(limits_.framing_bytes, options.max_framing_bytes);
 }
 
 // A server ignores one empty line before a request: some clients send it after
--- a/libs/http1/tests/request_parser_test.cc
+++ b/libs/http1/tests/request_parser_test.cc
@@ -117,8 +117,8 @@
   const std::string start =
       "GET / HTTP/1.1\r\nX: " + std::string(60, 'x') + "\r\n";
   CHECK(parser.ParseHead(start) == start.size());
-  parser.RaiseMaxHeadBytes(300);
-  parser.RaiseMaxHeadBytes(10);
+  parser.RaiseLimits({.max_head_bytes = 300});
+  parser.RaiseLimits({.max_head_bytes = 10});
   CHECK(parser.ParseHead(start.substr(16)) == start.size() - 16);
   CHECK_FALSE(parser.Fault());
   CHECK(parser.ParseHead("\r\n") == 2);
--- a/tests/http/session_test.cc
+++ b/tests/http/session_test.cc
@@ -14,6 +14,8 @@
 #include <vector>
 
 #include "backend_stub/pattern.h"
+#include "base/error.h"
+#include "caller/body_prefix.h"
 #include "caller/call_server.h"
 #include "mesh_fixture.h"
 #include "raw_client.h"
@@ -151,6 +153,55 @@
   CHECK(answered.get() == kRequests);
 }
 
+/// Reads each body and answers 200, or the status of its fault.
+class body_reading_handler : public call_handler {
+ public:
+  void OnRequest(std::shared_ptr<incoming_request> request) override {
+    ++requests;
+    ReadBodyPrefix(request->Body(), kMaxBufferedBodyBytes,
+                   [request](const result<body_prefix>& body) {
+                     incoming_response response;
+                     response.head.status =
+                         body ? 200
+                              : GetErrorInfo(body.error().kind).http_status;
+                     response.head.length = 0;
+                     request->Respond(std::move(response), nullptr);
+                   });
+  }
+
+  int requests = 0;
+};
+
+// Guards against a trailer that is held to the limit from before its request,
+// although a larger one is in force.
+TEST_CASE("Session_LimitRaisedWithinBody_TrailerIsHeldToTheNewLimit",
+          "[session]") {
+  std::future<int> status;
+  boost::asio::io_context io;
+  body_reading_handler handler;
+  call_server server(io, {.address = "127.0.0.1:0"}, handler);
+  REQUIRE(server.Listen());
+  std::atomic<bool> raised = false;
+  status = std::async(std::launch::async, [&] {
+    raw_client client(server.Address());
+    client.SendRequest("POST", "/", "Transfer-Encoding: chunked\r\n");
+    client.Send("1\r\nx\r\n");
+    while (!raised) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    client.Send("0\r\nT: " + std::string(100'000, 't') + "\r\n\r\n");
+    return client.Read().status;
+  });
+  while (status.wait_for(std::chrono::seconds(0)) !=
+         std::future_status::ready) {
+    if (handler.requests > 0 && !raised) {
+      server.SetLimits({.max_header_bytes = 131'072});
+      raised = true;
+    }
+    io.restart();
+    io.run_for(std::chrono::milliseconds(1));
+  }
+  CHECK(status.get() == 200);
+}
+
 // Guards against unbounded memory for the headers of many callers, and against
 // a caller whose large header keeps others from being served.
 TEST_CASE("Session_HeaderMemoryUsedUp_OnlyLargeHeadersAreRefused",
