--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -12,6 +12,7 @@
 #include "backend/tcp_socket.h"
 #include "base/ascii_text.h"
 #include "http1/broken_responses.h"
+#include "http1/buffered_bytes.h"
 #include "http1/head_writer.h"
 
 namespace pomelohall {
@@ -135,12 +136,7 @@
   write_prefix_ = std::exchange(head_text_, {});
   std::string_view suffix;
   if (request_.head.framing == body_framing::kChunked) {
-    if (!part.bytes.empty()) {
-      write_prefix_ += ChunkSizeLine(part.bytes.size());
-      suffix = more ? kChunkEnd : kChunkEndAndLastChunk;
-    } else if (!more) {
-      suffix = kLastChunk;
-    }
+    suffix = AppendChunkStart(write_prefix_, part.bytes.size(), !more);
   }
   const std::array buffers{
       asio::const_buffer(write_prefix_.data(), write_prefix_.size()),
@@ -178,7 +174,8 @@
 }
 
 void client_exchange::ParseHeader() {
-  connection_->buffer.consume(parser_->ParseHead(BufferedBytes()));
+  connection_->buffer.consume(
+      parser_->ParseHead(BufferedBytes(connection_->buffer)));
   if (const auto fault = parser_->Fault()) {
     OnBrokenResponse(*fault);
   } else if (parser_->IsHeadDone()) {
@@ -269,7 +266,7 @@
 }
 
 void client_exchange::SkipBody() {
-  auto bytes = BufferedBytes();
+  auto bytes = BufferedBytes(connection_->buffer);
   while (!bytes.empty() && !parser_->IsDone() && !parser_->Fault()) {
     bytes.remove_prefix(parser_->ParseBody(bytes, bytes.size()).consumed);
   }
@@ -356,11 +353,6 @@
   }
 }
 
-std::string_view client_exchange::BufferedBytes() const {
-  const auto bytes = connection_->buffer.cdata();
-  return {static_cast<const char*>(bytes.data()), bytes.size()};
-}
-
 void client_exchange::ReadMore(void (client_exchange::*next)()) {
   connection_->socket.async_read_some(
       connection_->buffer.prepare(kReadBytes),
@@ -388,7 +380,7 @@
 }
 
 void client_exchange::ParsePart() {
-  auto bytes = BufferedBytes();
+  auto bytes = BufferedBytes(connection_->buffer);
   auto step = parser_->ParseBody(bytes, part_capacity_ - part_size_);
   while (step.consumed > 0) {
     std::copy(step.content.begin(), step.content.end(),
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -71,7 +71,6 @@
   // Reads from the connection and calls `next`.
   void ReadMore(void (client_exchange::*next)());
   void OnEnd(void (client_exchange::*next)());
-  std::string_view BufferedBytes() const;
   // Parses body bytes into the part until it is full.
   void ParsePart();
   void PreparePart();
--- a/libs/backend/src/http_message.cc
+++ b/libs/backend/src/http_message.cc
@@ -16,14 +16,6 @@
          EqualsIgnoringCase(text.substr(0, prefix.size()), prefix);
 }
 
-std::string ToLowerCase(std::string_view text) {
-  std::string lower(text);
-  for (auto& c : lower) {
-    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
-  }
-  return lower;
-}
-
 // Returns the options listed in the `Connection` fields, in lower case and
 // sorted: a caller may list as many as its header can hold.
 std::vector<std::string> ConnectionOptions(const http_fields& fields) {
--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -70,6 +70,14 @@
 /// Returns the row of `kind`.
 const error_info& GetErrorInfo(error_kind kind);
 
+/// Returns whether an error is the fault of the request, which no other daemon
+/// or backend server would take either.
+inline bool IsRequestFault(error_kind kind) {
+  return kind == error_kind::kInvalidRequest ||
+         kind == error_kind::kHeadersTooLarge ||
+         kind == error_kind::kBodyTooLarge;
+}
+
 /// Returns all rows, in the order of the enumeration.
 std::span<const error_info> ErrorTable();
 
--- a/libs/caller/include/caller/incoming_request.h
+++ b/libs/caller/include/caller/incoming_request.h
@@ -7,19 +7,10 @@
 
 #include "backend/exchange.h"
 #include "backend/http_message.h"
-#include "base/error.h"
 #include "base/time.h"
 
 namespace pomelohall {
 
-/// Returns whether an error is the fault of the request, which no other daemon
-/// or backend server would take either.
-inline bool IsRequestFault(error_kind kind) {
-  return kind == error_kind::kInvalidRequest ||
-         kind == error_kind::kHeadersTooLarge ||
-         kind == error_kind::kBodyTooLarge;
-}
-
 /// Result of writing a response.
 struct response_write_result {
   /// The last byte was handed to the socket. False if the connection broke, or
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -181,11 +181,7 @@
 
 std::optional<error> call_session::HeadFault() {
   if (const auto fault = parser_->Fault()) {
-    return error(*fault == message_fault::kTooLarge
-                     ? error_kind::kHeadersTooLarge
-                     : error_kind::kInvalidRequest,
-                 "invalid request header: " +
-                     std::string(kMessageFaultNames.Name(*fault)));
+    return RequestFaultError(*fault, "invalid request header");
   }
   if (HoldHeadMemory()) return std::nullopt;
   if (!head_memory_.CanHold(parser_->StoredBytes())) {
@@ -366,10 +362,7 @@
 
 void call_session::OnBodyFault(message_fault fault) {
   pending_.back().keep_alive = false;
-  DeliverPart(Fail(
-      fault == message_fault::kTooLarge ? error_kind::kHeadersTooLarge
-                                        : error_kind::kInvalidRequest,
-      "invalid request body: " + std::string(kMessageFaultNames.Name(fault))));
+  DeliverPart(tl::unexpected(RequestFaultError(fault, "invalid request body")));
 }
 
 void call_session::DeliverPart(result<body_part> part) {
@@ -514,12 +507,7 @@
   write_prefix_ = std::exchange(head_text_, {});
   std::string_view suffix;
   if (chunked_) {
-    if (!part.bytes.empty()) {
-      write_prefix_ += ChunkSizeLine(part.bytes.size());
-      suffix = more ? kChunkEnd : kChunkEndAndLastChunk;
-    } else if (!more) {
-      suffix = kLastChunk;
-    }
+    suffix = AppendChunkStart(write_prefix_, part.bytes.size(), !more);
   }
   more_parts_ = more;
   response_bytes_ += part.bytes.size();
--- a/libs/http/src/client_call.cc
+++ b/libs/http/src/client_call.cc
@@ -11,6 +11,7 @@
 #include "base/ascii_text.h"
 #include "endpoint.h"
 #include "http1/broken_responses.h"
+#include "http1/buffered_bytes.h"
 #include "http1/head_writer.h"
 
 namespace pomelohall {
@@ -138,7 +139,8 @@
 }
 
 void client_call::ParseHead() {
-  connection_->buffer.consume(parser_->ParseHead(BufferedBytes()));
+  connection_->buffer.consume(
+      parser_->ParseHead(BufferedBytes(connection_->buffer)));
   if (const auto fault = parser_->Fault()) {
     OnBrokenResponse(*fault);
   } else if (parser_->IsHeadDone()) {
@@ -162,7 +164,7 @@
 void client_call::ParseBody() {
   auto& buffer = connection_->buffer;
   while (!parser_->IsDone() && buffer.size() > 0) {
-    const auto bytes = BufferedBytes();
+    const auto bytes = BufferedBytes(connection_->buffer);
     const auto step = parser_->ParseBody(bytes, bytes.size());
     const bool wanted = step.content.empty() || DeliverContent(step.content);
     // The body callback may have destroyed the client.
@@ -192,11 +194,6 @@
   return true;
 }
 
-std::string_view client_call::BufferedBytes() const {
-  const auto bytes = connection_->buffer.cdata();
-  return {static_cast<const char*>(bytes.data()), bytes.size()};
-}
-
 void client_call::Succeed() {
   // Bytes beyond the response belong to no request, and would be read as the
   // response to the next one.
--- a/libs/http/src/client_call.h
+++ b/libs/http/src/client_call.h
@@ -36,7 +36,6 @@
   void ParseHead();
   void OnHead();
   void ParseBody();
-  std::string_view BufferedBytes() const;
   // Returns false once the call has ended, or Cancel() is about to end it.
   bool IsActive() const { return done_ && !core_->IsClosed(); }
   // Returns false if the rest of the body is not wanted.
--- a/libs/http/src/server_session.cc
+++ b/libs/http/src/server_session.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/ascii_text.h"
+#include "http1/buffered_bytes.h"
 #include "http1/head_writer.h"
 #include "server_core.h"
 #include "session_responder.h"
@@ -19,6 +20,7 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
+constexpr std::string_view kRejected = "the request was rejected";
 constexpr std::size_t kMaxPendingStreamBytes = 8'388'608;
 constexpr std::size_t kDiscardBufferBytes = 16'384;
 // Closing a socket with unread input resets the connection, and the peer may
@@ -26,13 +28,6 @@
 // before the connection is closed.
 constexpr std::chrono::seconds kLingerTimeout{1};
 
-error FaultError(message_fault fault) {
-  return {fault == message_fault::kTooLarge ? error_kind::kHeadersTooLarge
-                                            : error_kind::kInvalidRequest,
-          "the request was rejected: " +
-              std::string(kMessageFaultNames.Name(fault))};
-}
-
 // Returns the head of a response, without the fields that frame its body.
 head_writer StartHead(const http_response& response, bool keep_alive) {
   auto head = head_writer::Response(1, response.status, "");
@@ -90,9 +85,10 @@
 
 void server_session::ParseInput() {
   if (!parser_->IsHeadDone()) {
-    buffer_.consume(parser_->ParseHead(BufferedBytes()));
+    buffer_.consume(parser_->ParseHead(BufferedBytes(buffer_)));
   }
-  const auto failure = parser_->Fault()        ? FaultError(*parser_->Fault())
+  const auto failure = parser_->Fault()
+                           ? RequestFaultError(*parser_->Fault(), kRejected)
                        : parser_->IsHeadDone() ? ParseBody()
                                                : std::optional<error>();
   if (failure) {
@@ -112,7 +108,7 @@
                      std::to_string(limit) + " bytes");
   };
   if (parser_->ContentLength().value_or(0) > limit) return too_large();
-  auto bytes = BufferedBytes();
+  auto bytes = BufferedBytes(buffer_);
   while (!bytes.empty() && !parser_->IsDone() && !parser_->Fault()) {
     const auto step = parser_->ParseBody(bytes, bytes.size());
     bytes.remove_prefix(step.consumed);
@@ -120,15 +116,11 @@
     request_body_.append(step.content);
   }
   buffer_.consume(buffer_.size() - bytes.size());
-  if (const auto fault = parser_->Fault()) return FaultError(*fault);
+  if (const auto fault = parser_->Fault())
+    return RequestFaultError(*fault, kRejected);
   return std::nullopt;
 }
 
-std::string_view server_session::BufferedBytes() const {
-  const auto bytes = buffer_.cdata();
-  return {static_cast<const char*>(bytes.data()), bytes.size()};
-}
-
 void server_session::HandleRequest() {
   state_ = session_state::kHandlingRequest;
   tcp_stream_.expires_never();
@@ -236,17 +228,22 @@
   if (!pending_chunks_.empty()) {
     stream_write_pending_ = true;
     chunks_in_flight_ = std::exchange(pending_chunks_, {});
-    chunk_size_line_ = ChunkSizeLine(chunks_in_flight_.size());
+    chunk_size_line_.clear();
+    const auto end =
+        AppendChunkStart(chunk_size_line_, chunks_in_flight_.size(), false);
     const std::array buffers{
         asio::const_buffer(chunk_size_line_.data(), chunk_size_line_.size()),
         asio::const_buffer(chunks_in_flight_.data(), chunks_in_flight_.size()),
-        asio::const_buffer(kChunkEnd.data(), kChunkEnd.size()),
+        asio::const_buffer(end.data(), end.size()),
     };
     asio::async_write(tcp_stream_, buffers, written);
   } else if (stream_finished_) {
     stream_write_pending_ = true;
     state_ = session_state::kWritingResponse;
-    asio::async_write(tcp_stream_, asio::buffer(kLastChunk), written);
+    chunk_size_line_.clear();
+    const auto end = AppendChunkStart(chunk_size_line_, 0, true);
+    asio::async_write(tcp_stream_, asio::const_buffer(end.data(), end.size()),
+                      written);
   }
 }
 
--- a/libs/http/src/server_session.h
+++ b/libs/http/src/server_session.h
@@ -56,7 +56,6 @@
   void OnRead(const boost::system::error_code& code, std::size_t bytes);
   void ParseInput();
   std::optional<error> ParseBody();
-  std::string_view BufferedBytes() const;
   void HandleRequest();
   void RejectRequest(const error& failure);
   bool IsIdle() const;
--- a/libs/http1/include/http1/head_writer.h
+++ b/libs/http1/include/http1/head_writer.h
@@ -42,15 +42,12 @@
   std::string text_;
 };
 
-/// Returns the line before the content of a chunk of `bytes` bytes.
-std::string ChunkSizeLine(std::size_t bytes);
-
-/// End of each chunk's content.
-inline constexpr std::string_view kChunkEnd = "\r\n";
-/// End of a chunked body without a trailer, after the last chunk.
-inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
-/// End of the last chunk's content and of the body.
-inline constexpr std::string_view kChunkEndAndLastChunk = "\r\n0\r\n\r\n";
+/// Appends to `text` what precedes a part of a chunked body, and returns what
+/// follows it.
+/// @param bytes Size of the part. An empty one has no chunk.
+/// @param last Whether the body ends with the part; it has no trailer.
+std::string_view AppendChunkStart(std::string& text, std::size_t bytes,
+                                  bool last);
 
 }  // namespace pomelohall
 
--- a/libs/http1/include/http1/message_parser.h
+++ b/libs/http1/include/http1/message_parser.h
@@ -92,8 +92,8 @@
   };
 
   explicit message_parser(parser_limits limits) : limits_(limits) {}
-  message_parser(const message_parser&) = default;
-  message_parser& operator=(const message_parser&) = default;
+  message_parser(const message_parser&) = delete;
+  message_parser& operator=(const message_parser&) = delete;
 
   // Checks a start line, or with `complete` false the start of one.
   virtual std::optional<message_fault> CheckStartLine(std::string_view line,
--- a/libs/http1/include/http1/request_parser.h
+++ b/libs/http1/include/http1/request_parser.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/error.h"
 #include "base/http_limits.h"
 #include "http1/message_parser.h"
 
@@ -25,6 +26,10 @@
   }
 };
 
+/// Returns the error for the sender of a request with a fault: too large or
+/// invalid. `text` says what was refused.
+error RequestFaultError(message_fault fault, std::string_view text);
+
 /// Parses one request as its bytes arrive. Every reader of requests uses it. A
 /// line is checked once it is complete, so the time to parse a request grows
 /// with its size, no matter in which pieces it arrives.
--- a/libs/http1/src/head_writer.cc
+++ b/libs/http1/src/head_writer.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <utility>
-// The header of Beast needs the complete type.
+// status.hpp of Beast uses std::ostream without including it.
 #include <ostream>
 //
 #include <boost/beast/http/status.hpp>
@@ -64,11 +64,14 @@
   return std::move(text_);
 }
 
-std::string ChunkSizeLine(std::size_t bytes) {
+std::string_view AppendChunkStart(std::string& text, std::size_t bytes,
+                                  bool last) {
+  if (bytes == 0) return last ? "0\r\n\r\n" : "";
   std::array<char, 2 * sizeof bytes> digits{};
   const auto written =
       std::to_chars(digits.data(), digits.data() + digits.size(), bytes, 16);
-  return std::string(digits.data(), written.ptr).append("\r\n");
+  text.append(digits.data(), written.ptr).append("\r\n");
+  return last ? "\r\n0\r\n\r\n" : "\r\n";
 }
 
 }  // namespace pomelohall
--- a/libs/http1/src/message_grammar.cc
+++ b/libs/http1/src/message_grammar.cc
@@ -148,9 +148,7 @@
   return status_line.substr(kStatusLineStart.size());
 }
 
-std::optional<message_fault> CheckRequestLine(std::string_view line,
-                                              bool complete) {
-  if (!complete) return std::nullopt;
+std::optional<message_fault> CheckRequestLine(std::string_view line) {
   const auto method_end = line.find(' ');
   const auto target_end = line.rfind(' ');
   if (method_end == std::string_view::npos || target_end == method_end) {
--- a/libs/http1/src/message_grammar.h
+++ b/libs/http1/src/message_grammar.h
@@ -20,9 +20,8 @@
 int StatusOf(std::string_view status_line);
 std::string_view ReasonOf(std::string_view status_line);
 
-// RFC 9112, section 3. The target is not interpreted.
-std::optional<message_fault> CheckRequestLine(std::string_view line,
-                                              bool complete);
+// RFC 9112, section 3, of a complete line. The target is not interpreted.
+std::optional<message_fault> CheckRequestLine(std::string_view line);
 // Parts of a sound request line.
 struct request_line_parts {
   std::string_view method;
--- a/libs/http1/src/request_parser.cc
+++ b/libs/http1/src/request_parser.cc
@@ -6,6 +6,14 @@
 
 namespace pomelohall {
 
+error RequestFaultError(message_fault fault, std::string_view text) {
+  const auto kind = fault == message_fault::kTooLarge
+                        ? error_kind::kHeadersTooLarge
+                        : error_kind::kInvalidRequest;
+  return {kind, std::string(text) + ": " +
+                    std::string(kMessageFaultNames.Name(fault))};
+}
+
 request_parser::request_parser(request_parser_options options)
     : message_parser({.head_bytes = options.max_head_bytes,
                       .framing_bytes = options.max_framing_bytes}) {}
@@ -19,9 +27,9 @@
 // A server ignores one empty line before a request: some clients send it after
 // a body (RFC 9112, section 2.2).
 std::optional<message_fault> request_parser::CheckStartLine(
-    std::string_view line, bool complete) const {
-  if (complete && line.empty() && !empty_line_skipped_) return std::nullopt;
-  return CheckRequestLine(line, complete);
+    std::string_view line, bool /*complete*/) const {
+  if (line.empty() && !empty_line_skipped_) return std::nullopt;
+  return CheckRequestLine(line);
 }
 
 void request_parser::ParseStartLine(std::string_view line) {
--- a/libs/http1/tests/head_writer_test.cc
+++ b/libs/http1/tests/head_writer_test.cc
@@ -35,8 +35,24 @@
 }
 
 TEST_CASE("HeadWriter_ChunkSizeLine_IsHexadecimal", "[head_writer]") {
-  CHECK(ChunkSizeLine(1) == "1\r\n");
-  CHECK(ChunkSizeLine(65'536) == "10000\r\n");
+  const auto size_line = [](std::size_t bytes) {
+    std::string text;
+    CHECK(AppendChunkStart(text, bytes, false) == "\r\n");
+    return text;
+  };
+  CHECK(size_line(1) == "1\r\n");
+  CHECK(size_line(65'536) == "10000\r\n");
+}
+
+// Guards against an empty chunk within a body, which would end it early, and
+// against a body without an end.
+TEST_CASE("HeadWriter_EmptyOrLastPart_OnlyTheLastOneEndsTheBody",
+          "[head_writer]") {
+  std::string text;
+  CHECK(AppendChunkStart(text, 0, false).empty());
+  CHECK(AppendChunkStart(text, 0, true) == "0\r\n\r\n");
+  CHECK(text.empty());
+  CHECK(AppendChunkStart(text, 1, true) == "\r\n0\r\n\r\n");
 }
 
 }  // namespace pomelohall
--- a/libs/mesh/src/route_table.cc
+++ b/libs/mesh/src/route_table.cc
@@ -1,18 +1,15 @@
 #include "mesh/route_table.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
+#include "base/ascii_text.h"
+
 namespace pomelohall {
 namespace {
 
 std::string NormalizeHost(std::string_view host) {
-  host = host.substr(0, host.find(':'));
-  std::string normalized(host);
-  std::transform(normalized.begin(), normalized.end(), normalized.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return normalized;
+  return ToLowerCase(host.substr(0, host.find(':')));
 }
 
 }  // namespace
--- a/libs/routing/src/server_selector.cc
+++ b/libs/routing/src/server_selector.cc
@@ -15,12 +15,10 @@
 /// caused by the request or the caller.
 bool IsServerFault(const std::optional<error_kind>& kind, run_state ran) {
   if (!kind) return true;
+  if (IsRequestFault(*kind)) return false;
   switch (*kind) {
     case error_kind::kCancelled:
     case error_kind::kPoisonSuspected:
-    case error_kind::kBodyTooLarge:
-    case error_kind::kHeadersTooLarge:
-    case error_kind::kInvalidRequest:
       return false;
     case error_kind::kDeadlineExceeded:
       return ran != run_state::kNotRun;
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "caller/body_prefix.h"
-#include "caller/incoming_request.h"
 #include "caller/observed_body.h"
 #include "load_codec.h"
 #include "logging/log_event.h"
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -552,7 +552,18 @@
   return router_.budget_.TryRetry(service_, ran, MonotonicNow());
 }
 
+// The request is at fault, not the member, which other requests use.
+void routed_request::FailAsRequestFault(const error& failure) {
+  last_failure_ = failure;
+  EndOffer(send_outcome::kRefused);
+  Fail(failure);
+}
+
 void routed_request::OnRefused(const error& failure) {
+  if (IsRequestFault(failure.kind)) {
+    FailAsRequestFault(failure);
+    return;
+  }
   last_failure_ = failure;
   switch (failure.kind) {
     case error_kind::kBackendFailed:  // Refused by the backend server.
@@ -599,13 +610,6 @@
         router_.directory_.OnNotServing(offer_->member.name, MonotonicNow());
       EndOffer(send_outcome::kRefused);
       break;
-    case error_kind::kInvalidRequest:
-    case error_kind::kHeadersTooLarge:
-    case error_kind::kBodyTooLarge:
-      // The request is at fault, not the member, which other requests use.
-      EndOffer(send_outcome::kRefused);
-      Fail(failure);
-      return;
     default:
       EndOffer(send_outcome::kUnreachable);
       break;
@@ -618,9 +622,7 @@
   OnReachedServer();
   may_have_run_ = true;
   if (IsRequestFault(failure.kind)) {
-    last_failure_ = failure;
-    EndOffer(send_outcome::kRefused);
-    Fail(failure);
+    FailAsRequestFault(failure);
     return;
   }
   const auto reported = failure.kind == error_kind::kDeadlineExceeded
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -76,6 +76,7 @@
   void OfferToLocalServer(const server_choice& choice);
   void OnResponse(result<incoming_response> answer);
   void OnPeerAnswer(result<incoming_response> answer);
+  void FailAsRequestFault(const error& failure);
   void OnRefused(const error& failure);
   void OnUnknownOutcome(const error& failure);
   void EndOffer(send_outcome outcome);
