Lines: what a request waits for at the end of a stop, and slow writes

Cause: request_unanswered told an answer that is being delivered from one that has not arrived, but not where an answer was: in the queue of the link, on the way, behind an earlier response of the connection, or in the socket of the caller. The daemon beside the server told how long an answer was queued, not how long it took to be written after that.

Change: waits_for has six values; the line has the size of the answer, when it could be written, what was written and what the caller has not acknowledged. request_done has answer_ms. answer_written_late and answer_not_written are new.

--- a/libs/caller/include/caller/incoming_request.h
+++ b/libs/caller/include/caller/incoming_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "backend/exchange.h"
 #include "backend/http_message.h"
@@ -19,6 +20,16 @@
   std::uint64_t body_bytes = 0;
 };
 
+/// How far the response to a request has been written.
+struct response_progress {
+  /// The responses to earlier requests of the connection are not written yet.
+  bool waits_for_earlier = false;
+  /// Bytes of the body that were handed to the socket.
+  std::uint64_t body_bytes = 0;
+  /// Bytes that the socket holds because the caller has not acknowledged them.
+  std::uint64_t unsent_bytes = 0;
+};
+
 /// A request that a call_server received. Exactly one of Respond() and Abort()
 /// must be called. Used on the I/O thread only.
 class incoming_request {
@@ -37,6 +48,10 @@
   virtual void Respond(incoming_response response,
                        std::function<void(response_write_result)> done) = 0;
 
+  /// Returns how far the response has been written; nothing before Respond()
+  /// and after the response was written or the caller has disconnected.
+  virtual std::optional<response_progress> Progress() const = 0;
+
   /// Sets whether requests that the caller sends behind this one wait until its
   /// response has been written. A handler sets it while it may write a response
   /// that can break off: the connection then closes, and requests behind it
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -370,6 +370,18 @@
   std::exchange(pending_read_, nullptr)(std::move(part));
 }
 
+std::optional<response_progress> call_session::Progress(
+    const server_request* request) const {
+  const auto entry = std::find_if(
+      pending_.begin(), pending_.end(),
+      [&](const auto& pending) { return pending.request.get() == request; });
+  if (entry == pending_.end() || !entry->responded) return std::nullopt;
+  if (entry != pending_.begin()) return response_progress{true};
+  return response_progress{
+      .body_bytes = response_bytes_,
+      .unsent_bytes = static_cast<std::uint64_t>(UnsentBytes().value_or(0))};
+}
+
 void call_session::SetHoldsFollowing(const server_request* request,
                                      bool holds) {
   for (auto& entry : pending_) {
@@ -623,13 +635,22 @@
   }
 }
 
+std::optional<int> call_session::UnsentBytes() const {
+  // Asio offers the descriptor of sockets that are not const only.
+  auto& socket = const_cast<asio::ip::tcp::socket&>(socket_);
+  int unsent = 0;
+  if (::ioctl(socket.native_handle(), SIOCOUTQ, &unsent) != 0) {
+    return std::nullopt;
+  }
+  return unsent;
+}
+
 // Returns whether the fill level of the socket's send buffer has changed. A
 // slow reader drains that buffer long before the pending write completes, so
 // write completions alone do not show the progress.
 bool call_session::HasWriteProgress() {
-  int unsent = 0;
-  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent) != 0) return false;
-  return std::exchange(unsent_bytes_, unsent) != unsent;
+  const auto unsent = UnsentBytes();
+  return unsent && std::exchange(unsent_bytes_, *unsent) != *unsent;
 }
 
 void call_session::Sweep(instant now) {
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -49,6 +49,8 @@
   void ReadBody(body_source::callback done);
   void WriteResponse(const server_request* request, incoming_response response,
                      std::function<void(response_write_result)> done);
+  std::optional<response_progress> Progress(
+      const server_request* request) const;
   void SetHoldsFollowing(const server_request* request, bool holds);
   void SetDisconnectHandler(const server_request* request,
                             std::function<void()> handler);
@@ -111,6 +113,8 @@
   void FinishResponse();
   void Linger();
   void ReadLinger();
+  // Returns how many bytes the socket holds that are not acknowledged yet.
+  std::optional<int> UnsentBytes() const;
   bool HasWriteProgress();
 
   boost::asio::ip::tcp::socket socket_;
--- a/libs/caller/src/server_request.cc
+++ b/libs/caller/src/server_request.cc
@@ -17,6 +17,11 @@
   if (done) done({});
 }
 
+std::optional<response_progress> server_request::Progress() const {
+  const auto session = session_.lock();
+  return session ? session->Progress(this) : std::nullopt;
+}
+
 void server_request::SetHoldsFollowing(bool holds) {
   if (const auto session = session_.lock()) {
     session->SetHoldsFollowing(this, holds);
--- a/libs/caller/src/server_request.h
+++ b/libs/caller/src/server_request.h
@@ -27,6 +27,7 @@
   std::shared_ptr<body_source> Body() override;
   void Respond(incoming_response response,
                std::function<void(response_write_result)> done) override;
+  std::optional<response_progress> Progress() const override;
   void SetHoldsFollowing(bool holds) override;
   void Abort() override;
   void SetDisconnectHandler(std::function<void()> handler) override;
--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -75,7 +75,31 @@
     LogWait("answer_sent_late", next);
   }
   ++sent_answers_;
-  next.request->Respond(std::move(next.answer), std::move(next.done));
+  const auto bytes = next.answer.head.length.value_or(0);
+  next.request->Respond(
+      std::move(next.answer),
+      [this, request = next.request, bytes, queued_at = next.queued_at,
+       sent_at = MonotonicNow(),
+       done = std::move(next.done)](response_write_result written) {
+        LogWrite(*request, bytes, sent_at - queued_at, sent_at, written);
+        if (done) done(written);
+      });
+}
+
+void answer_sender::LogWrite(const incoming_request& request,
+                             std::uint64_t bytes, duration waited,
+                             instant sent_at,
+                             const response_write_result& written) const {
+  const auto write_time = MonotonicNow() - sent_at;
+  if (written.complete && write_time < kMinLoggedWait) return;
+  const auto* const id = FindField(request.Head().fields, attempt_id_field_);
+  log_event(log_level::kInfo,
+            written.complete ? "answer_written_late" : "answer_not_written")
+      .With("request", id == nullptr ? "" : *id)
+      .With("bytes", bytes)
+      .With("written_bytes", written.body_bytes)
+      .With("waited_ms", Millis(waited))
+      .With("write_ms", Millis(write_time));
 }
 
 void answer_sender::SendAll() {
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -71,6 +71,10 @@
   void SendReady();
   void SendQueued(waiting_answer next);
   void Remove(std::uint64_t id);
+  // Logs an answer that was written slowly or in part.
+  void LogWrite(const incoming_request& request, std::uint64_t bytes,
+                duration waited, instant sent_at,
+                const response_write_result& written) const;
   void LogWait(std::string_view event, const waiting_answer& waiting) const;
 
   transmit_queue queue_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -674,6 +674,7 @@
   answer_ = std::move(answer);
   answer_is_complete_ = !answer_->body;
   answer_is_local_ = offer_->member.name == router_.options_.member;
+  answer_bytes_ = answer_->head.length;
   if (!answer_->body) {
     Deliver();
     return;
@@ -804,6 +805,8 @@
 }
 
 void routed_request::Answer(incoming_response answer, const char* reason) {
+  answered_at_ = MonotonicNow();
+  answer_bytes_ = answer.head.length;
   const int status = answer.head.status;
   auto done = [self = shared_from_this(), status,
                text = std::string(reason)](response_write_result written) {
@@ -868,14 +871,28 @@
   Finish(0, "cancelled");
 }
 
+request_wait routed_request::CurrentWait() const {
+  if (answered_at_) {
+    const auto progress = request_->Progress();
+    if (!progress) return request_wait::kLink;
+    if (progress->waits_for_earlier) return request_wait::kEarlierResponse;
+    return request_wait::kCaller;
+  }
+  if (answer_) return request_wait::kAnswerBody;
+  return offer_ ? request_wait::kMember : request_wait::kRequestBody;
+}
+
 void routed_request::LogUnanswered() const {
-  const bool has_answer = answer_ || finished_ || delivering_;
+  const auto progress = request_->Progress();
   log_event(log_level::kWarning, "request_unanswered")
       .With("request", attempt_id_)
       .With("route", route_ == nullptr ? "" : route_->name)
-      .With("waits_for", has_answer ? "caller"
-                         : offer_   ? "member"
-                                    : "body")
+      .With("waits_for", kRequestWaitNames.Name(CurrentWait()))
+      .With("answer_bytes", answer_bytes_.value_or(0))
+      .With("answer_ms",
+            answered_at_ ? FormatMillis(*answered_at_ - received_at_) : "")
+      .With("written_bytes", progress ? progress->body_bytes : 0)
+      .With("unsent_bytes", progress ? progress->unsent_bytes : 0)
       .With("member", offer_ ? offer_->member.name : "")
       .With("offers", static_cast<std::uint64_t>(offers_))
       .With("offer_ms",
@@ -897,6 +914,8 @@
       .With("status", static_cast<std::int64_t>(status))
       .With("reason", reason)
       .With("ms", FormatMillis(elapsed))
+      .With("answer_ms",
+            answered_at_ ? FormatMillis(*answered_at_ - received_at_) : "")
       .With("service", service_)
       .With("priority", static_cast<std::int64_t>(priority_))
       .With("tenant", tenant_ == nullptr ? "" : tenant_->name)
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "backend/exchange.h"
+#include "base/name_table.h"
 #include "caller/body_prefix.h"
 #include "caller/incoming_request.h"
 #include "quota/quota_account.h"
@@ -15,6 +16,25 @@
 
 namespace pomelohall {
 
+// What a request in progress waits for.
+enum class request_wait {
+  kRequestBody,      // The rest of the request.
+  kMember,           // The head of the answer.
+  kAnswerBody,       // The rest of the answer.
+  kLink,             // The answer is queued for the network link.
+  kEarlierResponse,  // Responses to earlier requests of the connection.
+  kCaller,           // The caller reads the answer.
+};
+
+inline constexpr name_table<request_wait, 6> kRequestWaitNames{{{
+    {request_wait::kRequestBody, "body"},
+    {request_wait::kMember, "member"},
+    {request_wait::kAnswerBody, "answer_body"},
+    {request_wait::kLink, "link"},
+    {request_wait::kEarlierResponse, "earlier_response"},
+    {request_wait::kCaller, "caller"},
+}}};
+
 // A request of a caller, from its header to the end of its answer. Offers it to
 // one backend server after another until one of them runs it, and retries
 // failures as far as the retry budget allows.
@@ -29,6 +49,7 @@
   // Returns the address of the other daemon that has the request; empty if none
   // has it.
   std::string PeerAddress() const;
+  request_wait CurrentWait() const;
   // Logs what the request waits for.
   void LogUnanswered() const;
 
@@ -135,6 +156,9 @@
 
   std::optional<incoming_response> answer_;
   bool answer_is_complete_ = false;  // The whole answer is in memory.
+  // Size of the body of the answer, if it tells one.
+  std::optional<std::uint64_t> answer_bytes_;
+  std::optional<instant> answered_at_;  // When the answer could be written.
   // The answer is of the backend server on this VM, which nothing has paced
   // yet.
   bool answer_is_local_ = false;
