Deliver downloads before their caller's daemon stops, or refuse them

Callers saw: 504 for downloads that had run seconds before the end of a stop, as responses to other daemons took the link of the daemon beside the server.

Cause: the notice of a stop changed neither the times of running requests' responses nor those of queued ones, and a request passed on after the SIGTERM did not tell that its deadline is the end of its daemon. Requests were admitted by the longest wait for the link, not by that end.

Change: a notice applies to queued responses and to those that become ready later; a request of a daemon that stops carries Pomelohall-Mesh-Stopping.

--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -46,6 +46,10 @@
 /// milliseconds until the latest deadline of the requests that it has passed
 /// on.
 inline constexpr std::string_view kMeshStopField = "Pomelohall-Mesh-Stop";
+/// Marks a request of a daemon that stops soon after its deadline, and that can
+/// deliver no response then.
+inline constexpr std::string_view kMeshStoppingField =
+    "Pomelohall-Mesh-Stopping";
 /// Marks a fetch of the active configuration. The value is the version that the
 /// fetching daemon has.
 inline constexpr std::string_view kMeshFetchField = "Pomelohall-Mesh-Fetch";
--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -39,7 +39,8 @@
   queue_.Add({.id = id,
               .bytes = *answer.head.length,
               .target_at = times.target_at,
-              .deadline = times.deadline},
+              .deadline = times.deadline,
+              .receiver_stops = times.receiver_stops},
              now);
   waiting_.emplace(id, waiting_answer{.request = request,
                                       .answer = std::move(answer),
@@ -51,6 +52,18 @@
   SendReady();
 }
 
+void answer_sender::LimitDeadlinesOf(const std::string& receiver,
+                                     instant latest) {
+  for (auto& [id, waiting] : waiting_) {
+    auto& times = waiting.times;
+    if (times.receiver != receiver) continue;
+    times.deadline = std::min(times.deadline, latest);
+    times.receiver_stops = true;
+    queue_.LimitToStop(id, latest);
+  }
+  SendReady();
+}
+
 void answer_sender::CountSent(const response_head& head) {
   queue_.OnSent(kHeaderBytes + head.length.value_or(0), MonotonicNow());
 }
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -21,6 +21,10 @@
 struct answer_times {
   instant target_at;  // Until then the answer meets its target.
   instant deadline;   // The daemon or caller that asked waits until then.
+  // Whether the daemon that asked stops soon after the deadline.
+  bool receiver_stops = false;
+  // Address of the daemon that asked; empty for callers on this VM.
+  std::string receiver{};
 };
 
 // Larger answers are streamed. Bounds the memory for answers that wait for the
@@ -44,6 +48,10 @@
             incoming_response answer, const answer_times& times,
             std::function<void(response_write_result)> done = nullptr);
 
+  // Limits the deadlines of the queued answers to another daemon, which stops
+  // soon after `latest`.
+  void LimitDeadlinesOf(const std::string& receiver, instant latest);
+
   // Accounts for an answer that is sent without queueing.
   void CountSent(const response_head& head);
 
--- a/libs/sidecar/src/local_dispatcher.cc
+++ b/libs/sidecar/src/local_dispatcher.cc
@@ -115,6 +115,22 @@
                run_state::kNotRun);
 }
 
+std::optional<error> local_dispatcher::CheckLink(const local_request& request,
+                                                 std::uint64_t id,
+                                                 instant now) const {
+  if (!request.sender_stops ||
+      link_.ExpectedLinkTime(request.work_class, request.kind).count() == 0 ||
+      link_.CanSendBefore(request.deadline,
+                          queue_.MeanRunTime(request.work_class),
+                          request.work_class, now, id)) {
+    return std::nullopt;
+  }
+  return error(error_kind::kOverloaded,
+               "the network link cannot carry the answer before its receiver "
+               "stops",
+               run_state::kNotRun);
+}
+
 std::shared_ptr<exchange> local_dispatcher::Start(local_request request,
                                                   exchange_events events) {
   if (latest_deadline_) {
@@ -157,6 +173,7 @@
                       run_state::kNotRun);
     }
   }
+  if (!refusal) refusal = CheckLink(request, id, now);
   auto decision = queue_decision::kRefuse;
   if (!refusal) {
     decision = queue_.Offer(item, now);
@@ -380,7 +397,7 @@
                                         instant latest) {
   for (const auto& [id, local] : exchanges_) {
     if (local->Request().sender != sender) continue;
-    local->LimitDeadline(latest);
+    local->LimitToStopOfSender(latest);
     queue_.LimitDeadline(id, latest);
   }
   SendWaiting(MonotonicNow());
--- a/libs/sidecar/src/local_dispatcher.h
+++ b/libs/sidecar/src/local_dispatcher.h
@@ -33,6 +33,8 @@
   std::string attempt_id;  // Used in log lines only.
   // Address of the daemon that passed the request on; empty for this one.
   std::string sender;
+  // Whether that daemon stops soon after the deadline, and loses later answers.
+  bool sender_stops = false;
   std::string instance;           // Instance that the sender chose.
   std::uint64_t fingerprint = 0;  // See FingerprintOf().
   bool on_trial = false;          // Whether the sender offers it on trial.
@@ -159,6 +161,10 @@
   std::optional<error> CheckAdmission(const local_request& request) const;
   // Sends a new request, queues it or refuses it.
   void Admit(std::uint64_t id, const std::shared_ptr<local_exchange>& local);
+  // Returns the refusal of a request if its sender stops and the link cannot
+  // carry the answer before.
+  std::optional<error> CheckLink(const local_request& request, std::uint64_t id,
+                                 instant now) const;
   // Returns the refusal of a request by its crashes, if it is refused.
   std::optional<error> CheckCrashes(const local_request& request) const;
   crash_verdict VerdictOf(std::uint64_t fingerprint) const;
--- a/libs/sidecar/src/local_exchange.cc
+++ b/libs/sidecar/src/local_exchange.cc
@@ -37,6 +37,10 @@
             run_state::kNotRun});
     return;
   }
+  if (auto refusal = dispatcher_->CheckLink(request_, id_, MonotonicNow())) {
+    Refuse(std::move(*refusal));
+    return;
+  }
   sent_at_ = MonotonicNow();
   auto& fields = request_.request.head.fields;
   const auto& names = dispatcher_->options_.fields;
--- a/libs/sidecar/src/local_exchange.h
+++ b/libs/sidecar/src/local_exchange.h
@@ -33,6 +33,12 @@
     request_.deadline = std::min(request_.deadline, latest);
   }
 
+  // Handles that the daemon that sent the request stops soon after `latest`.
+  void LimitToStopOfSender(instant latest) {
+    LimitDeadline(latest);
+    request_.sender_stops = true;
+  }
+
   const local_request& Request() const { return request_; }
   bool IsSent() const { return sent_ != nullptr; }
 
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -114,6 +114,7 @@
   const auto latest = now + std::chrono::milliseconds(*millis);
   stop_notices_.Add(*sender, latest, now);
   dispatcher_.LimitDeadlinesOf(*sender, latest);
+  sender_.LimitDeadlinesOf(*sender, latest);
   incoming_response answer;
   answer.head.status = 204;
   if (const auto* id = FindField(fields, fields_.attempt_id)) {
@@ -149,10 +150,12 @@
                    .value_or(request_kind::kUnsafe);
   local.priority = static_cast<int>(
       ParseNumber(TakeField(fields, kMeshPriorityField)).value_or(0));
+  const auto limit = stop_notices_.LatestDeadline(sender, now);
+  local.sender_stops =
+      limit != instant::max() || !TakeField(fields, kMeshStoppingField).empty();
   local.target_at = now + ParseMillis(TakeField(fields, kMeshTargetField));
   local.deadline =
-      std::min(now + ParseMillis(TakeField(fields, fields_.deadline)),
-               stop_notices_.LatestDeadline(sender, now));
+      std::min(now + ParseMillis(TakeField(fields, fields_.deadline)), limit);
   if (const auto* id = FindField(fields, fields_.attempt_id)) {
     local.attempt_id = *id;
   }
@@ -162,7 +165,9 @@
   RemoveMeshFields(fields);
   local.request = std::move(outgoing);
   const answer_times times{.target_at = local.target_at,
-                           .deadline = local.deadline};
+                           .deadline = local.deadline,
+                           .receiver_stops = local.sender_stops,
+                           .receiver = sender};
   const auto fingerprint = local.fingerprint;
   const auto started = dispatcher_.Start(
       std::move(local),
@@ -249,7 +254,15 @@
     rollouts_->AddState(fields);
     rollouts_->AddReport(fields);
   }
-  sender_.Send(request, std::move(answer), times);
+  // The notice may have arrived while the request ran.
+  auto limited = times;
+  const auto limit =
+      stop_notices_.LatestDeadline(times.receiver, request->ReceivedAt());
+  if (limit != instant::max()) {
+    limited.deadline = std::min(limited.deadline, limit);
+    limited.receiver_stops = true;
+  }
+  sender_.Send(request, std::move(answer), limited);
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -448,6 +448,7 @@
   SetField(fields, kMeshTargetField, FormatMillis(target_at_ - now));
   if (IsShortWait())
     SetField(fields, kMeshMaxWaitField, FormatMillis(MaxWait()));
+  if (router_.stop_) SetField(fields, kMeshStoppingField, "1");
   SetCrashes(fields, router_.crashes_, fingerprint_);
   if (demand_.trial) SetField(fields, kMeshTrialField, "1");
   router_.versions_.AddState(fields);
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -118,6 +118,8 @@
   std::string server_version_ = "v1";
   /// Time-out of the routes of configurations published from now on.
   std::chrono::milliseconds route_timeout_{3000};
+  /// Latency target of these routes.
+  std::chrono::milliseconds latency_target_{1000};
 
   struct sidecar_node {
     std::unique_ptr<slow_link_proxy> store_link;
--- /dev/null
+++ b/tests/sidecar/stop_link_test.cc
@@ -0,0 +1,180 @@
+#include <array>
+#include <atomic>
+#include <boost/system/system_error.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "concurrent_server.h"
+#include "sidecar_fleet.h"
+
+namespace pomelohall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using steady_instant = std::chrono::steady_clock::time_point;
+
+constexpr milliseconds kGrace(6000);
+// The last bytes of a response may be in transit when the process ends.
+constexpr milliseconds kTransitTime(300);
+
+/// What a caller has got.
+struct download {
+  std::string id;
+  raw_response response;
+  steady_instant ended_at;
+};
+
+/// A sidecar beside a backend server with a link of 7 Mbit/s, one beside
+/// callers that stops, and one beside callers that fill the link. A download
+/// of "/file/N" has N bytes.
+class stop_link_fixture : public sidecar_fleet {
+ protected:
+  static constexpr std::size_t kStoppingVm = 1;
+  static constexpr std::size_t kBusyVm = 2;
+
+  stop_link_fixture()
+      : server_([this](const std::string& header) { return Serve(header); }) {
+    route_timeout_ = milliseconds(8000);
+    latency_target_ = milliseconds(4000);
+    slots_ = 20;
+    link_mbps_ = 7;
+    forward_link_rate_ = link_mbps_ * 125'000;
+    AddSidecar(&server_);
+    link_mbps_ = 0;
+    forward_link_rate_ = 0;
+    AddSidecar(nullptr, "front");
+    AddSidecar(nullptr, "front");
+    PublishConfig(3);
+    WaitUntilOffered(1);
+  }
+
+  std::future<download> DownloadAt(std::size_t vm, steady_instant at,
+                                   const std::string& id, std::size_t bytes) {
+    return std::async(
+        std::launch::async, [address = CallerAddress(vm), at, id, bytes] {
+          download result{.id = id, .response = {}, .ended_at = {}};
+          std::this_thread::sleep_until(at);
+          try {
+            result.response = raw_client(address).Call(
+                "GET", "/file/" + std::to_string(bytes),
+                "Pomelohall-Attempt-Id: " + id +
+                    "\r\nPomelohall-Request-Deadline: "
+                    "8000\r\n");
+          } catch (const boost::system::system_error&) {
+            // The connection is closed without a response.
+          }
+          result.ended_at = std::chrono::steady_clock::now();
+          return result;
+        });
+  }
+
+  /// Describes what is wrong with a download through the daemon that stops and
+  /// ends at `ended_at`; empty if nothing is.
+  std::string Fault(const download& result, steady_instant ended_at) {
+    const auto& response = result.response;
+    if (!response.complete) return "got no whole response";
+    if (result.ended_at > ended_at + kTransitTime) {
+      return "got it after the end of the process";
+    }
+    if (response.status == 200) return "";
+    const std::lock_guard lock(mutex_);
+    const auto run = runs_.find(result.id);
+    if (run == runs_.end()) return response.status == 503 ? "" : "was not run";
+    // The server was still at work shortly before the end.
+    if (response.status == 504 && run->second > ended_at - seconds(1)) {
+      return "";
+    }
+    return "got " + std::to_string(response.status) + " although it has run";
+  }
+
+ private:
+  scripted_reply Serve(const std::string& header) {
+    const auto id = HeaderValue(header, "Pomelohall-Attempt-Id");
+    const auto bytes = std::stoul(header.substr(header.rfind("/file/") + 6));
+    constexpr milliseconds kRunTime(200);
+    const std::lock_guard lock(mutex_);
+    runs_[id] = std::chrono::steady_clock::now() + kRunTime;
+    return {.bytes = SignedResponse(200, id, std::string(bytes, 'x')),
+            .delay = kRunTime};
+  }
+
+  std::mutex mutex_;
+  std::map<std::string, steady_instant> runs_;  ///< End of each run by ID.
+  concurrent_server server_;
+};
+
+// Guards against downloads that run for a caller whose daemon stops and do not
+// reach it before its end, as the responses to others take the link: callers
+// got 504 or a closed connection seconds after the run had ended.
+TEST_CASE_METHOD(stop_link_fixture,
+                 "Sidecar_CallersDaemonStopsWhileOthersFillTheLink_"
+                 "DownloadsAreDeliveredOrNotRun",
+                 "[sidecar]") {
+  constexpr std::array<std::size_t, 4> kSizes{90'000, 540'000, 60'000, 300'000};
+  constexpr int kBurst = 10;
+  constexpr int kCallsAfterStop = 20;  // Until 2 s after the signal.
+  // The daemon beside the server expects small downloads.
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE(DownloadAt(kBusyVm, {}, "w" + std::to_string(i), 60'000)
+                .get()
+                .response.status == 200);
+  }
+  AnnounceAgain();
+  const auto stop_at = std::chrono::steady_clock::now() + milliseconds(500);
+  const auto call_at = [&](std::size_t vm, milliseconds at, int number,
+                           std::size_t bytes) {
+    return DownloadAt(vm, stop_at + at,
+                      (vm == kBusyVm ? "o" : "s") + std::to_string(at.count()) +
+                          "n" + std::to_string(number),
+                      bytes);
+  };
+  // Many large ones are accepted at once, together with some for the callers of
+  // the daemon that stops. The link carries all in 7 s.
+  std::vector<std::future<download>> others;
+  others.reserve(kBurst + kCallsAfterStop);
+  for (int i = 0; i < kBurst; ++i) {
+    others.push_back(call_at(kBusyVm, milliseconds(-220), i, 540'000));
+  }
+  std::vector<std::future<download>> calls;
+  calls.reserve(kSizes.size() + kCallsAfterStop);
+  for (int i = 0; i < 4; ++i) {
+    calls.push_back(call_at(kStoppingVm, milliseconds(-200), i, kSizes.at(i)));
+  }
+  for (int i = 1; i <= kCallsAfterStop; ++i) {
+    const milliseconds at(100 * i);
+    calls.push_back(call_at(kStoppingVm, at, 0, kSizes.at(i % kSizes.size())));
+    others.push_back(call_at(kBusyVm, at, 0, kSizes.at(i % kSizes.size())));
+  }
+  std::this_thread::sleep_until(stop_at);
+  auto stopped = Stop(kStoppingVm);
+  REQUIRE(stopped.wait_for(kGrace) == std::future_status::ready);
+  // The process would end now, at the latest after the grace.
+  const auto ended_at = std::chrono::steady_clock::now();
+  std::map<int, int> statuses;
+  for (auto& call : calls) {
+    const auto result = call.get();
+    ++statuses[result.response.status];
+    INFO(result.id);
+    CHECK_THAT(Fault(result, ended_at), Catch::Equals(""));
+  }
+  int others_served = 0;
+  for (auto& other : others) {
+    const auto response = other.get().response;
+    if (response.status == 200 && response.complete) ++others_served;
+  }
+  WARN("200: " << statuses[200] << ", 503: " << statuses[503] << ", 504: "
+               << statuses[504] << ", served to others: " << others_served);
+  CHECK(statuses[200] >= 4);
+  // Paced, the link carries six to eight of the large ones before 8 s.
+  CHECK(others_served >= 6);
+}
+
+}  // namespace
+}  // namespace pomelohall
