Ignore SIGHUP from the start of main in the sidecar

Callers saw: a sidecar that got a SIGHUP in its first milliseconds ended with -1, and a change of the settings between their load and the start of the watcher was not applied until the next change.

Cause: the handler was set after the settings, the listeners and the watch were set up, and the watcher took the content of the file at that time for the content in force.

Change: main ignores the signal first, and the watcher compares the file with the text that was loaded. pomelohalld does not reload settings and still ends by the signal, as before.

--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -268,6 +268,75 @@
         assert code == 0, f"{program.name} ended with {code}"
 
 
+def sighup_while_settings_are_read_is_survived_and_reloads(fleet):
+    """Guards against a signal that ends a starting process, and against a
+    change of the settings that is lost as it falls into the start."""
+    path, listeners = write_sidecar_settings(fleet)
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    os.rename(path, path + ".new")
+    os.mkfifo(path)
+    program = fleet.start_program("sidecar", "pomelohall-sidecar",
+                                  "--settings", path)
+    with open(path, "w", encoding="utf-8") as pipe:  # The program has it open.
+        program.send_signal(signal.SIGHUP)
+        with open(path + ".new", "w", encoding="utf-8") as file:
+            file.write(text.replace('"orders"', '"returns"'))
+        os.replace(path + ".new", path)
+        pipe.write(text)
+    wait_until(lambda: send_http("GET", listeners["metrics"], "/metrics"),
+               "the sidecar serves its metrics", timeout=10)
+
+    def is_reloaded():
+        with open(program.log_path, encoding="utf-8") as log:
+            return any("settings_reloaded" in line and "returns" in line
+                       for line in log)
+    wait_until(is_reloaded, "the changed settings are in force", timeout=10)
+    assert program.stop() == 0
+
+
+def sighup_right_after_start_ends_no_process_that_handles_it(fleet):
+    """Guards against a handler that is lost during the start, and measures
+    until when the signal ends a process: that is the time of the loader, which
+    no program can shorten by itself."""
+    path, _ = write_sidecar_settings(fleet)
+    ended = []
+    for step in range(41):  # 0 to 10 ms.
+        delay_ms = step / 4
+        program = fleet.start_program(f"sidecar-{step}", "pomelohall-sidecar",
+                                      "--settings", path)
+        time.sleep(delay_ms / 1000)
+        handled = handles_signal(program, signal.SIGHUP)
+        program.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+        if program.running():
+            program.kill()
+            continue
+        ended.append(delay_ms)
+        assert not handled, f"ended by a SIGHUP after {delay_ms} ms"
+    print(f"ended by a SIGHUP after (ms): {ended}")
+
+
+def write_sidecar_settings(fleet):
+    """Returns the path of the settings and the addresses of the listeners."""
+    listeners = fleet.allocate_listeners(
+        "caller", "forward", "local", "ready", "metrics")
+    path = fleet.write_config({
+        "name": "sidecar", "data_centre": "dc1",
+        "backend_server": {"address": "127.0.0.1:1", "service": "orders"},
+        "listeners": listeners, "store": {"address": "127.0.0.1:1"}})
+    return path, listeners
+
+
+def handles_signal(program, signal_number):
+    """Returns whether a program handles or ignores a signal."""
+    with open(f"/proc/{program.process.pid}/status",
+              encoding="utf-8") as status:
+        masks = dict(line.split(":", 1) for line in status)
+    bits = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(bits >> (signal_number - 1) & 1)
+
+
 def invalid_settings_rejected_with_path_of_field(fleet):
     """Guards against silently ignoring a misspelt setting."""
     daemon = fleet.add("dc1-0", "dc1")
@@ -298,6 +367,8 @@
     partition_between_data_centres_each_serves,
     sigterm_during_large_download_completes_it_with_exit_code_0,
     sigterm_repeated_until_the_end_exit_code_0,
+    sighup_while_settings_are_read_is_survived_and_reloads,
+    sighup_right_after_start_ends_no_process_that_handles_it,
     invalid_settings_rejected_with_path_of_field,
 ]
 
--- a/tools/pomelohall_sidecar/main.cc
+++ b/tools/pomelohall_sidecar/main.cc
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "http/http_signals.h"
 #include "logging/log_event.h"
@@ -15,6 +16,7 @@
 #include "platform_adapter/local_endpoints.h"
 #include "platform_adapter/rollout_objects.h"
 #include "platform_adapter/wire_names.h"
+#include "settings/settings_file.h"
 #include "settings/settings_program.h"
 #include "sidecar/sidecar.h"
 
@@ -35,14 +37,18 @@
 // periodically.
 class settings_watcher {
  public:
+  // @param loaded_text Content of the file that the settings in force are from.
   settings_watcher(boost::asio::io_context& io, std::string path,
-                   sidecar& target)
+                   std::string loaded_text, sidecar& target)
       : path_(std::move(path)),
         sidecar_(target),
         signals_(io, SIGHUP),
         timer_(io),
-        settings_text_(ReadFile(path_)) {
+        settings_text_(std::move(loaded_text)) {
     KeepSignalHandled(SIGHUP);
+    // The file may have changed since the settings were loaded, and a SIGHUP
+    // that arrived until now was ignored.
+    ReloadIfChanged();
     WaitForSignal();
     WaitForTimer();
   }
@@ -90,7 +96,8 @@
   std::string settings_text_;
 };
 
-int RunSidecar(const std::string& path, const sidecar_settings& settings) {
+int RunSidecar(const std::string& path, const std::string& settings_text,
+               const sidecar_settings& settings) {
   StartStdoutLogging({});
   // Writing to a connection that the caller has closed must not terminate the
   // process.
@@ -117,7 +124,7 @@
   if (const auto started = instance.Start(); !started) {
     return ReportStartupError(kProgram, started.error());
   }
-  settings_watcher watcher(io, path, instance);
+  settings_watcher watcher(io, path, settings_text, instance);
   const auto signals =
       OnStopSignal(io, [&] { instance.Stop([&io] { io.stop(); }); });
   io.run();
@@ -129,8 +136,21 @@
 }  // namespace pomelohall
 
 int main(int argc, char** argv) {
+  // Its default action ends the process. Ignored before the settings are read,
+  // as the watcher reads them again once it handles the signal.
+  std::signal(SIGHUP, SIG_IGN);
+  std::string settings_text;
   return pomelohall::RunSettingsProgram(
       argc, argv, pomelohall::kProgram,
       "Sidecar of pomelohall: runs beside the backend server of a VM.",
-      pomelohall::LoadSidecarSettings, pomelohall::RunSidecar);
+      [&settings_text](const std::string& path)
+          -> pomelohall::result<pomelohall::sidecar_settings> {
+        auto text = pomelohall::ReadSettingsFile(path);
+        if (!text) return tl::unexpected(text.error());
+        settings_text = *text;
+        return pomelohall::ParseSidecarSettings(settings_text);
+      },
+      [&settings_text](const std::string& path, const auto& settings) {
+        return pomelohall::RunSidecar(path, settings_text, settings);
+      });
 }
