Pace downloads without a length between daemons

Callers saw: partial downloads at the end of a stop of their daemon.

Cause: the queue of the link takes only answers that tell their length, so a download that is chunked or ends with its connection was forwarded as it arrived, beside those that wait for their turn.

Change: the daemon beside the server reads such a download into memory, up to 1 MiB, and queues it like the others. It then has a length. request_ unanswered says answer_body, not caller, for an answer of which the caller has taken all that has arrived.

--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -169,15 +169,16 @@
                            .receiver_stops = local.sender_stops,
                            .receiver = sender};
   const auto fingerprint = local.fingerprint;
+  const auto kind = local.kind;
   const auto started = dispatcher_.Start(
       std::move(local),
       {.on_sent = nullptr,
-       .on_response = [this, request, times,
-                       fingerprint](result<incoming_response> answer) {
+       .on_response = [this, request, times, fingerprint,
+                       kind](result<incoming_response> answer) {
          if (!answer) {
            Refuse(request, times, fingerprint, answer.error());
          } else {
-           OnResponse(request, times, std::move(*answer));
+           OnResponse(request, times, kind, std::move(*answer));
          }
        }});
   request->SetDisconnectHandler([started] { started->Cancel(); });
@@ -193,10 +194,14 @@
 }
 
 void mesh_endpoint::OnResponse(const std::shared_ptr<incoming_request>& request,
-                               const answer_times& times,
+                               const answer_times& times, request_kind kind,
                                incoming_response answer) {
-  if (answer.body && answer.head.length &&
-      sender_.Queue().IsPaced(*answer.head.length)) {
+  // A download that does not tell its length is read to learn it: sent while it
+  // arrives, it would share the link with those that wait their turn.
+  const auto assumed_length =
+      kind == request_kind::kDownload ? kMaxBufferedAnswerBytes : 0;
+  if (answer.body &&
+      sender_.Queue().IsPaced(answer.head.length.value_or(assumed_length))) {
     BufferAnswer(request, times, std::move(answer));
   } else {
     Answer(request, times, std::move(answer));
@@ -218,7 +223,11 @@
           return;
         }
         if (start->complete) {
-          answer.body = std::make_shared<buffered_body>(start->bytes);
+          answer.body = start->bytes->empty()
+                            ? nullptr
+                            : std::make_shared<buffered_body>(start->bytes);
+          answer.head.framing = body_framing::kLength;
+          answer.head.length = start->bytes->size();
         } else {
           answer.body = std::make_shared<prefixed_body>(start->bytes,
                                                         std::move(answer.body));
--- a/libs/sidecar/src/mesh_endpoint.h
+++ b/libs/sidecar/src/mesh_endpoint.h
@@ -46,7 +46,8 @@
               const answer_times& times, std::uint64_t fingerprint,
               const error& failure);
   void OnResponse(const std::shared_ptr<incoming_request>& request,
-                  const answer_times& times, incoming_response answer);
+                  const answer_times& times, request_kind kind,
+                  incoming_response answer);
   // Reads a large answer into memory, which frees its slot on the backend
   // server while the answer waits for the network link.
   void BufferAnswer(const std::shared_ptr<incoming_request>& request,
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -927,7 +927,10 @@
     const auto progress = request_->Progress();
     if (!progress) return request_wait::kLink;
     if (progress->waits_for_earlier) return request_wait::kEarlierResponse;
-    return request_wait::kCaller;
+    const bool read_all = progress->unsent_bytes == 0;
+    return delivering_ && !answer_is_complete_ && read_all
+               ? request_wait::kAnswerBody
+               : request_wait::kCaller;
   }
   if (answer_) return request_wait::kAnswerBody;
   return offer_ ? request_wait::kMember : request_wait::kRequestBody;
