Break off an answer without a length whose connection was lost

Callers got a part of an answer as a complete one: a backend server answered a long upload with a 200 without a length and reset the connection while the upload was being written.

Cause: a socket reports an error once. The pending write got the reset, the exchange dropped that, and the next read saw only the end of the connection, which ended the body. The client of the store had the same fault.

Change: ParseEnd() takes the failure of a write and counts the end only if none failed or the failure is "broken pipe", which Linux gives for a reset behind the peer's FIN. client_exchange keeps its write's failure; if the result of a write is still queued when a read finds the end, it waits for it, unless the connection is in CLOSE_WAIT. raw_client of the tests had the fault as well and reports such a body as incomplete.

Changed tests: response_parser_test passes no write failure to ParseEnd(); sidecar_fleet has the body limit as a member with the same value.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -62,7 +62,8 @@
   /// accepted, as nothing could be echoed.
   std::function<bool(const response_head&)> is_refusal{};
   /// Accepts responses whose end is marked by the close of the connection. They
-  /// are forwarded as chunked, and are complete unless the connection is reset.
+  /// are forwarded as chunked, and are complete unless the connection is reset
+  /// or lost.
   /// If false, they fail with `kAnswerCutShort`.
   bool allow_close_delimited = false;
   /// Error of a call that got no connection (always not run).
--- a/libs/backend/include/backend/tcp_socket.h
+++ b/libs/backend/include/backend/tcp_socket.h
@@ -21,6 +21,10 @@
 /// bytes.
 bool IsStale(boost::asio::ip::tcp::socket& socket);
 
+/// Returns whether the peer has ended its side of a connection that has not
+/// been lost since.
+bool IsEndedByPeer(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace pomelohall
 
 #endif  // POMELOHALL_BACKEND_TCP_SOCKET_H_
--- a/libs/backend/src/client_exchange.cc
+++ b/libs/backend/src/client_exchange.cc
@@ -143,6 +143,7 @@
       asio::const_buffer(part.bytes.data(), part.bytes.size()),
       asio::const_buffer(suffix.data(), suffix.size()),
   };
+  writing_ = true;
   asio::async_write(connection_->socket, buffers,
                     [self = shared_from_this(), connection = connection_, more](
                         error_code failure, std::size_t bytes) {
@@ -155,6 +156,12 @@
   const bool first = written_bytes_ == 0;
   written_bytes_ += bytes;
   last_progress_ = MonotonicNow();
+  writing_ = false;
+  write_failure_ = failure;
+  if (step_at_end_ != nullptr) {
+    OnEnd(step_at_end_);
+    return;
+  }
   if (failure) {
     // A backend server may respond and close before it has read the complete
     // request, so the result of reading the response decides.
@@ -353,7 +360,7 @@
   }
 }
 
-void client_exchange::ReadMore(void (client_exchange::*next)()) {
+void client_exchange::ReadMore(step next) {
   connection_->socket.async_read_some(
       connection_->buffer.prepare(kReadBytes),
       [self = shared_from_this(), connection = connection_, next](
@@ -370,10 +377,17 @@
       });
 }
 
-// The server has closed the connection, which may be the end of the response.
-void client_exchange::OnEnd(void (client_exchange::*next)()) {
-  if (parser_->ParseEnd()) {
+// The connection has ended, which may be the end of the response. If it was
+// lost, a write that has not completed yet may have taken the error, and
+// completes at once. If the server has only ended its side, the write may wait
+// for as long as the server does not read.
+void client_exchange::OnEnd(step next) {
+  if (writing_ && !IsEndedByPeer(connection_->socket)) {
+    step_at_end_ = next;
+  } else if (parser_->ParseEnd(write_failure_)) {
     (this->*next)();
+  } else if (write_failure_) {
+    OnConnectionLost(write_failure_);
   } else {
     OnConnectionLost(boost::asio::error::eof);
   }
--- a/libs/backend/src/client_exchange.h
+++ b/libs/backend/src/client_exchange.h
@@ -69,8 +69,9 @@
   bool IsReusable() const;
   void DeliverResponse(response_head head);
   // Reads from the connection and calls `next`.
-  void ReadMore(void (client_exchange::*next)());
-  void OnEnd(void (client_exchange::*next)());
+  using step = void (client_exchange::*)();
+  void ReadMore(step next);
+  void OnEnd(step next);
   // Parses body bytes into the part until it is full.
   void ParsePart();
   void PreparePart();
@@ -91,6 +92,11 @@
   std::string write_prefix_;  // Bytes before the part that is being written.
   std::optional<response_parser> parser_;
   std::size_t written_bytes_ = 0;
+  bool writing_ = false;
+  boost::system::error_code write_failure_;  // No write follows it.
+  // What to do at the end of the connection, once the write that may have taken
+  // its error has completed.
+  step step_at_end_ = nullptr;
   std::unique_ptr<char[]> part_;
   std::size_t part_capacity_ = 0;
   std::size_t part_size_ = 0;
--- a/libs/backend/src/tcp_socket.cc
+++ b/libs/backend/src/tcp_socket.cc
@@ -1,5 +1,7 @@
 #include "backend/tcp_socket.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -40,4 +42,12 @@
   return read >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool IsEndedByPeer(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 }  // namespace pomelohall
--- a/libs/http/src/client_call.cc
+++ b/libs/http/src/client_call.cc
@@ -66,6 +66,7 @@
 void client_call::Connect() {
   connection_reused_ = false;
   write_started_ = false;
+  write_failure_ = {};
   connection_ = core_->NewConnection();
   const auto endpoint = ParseEndpoint(address_);
   if (!endpoint) {
@@ -105,10 +106,12 @@
 
 // A write error does not end the call: a server may respond and close before it
 // has read the whole request, for example because the body is too large. Its
-// response can still be read.
+// response can still be read, unless only the end of a connection that was lost
+// would end it.
 void client_call::OnWritten(const error_code& code) {
   if (!done_) return;
   if (code == boost::beast::error::timeout) return OnError(code);
+  write_failure_ = code;
   parser_.emplace(response_parser_options{
       .max_head_bytes = core_->Options().max_header_bytes,
       .to_head = request_.method == "HEAD"});
@@ -128,7 +131,7 @@
   connection_->buffer.commit(bytes);
   if (code) {
     const bool complete =
-        code == boost::asio::error::eof && parser_->ParseEnd();
+        code == boost::asio::error::eof && parser_->ParseEnd(write_failure_);
     return complete ? Succeed() : OnError(code);
   }
   if (parser_->IsHeadDone()) {
--- a/libs/http/src/client_call.h
+++ b/libs/http/src/client_call.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_HTTP_CLIENT_CALL_H_
 #define POMELOHALL_HTTP_CLIENT_CALL_H_
 
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -60,6 +61,7 @@
   std::string body_;
   bool connection_reused_ = false;
   bool write_started_ = false;
+  boost::system::error_code write_failure_;
 };
 
 }  // namespace pomelohall
--- a/libs/http/tests/http_client_test.cc
+++ b/libs/http/tests/http_client_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <utility>
 
+#include "early_answer_server.h"
 #include "http_fixture.h"
 #include "response_table.h"
 
@@ -190,6 +191,40 @@
   CHECK(response.error().kind == error_kind::kAnswerCutShort);
 }
 
+// Guards against a part of a response that is treated as complete because the
+// write of the request took the error of the reset.
+TEST_CASE_METHOD(http_fixture, "Client_ResetDuringUpload_IsAnswerCutShort") {
+  constexpr int kRepetitions = 4;
+  const http_request upload{.method = "POST",
+                            .target = "/",
+                            .body = std::string(8UL * 1024 * 1024, 'u')};
+  for (const auto end :
+       {answer_end::kReset, answer_end::kEndThenReset, answer_end::kClose}) {
+    for (const std::size_t size : {6UL, 60'000UL, 300'000UL}) {
+      // The client reads only once it has written, so that the end behind a
+      // large answer would not arrive before the reset.
+      if (end == answer_end::kEndThenReset && size > 6) continue;
+      early_answer_server server([&](const std::string&) {
+        return early_answer{
+            .bytes = "HTTP/1.1 200 OK\r\n\r\n" + std::string(size, 'p'),
+            .end = end};
+      });
+      address_ = server.Address();
+      for (int i = 0; i < kRepetitions; ++i) {
+        INFO(size << " bytes, end " << static_cast<int>(end));
+        const auto response = Call(upload);
+        REQUIRE(response.has_value() == (end != answer_end::kReset));
+        if (response) {
+          CHECK(response->body.size() == size);
+        } else {
+          CHECK(response.error().kind == error_kind::kAnswerCutShort);
+          CHECK(response.error().ran == run_state::kUnknown);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE_METHOD(http_fixture, "Client_MalformedResponse_IsProtocolError") {
   scripted_server server({"this is not HTTP\r\n\r\n"});
   address_ = server.Address();
--- a/libs/http1/include/http1/response_parser.h
+++ b/libs/http1/include/http1/response_parser.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_HTTP1_RESPONSE_PARSER_H_
 #define POMELOHALL_HTTP1_RESPONSE_PARSER_H_
 
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -36,9 +37,14 @@
  public:
   explicit response_parser(response_parser_options options);
 
-  /// Records that the connection has ended without an error. Returns whether
-  /// the response is complete.
-  bool ParseEnd();
+  /// Records that a read has found the end of the connection. Returns whether
+  /// the response is complete. A body that ends with the connection is complete
+  /// only if the peer ended the connection properly.
+  /// @param write_failure Failure of a write on the connection; none if no
+  /// write
+  ///     has failed. The socket reports an error once: if a write got it, reads
+  ///     see the end of the connection instead.
+  bool ParseEnd(const boost::system::error_code& write_failure);
 
   // The following are valid once the head is done.
 
--- a/libs/http1/src/response_parser.cc
+++ b/libs/http1/src/response_parser.cc
@@ -76,8 +76,15 @@
   keep_alive_ = false;
 }
 
-bool response_parser::ParseEnd() {
-  if (state_ == state::kConnectionBody) state_ = state::kDone;
+// A reset that follows the proper end of the peer's side fails a write with
+// "broken pipe". Any other failure, such as a reset without that end or a lost
+// link, may be what ended the connection.
+bool response_parser::ParseEnd(const boost::system::error_code& write_failure) {
+  const bool ended_properly =
+      !write_failure || write_failure == boost::system::errc::broken_pipe;
+  if (state_ == state::kConnectionBody && ended_properly) {
+    state_ = state::kDone;
+  }
   return IsDone();
 }
 
--- a/libs/http1/tests/response_parser_test.cc
+++ b/libs/http1/tests/response_parser_test.cc
@@ -42,7 +42,7 @@
     }
   }
   seen.fault = parser.Fault();
-  seen.complete = !seen.fault && parser.ParseEnd();
+  seen.complete = !seen.fault && parser.ParseEnd({});
   seen.status = parser.Status();
   seen.fields = parser.Fields();
   return seen;
@@ -102,6 +102,33 @@
   }
 }
 
+// Guards against a part of a body that is taken as the whole when the
+// connection was lost and a write got the error, and against a whole one that
+// is not taken.
+TEST_CASE("ResponseParser_EndAfterFailedWrite_CountsIfThePeerEndedItsSide") {
+  using boost::system::errc::make_error_code;
+  namespace errc = boost::system::errc;
+  const auto complete = [](const std::string& response,
+                           const boost::system::error_code& write_failure) {
+    response_parser parser({});
+    std::string_view bytes = response;
+    bytes.remove_prefix(parser.ParseHead(bytes));
+    if (!bytes.empty()) parser.ParseBody(bytes, kAll);
+    return parser.ParseEnd(write_failure);
+  };
+  const std::string without_length = "HTTP/1.1 200 OK\r\n\r\nbody";
+  const std::string with_length =
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+  CHECK(complete(without_length, {}));
+  CHECK(complete(without_length, make_error_code(errc::broken_pipe)));
+  for (const auto code :
+       {errc::connection_reset, errc::timed_out, errc::host_unreachable}) {
+    INFO(make_error_code(code).message());
+    CHECK_FALSE(complete(without_length, make_error_code(code)));
+    CHECK(complete(with_length, make_error_code(code)));
+  }
+}
+
 // Guards against bytes behind a response that are taken as a part of it.
 TEST_CASE("ResponseParser_BytesBehindAResponse_AreNotConsumed") {
   const std::string next = "HTTP/1.1 200 OK\r\n\r\n";
--- a/tests/http/raw_client.cc
+++ b/tests/http/raw_client.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -28,8 +29,8 @@
 }
 
 void raw_client::Send(std::string_view bytes) {
-  error_code ignored;  // A server may reject the request early and close.
-  boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+  // A server may reject the request early and close.
+  boost::asio::write(socket_, boost::asio::buffer(bytes), send_failure_);
 }
 
 void raw_client::SendRequest(std::string_view method, std::string_view target,
@@ -60,7 +61,10 @@
         {field.name_string().to_string(), field.value().to_string()});
   }
   response.body = parser.get().body();
-  response.complete = !failure;
+  const bool ends_with_connection =
+      !parser.get().has_content_length() && !parser.get().chunked();
+  const bool was_reset = send_failure_ == boost::asio::error::connection_reset;
+  response.complete = !failure && !(ends_with_connection && was_reset);
   return response;
 }
 
--- a/tests/http/raw_client.h
+++ b/tests/http/raw_client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -56,6 +57,8 @@
  private:
   boost::asio::io_context io_;
   boost::asio::ip::tcp::socket socket_;
+  /// A failed Send() may have taken the error that ended the connection.
+  boost::system::error_code send_failure_;
   boost::beast::flat_buffer buffer_;
 };
 
--- a/tests/sidecar/sidecar_fleet.cc
+++ b/tests/sidecar/sidecar_fleet.cc
@@ -160,7 +160,7 @@
             {"services", {{{"name", "shop"}}}},
             {"limits",
              {{"maxHeaderBytes", 16384},
-              {"maxBodyBytes", 100000},
+              {"maxBodyBytes", max_body_bytes_},
               {"headerTimeoutMs", 3000},
               {"idleTimeoutMs", 15000}}}};
   if (!tenants_.is_null()) spec.emplace("tenants", tenants_);
--- a/tests/sidecar/sidecar_fleet.h
+++ b/tests/sidecar/sidecar_fleet.h
@@ -106,6 +106,8 @@
   std::size_t slots_ = 18;
   /// Header limit of configurations published from now on.
   std::size_t max_header_bytes_ = 16'384;
+  /// Body limit of configurations published from now on.
+  std::size_t max_body_bytes_ = 100'000;
   /// Further routes of configurations published from now on.
   int idle_routes_ = 0;
   /// Tenants of configurations published from now on; null for none. A route
