Soak: stops in series beside requests that outlast them

Callers saw downloads without an answer 5.6 s after a SIGTERM, although their server had answered seconds before. The soak could not find it: one roll stopped a third of the fleet, answers had a length, callers sent one request in a grace, and a request that ran late was excused if its connection was closed.

--stops-in-series stops half of the daemons beside each service, a SIGTERM every 0.3 s, on links that are all limited, with bounded buffers on the way. Callers that read too slowly are told apart by the bytes that they took and could have taken. The lines of the daemons about each violation are printed.

A chunked body that is cut now counts as a closed connection, as one with a length does, not as malformed (MIXED); no run had such answers before.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -241,11 +241,13 @@
         finally:
             self.running.discard(attempt_id)
             self.checks.on_execution_end(attempt_id)
+        framing = next((name for name in ("chunked", "close")
+                        if name in wanted), "length")
         response = encode_response(
             200, expected_body(attempt_id, message.target,
                                int(wanted.get("size", SMALL_BYTES))), {
                 **response_fields,
-                "Pomelohall-Response-Signature": "s-" + attempt_id})
+                "Pomelohall-Response-Signature": "s-" + attempt_id}, framing)
         if self.random.random() < self.lost_response_share:
             self.checks.broken_off.add(attempt_id)
             reset_connection(writer)
@@ -264,4 +266,4 @@
             return False
         writer.write(response)
         await writer.drain()
-        return True
+        return framing != "close"
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,7 +9,7 @@
 import time
 
 from backend import SMALL_BYTES
-from checks import Checks
+from checks import STOP_GRACE_S, Checks
 from messages import PIECE_BYTES, encode_request, read_message
 
 
@@ -54,6 +54,10 @@
     whole_at: float = math.inf  # Time when the last byte was sent.
     reading_s: float = 0.0      # Time that a slow reader takes for the body.
     behind: bool = False        # Whether an earlier request was unanswered.
+    after: "SentRequest" = None  # The earlier one of the connection, if behind.
+    bytes_per_s: float = math.inf  # Of the response that the caller takes.
+    taken_bytes: int = 0           # Of the response body.
+    answered_at: float = 0.0       # Time of the complete response, or 0.
 
 
 class Load:
@@ -63,6 +67,8 @@
         # Bounds the requests a second of all callers, which run in one process.
         self.mean_pause_s = max(0.3, caller_count / 90)
         self.fills_links = False
+        self.stops_in_series = False  # Requests then outlast the grace.
+        self.slow_callers = False
         self.has_long_heads = False
         self.max_head_bytes = DEFAULT_HEADER_BYTES
         self.ended = False
@@ -70,10 +76,20 @@
     def pause_s(self):
         return self.mean_pause_s / (3 if self.fills_links else 1)
 
-    def download_share(self):
+    def download_share(self, vm):
+        if self.stops_in_series and vm.has_slow_link:
+            return 0.15  # The link also carries the answers to callers.
         return 0.5 if self.fills_links else 0.1
 
+    def pipeline_share(self):
+        return 0.3 if self.stops_in_series else 0.2
+
+    def min_file_bytes(self):
+        return 10_000 if self.stops_in_series else 20_000
+
     def max_file_bytes(self):
+        if self.stops_in_series:
+            return 900_000
         return 500_000 if self.fills_links else 100_000
 
 
@@ -81,15 +97,22 @@
     """A caller on a VM that waits for its responses before it sends more."""
 
     request_numbers = itertools.count()
-    MIN_FILE_BYTES = 20_000
     PIECE_PAUSE_S = 0.05
+    # Of slow callers: 328 and 109 kB/s, with which the largest downloads take
+    # half of a grace and more than one.
+    SLOW_PIECE_PAUSES_S = (0.05, 0.15)
+    # Pause of callers that go on while their daemon stops.
+    STOP_PAUSE_S = 0.2
 
     def __init__(self, vm, checks: Checks, seed, load):
         self.vm = vm
         self.checks = checks
         self.random = random.Random(seed)
         self.load = load
-        self.reads_slowly = self.random.random() < 0.2
+        self.reads_slowly = self.random.random() < (
+            0.5 if load.slow_callers else 0.2)
+        self.piece_pause_s = (self.random.choice(self.SLOW_PIECE_PAUSES_S)
+                              if load.slow_callers else self.PIECE_PAUSE_S)
 
     async def run(self):
         # wait_for() of Python 3.11 can swallow a cancellation.
@@ -129,6 +152,31 @@
             if writer:
                 writer.close()
 
+    async def call_until_gone(self, stop):
+        """Sends requests on a connection that is open when `stop` is set.
+
+        When it is closed, uses new ones until the daemon takes no more.
+        """
+        writer = None
+        until = math.inf
+        try:
+            while time.monotonic() < until:
+                reader, writer = await self.connect()
+                await stop.wait()
+                if until == math.inf:
+                    until = time.monotonic() + STOP_GRACE_S
+                while (time.monotonic() < until and
+                       await self.call(reader, writer)):
+                    await asyncio.sleep(
+                        self.random.expovariate(1 / self.STOP_PAUSE_S))
+                writer.close()
+                await asyncio.sleep(self.STOP_PAUSE_S)
+        except (OSError, asyncio.TimeoutError):
+            pass  # The daemon is down.
+        finally:
+            if writer:
+                writer.close()
+
     async def connect(self):
         sock = socket.socket()
         if self.reads_slowly:
@@ -147,19 +195,24 @@
 
     def next_request(self, route=None):
         if route is None:
-            is_download = self.random.random() < self.load.download_share()
+            is_download = (self.random.random() <
+                           self.load.download_share(self.vm))
             route = self.random.choice(
                 [route for route in ROUTES
-                 if (route.kind == "download") == is_download])
+                 if (route.kind == "download") == is_download and
+                 (route.timeout_s > SHORT_DEADLINE_S or
+                  not self.load.stops_in_series)])
         number = next(Caller.request_numbers)
         target = f"{route.prefix}{number}"
         size = SMALL_BYTES
         is_long = route.timeout_s > SHORT_DEADLINE_S
         if route.kind == "download":
             size = int(math.exp(self.random.uniform(
-                math.log(self.MIN_FILE_BYTES),
+                math.log(self.load.min_file_bytes()),
                 math.log(self.load.max_file_bytes()))))
             target += f"?size={size}"
+            if self.load.stops_in_series:
+                target += self.random.choice(("", "", "&chunked=1", "&close=1"))
         elif is_long and self.random.random() < 0.1:
             target += f"?work={self.random.uniform(0.1, 5):.2f}"
         slow = self.reads_slowly and size > PIECE_BYTES
@@ -173,18 +226,25 @@
             deadline_s=(self.random.uniform(*LONG_DEADLINES_S) if is_long
                         else SHORT_DEADLINE_S),
             sent_at=time.monotonic(),
-            reading_s=(size / PIECE_BYTES + 1) * self.PIECE_PAUSE_S if slow
-            else 0.0)
+            reading_s=(size / PIECE_BYTES + 1) * self.piece_pause_s if slow
+            else 0.0,
+            bytes_per_s=PIECE_BYTES / self.piece_pause_s
+            if slow and self.load.slow_callers else math.inf)
 
     async def call(self, reader, writer):
         """Sends requests; returns whether the connection stays usable."""
         requests = [self.next_request()]
         # Only safe requests are sent before the previous response.
-        if requests[0].kind == "safe" and self.random.random() < 0.2:
+        kinds = (("safe", "download") if self.load.stops_in_series else
+                 ("safe",))
+        if (requests[0].kind in kinds and
+                self.random.random() < self.load.pipeline_share()):
             for _ in range(2):
-                requests.append(self.next_request(
-                    self.random.choice(ROUTES[:2])))
+                requests.append(self.next_request(self.random.choice(
+                    (ROUTES[1], ROUTES[5]) if self.load.stops_in_series else
+                    ROUTES[:2])))
                 requests[-1].behind = True
+                requests[-1].after = requests[-2]
         return await self.exchange(reader, writer, requests)
 
     async def exchange(self, reader, writer, requests):
@@ -199,6 +259,7 @@
             if sent.behind:  # Its time runs from the response before.
                 sent.whole_at = time.monotonic()
             response, ending = await self.receive(reader, sent)
+            sent.answered_at = time.monotonic() if response else 0.0
             self.checks.on_response(sent, response, ending)
             usable = (response is not None and
                       response.fields.get("connection", "").lower() != "close")
@@ -230,10 +291,13 @@
 
     async def receive(self, reader, sent):
         """Returns the response, or None, and how it ended."""
+        def on_piece(size):
+            sent.taken_bytes += size
         try:
             response = await asyncio.wait_for(
                 read_message(reader,
-                             self.PIECE_PAUSE_S if sent.reading_s else 0.0),
+                             self.piece_pause_s if sent.reading_s else 0.0,
+                             on_piece if self.load.stops_in_series else None),
                 sent.whole_at + sent.deadline_s + sent.reading_s + PATIENCE_S -
                 time.monotonic())
             return response, "complete" if response else "closed"
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,6 +1,7 @@
 """Checks the guarantees on the traffic of callers and backend servers."""
 
 import collections
+import math
 import signal
 import time
 
@@ -12,6 +13,14 @@
 APPLY_S = 2.0
 CONTACT_S = 3.0
 STOP_GRACE_S = 6.0
+# While a daemon stops: it accepts requests for at least this long, and its
+# connections close at the end.
+STOP_ACCEPT_S = 2.0
+STOP_END_S = STOP_GRACE_S - 0.4
+# An answer that is ready this long before the end can reach the caller.
+LATE_ANSWER_S = 1.0
+# A caller that took less of what it could was kept waiting by its daemon.
+MIN_TAKEN_SHARE = 0.8
 # A request that is not answered when its connection ends this long after its
 # last byte counts as read.
 LOSS_SLACK_S = 0.2
@@ -32,11 +41,17 @@
 class Checks:
     """Records requests, executions and faults; reports violations."""
 
-    def __init__(self):
+    def __init__(self, checks_answers=False, strict_answers=False):
+        # Whether each request that has run has to get its server's answer when
+        # its daemon stops; if strict, also in place of 504.
+        self.checks_answers = checks_answers
+        self.strict_answers = strict_answers
+        self.lost_late = 0  # Answers of servers in whose place 504 came.
         self.violations = []
         self.executions = collections.Counter()
         self.running = collections.Counter()  # Executions in progress.
         self.execution_ends = {}
+        self.execution_vms = {}
         # Attempts whose response a backend server cut, lost or mixed up.
         self.broken_off = set()
         self.refused_statuses = {}
@@ -124,6 +139,7 @@
         self.last_request_at[backend.vm] = time.monotonic()
         self.executions[attempt_id] += 1
         self.running[attempt_id] += 1
+        self.execution_vms[attempt_id] = backend.vm
         if (message.method, message.target, message.body) != (
                 sent.method, sent.target, sent.body):
             self.report_violation("UNASKED", f"{attempt_id} was changed")
@@ -202,6 +218,8 @@
             self.report_violation(
                 "MIXED", f"{sent.attempt_id} got bytes that are no response")
         self.check_end(sent, response, ending, now)
+        if self.checks_answers and response:
+            self.check_answer(sent, response, now)
         if ((response or ending == "gave up") and
                 now - sent.whole_at > sent.timeout_s + sent.reading_s +
                 3 * SLACK_S and self.is_undisrupted(sent.vm, sent.sent_at)):
@@ -234,10 +252,14 @@
                 self.report_violation(
                     "REFUSED", f"{sent.attempt_id} got {status} but has run")
 
+    def stopped_at(self, sent, now):
+        """Returns when the daemon got the SIGTERM that a request met."""
+        return max((at for at in self.stops[sent.vm] if at <= now and
+                    sent.sent_at <= at + STOP_GRACE_S + 1), default=None)
+
     def check_end(self, sent, response, ending, now):
         """Checks that planned work neither cuts nor breaks off a request."""
-        stopped_at = max((at for at in self.stops[sent.vm] if at <= now and
-                          sent.sent_at <= at + STOP_GRACE_S + 1), default=None)
+        stopped_at = self.stopped_at(sent, now)
         reloaded_at = max(
             (at for at in self.reloads[sent.vm] if at <= now and
              sent.sent_at <= at + APPLY_S), default=None)
@@ -259,7 +281,10 @@
         if sent.attempt_id in self.broken_off:
             self.check_counts["broken off by server"] += 1
             return
-        if self.exceeds_grace(sent, stopped_at, now):
+        needs_answer = (self.checks_answers and ending == "closed" and
+                        self.is_owed(sent, stopped_at))
+        if (self.exceeds_grace(sent, stopped_at, now) and
+                not needs_answer):
             self.check_counts["ran beyond grace"] += 1
             return
         detail = (f"{sent.attempt_id} {sent.method} {sent.target} of "
@@ -268,6 +293,12 @@
                      if broken_off else "got no response") +
                   f" {now - sent.whole_at:.2f} s after it was sent, ran "
                   f"{self.executions[sent.attempt_id]} times")
+        if needs_answer:
+            detail += self.describe_answer(sent, stopped_at, now)
+        if needs_answer and self.is_missed_by_caller(sent, now):
+            self.check_counts["caller too slow"] += 1
+            print(f"caller too slow: {detail}", flush=True)
+            return
         if stopped_at is not None:
             self.report_violation(
                 "LOST", f"{detail}, sent {sent.sent_at - stopped_at:.2f} s "
@@ -296,6 +327,81 @@
                          self.execution_ends.get(sent.attempt_id, 0))
         return min(work_ended_at, ended_at) >= last_sixth_at
 
+    def is_owed(self, sent, stopped_at):
+        """Returns whether a request needs an answer, as its daemon stops.
+
+        It has run, and was sent while its daemon had to accept it.
+        """
+        whole_at = sent.sent_at if sent.behind else sent.whole_at
+        return (stopped_at is not None and self.executions[sent.attempt_id] and
+                whole_at <= stopped_at + STOP_ACCEPT_S)
+
+    def could_take_bytes(self, sent, now):
+        """Returns how much the caller could have read since the server's end.
+
+        If the request came behind another one, since the response to that one.
+        """
+        since = max(self.execution_ends.get(sent.attempt_id, now),
+                    sent.after.answered_at if sent.after else 0.0)
+        return (sent.bytes_per_s * (now - since) if since < now else 0.0)
+
+    def is_missed_by_caller(self, sent, now):
+        """Returns whether the caller read too slowly to get a whole answer.
+
+        It could not have taken all of it, and took most of what it could since
+        the server's end.
+        """
+        if sent.after and not sent.after.answered_at:
+            # The answer's turn never came.
+            return self.is_missed_by_caller(sent.after, now)
+        if math.isinf(sent.bytes_per_s) or not sent.taken_bytes:
+            return False  # Reads fast, or the daemon sent nothing to read.
+        could_take = self.could_take_bytes(sent, now)
+        return (sent.attempt_id in self.execution_ends and
+                could_take < sent.response_size and
+                sent.taken_bytes >= MIN_TAKEN_SHARE * could_take)
+
+    def describe_answer(self, sent, stopped_at, now):
+        """Tells where the answer was; times are after the SIGTERM."""
+        ended_at = self.execution_ends.get(sent.attempt_id)
+        run = ("still ran" if self.running[sent.attempt_id] or not ended_at else
+               f"ended at {ended_at - stopped_at:.2f} s")
+        return (f", {run} at {self.execution_vms.get(sent.attempt_id)}, caller "
+                f"took {sent.taken_bytes} of {sent.response_size} bytes and "
+                f"could have {self.could_take_bytes(sent, now):.0f}, behind "
+                f"{sent.after.attempt_id if sent.after else 'none'}, over at "
+                f"{now - stopped_at:.2f} s")
+
+    def check_answer(self, sent, response, now):
+        """Checks a complete answer of a daemon that stops."""
+        stopped_at = self.stopped_at(sent, now)
+        if (not self.is_owed(sent, stopped_at) or
+                not self.is_calm(sent.sent_at) or
+                sent.attempt_id in self.broken_off):
+            return
+        self.check_counts["ANSWER"] += 1
+        if (response.status == 200 or
+                now - sent.sent_at > min(sent.timeout_s, sent.deadline_s)):
+            return
+        is_running = self.running[sent.attempt_id] > 0
+        run_s = (now if is_running else
+                 self.execution_ends[sent.attempt_id]) - stopped_at
+        is_late = (response.status == 504 and
+                   run_s < STOP_END_S - LATE_ANSWER_S)
+        self.lost_late += is_late
+        # check_end() reports answers while the server works, and REFUSED is
+        # about unsafe requests.
+        hides_run = response.status in NOT_RUN_STATUSES and (
+            sent.kind != "unsafe")
+        is_own = (response.status not in (*NOT_RUN_STATUSES, 504) and
+                  not is_running and run_s < STOP_GRACE_S * 5 / 6)
+        if hides_run or is_own or is_late and self.strict_answers:
+            self.report_violation(
+                "ANSWER", f"{sent.attempt_id} {sent.target} of {sent.vm} got "
+                f"{response.status}, sent {sent.sent_at - stopped_at:.2f} s "
+                "after the SIGTERM of its daemon" +
+                self.describe_answer(sent, stopped_at, now))
+
     # Configuration -----------------------------------------------------------
 
     def on_config_acknowledged(self, added_routes):
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -3,6 +3,7 @@
 They guard against a soak that passes because its check excuses too much.
 """
 
+import asyncio
 import signal
 import time
 import unittest
@@ -11,7 +12,7 @@
 from callers import SentRequest
 from checks import (APPLY_S, CONTACT_S, MAX_REFUSED_PROBES, SLACK_S,
                     STOP_GRACE_S, Checks)
-from messages import Message
+from messages import Message, encode_response, read_message
 
 STOPPED_AT = 1000.0
 
@@ -32,10 +33,12 @@
         names of the violated checks.
         """
         sent = SentRequest(
-            "a1", "vm-0", "shop", "shop", "unsafe", "POST", "/order-long/1",
-            b"", 100, **{"timeout_s": 9.0, "deadline_s": 9.0,
-                         "sent_at": STOPPED_AT + sent_at,
-                         "whole_at": STOPPED_AT + sent_at, **fields})
+            "a1", "vm-0", "shop", "shop", **{
+                "kind": "unsafe", "method": "POST", "target": "/order-long/1",
+                "body": b"", "response_size": 100,
+                "timeout_s": 9.0, "deadline_s": 9.0,
+                "sent_at": STOPPED_AT + sent_at,
+                "whole_at": STOPPED_AT + sent_at, **fields})
         if executed_until is not None:
             self.checks.executions["a1"] = 1
             if executed_until:
@@ -100,6 +103,90 @@
                                   "complete"), ["DENIED"])
 
 
+class AnswerDuringStopTest(EndOfRequestTest):
+    """With the stricter checks, of which all others hold as well."""
+
+    def setUp(self):
+        super().setUp()
+        self.checks.checks_answers = True
+
+    def answer(self, status, sent_at=1.0, executed_until=1.5, **fields):
+        return self.end(sent_at, 5.45, self.own_answer(status), "complete",
+                        executed_until=executed_until, kind="download",
+                        method="GET", **fields)
+
+    def test_excuses_a_server_that_works_in_the_last_sixth_of_the_grace(self):
+        """A request that came in time then needs a complete answer."""
+        for sent_at, expected in ((2.9, []), (1.9, ["LOST"])):
+            self.checks.violations = []
+            self.assertEqual(self.end(sent_at, 5.6, executed_until=5.1),
+                             expected)
+
+    def test_reports_answers_that_hide_that_a_request_ran(self):
+        for status, sent_at, executed_until, expected in (
+                (502, 1.0, 1.5, ["ANSWER"]), (503, 1.0, 1.5, ["ANSWER"]),
+                (502, 1.0, 5.1, []), (503, 1.0, 5.1, ["ANSWER"]),
+                (502, 2.1, 2.5, []), (503, 1.0, None, []), (504, 1.0, 1.5, []),
+                (200, 1.0, 1.5, ["MIXED"])):
+            self.setUp()
+            self.assertEqual(
+                self.answer(status, sent_at, executed_until), expected,
+                (status, sent_at, executed_until))
+
+    def test_counts_504_in_place_of_an_answer_that_was_ready(self):
+        for strict, executed_until, count, expected in (
+                (False, 4.5, 1, []), (True, 4.5, 1, ["ANSWER"]),
+                (True, 4.7, 0, [])):
+            self.setUp()
+            self.checks.strict_answers = strict
+            self.assertEqual(self.answer(504, 1.0, executed_until), expected)
+            self.assertEqual(self.checks.lost_late, count)
+
+    def test_tells_apart_callers_that_read_too_slowly(self):
+        """4.1 s remain after the run, in which 410 kB can be taken."""
+        def ahead(taken, answered_at=0.0):
+            return SentRequest(
+                "a0", "vm-0", "shop", "files", "download", "GET", "/file/0",
+                b"", 900_000, 9.0, 9.0, STOPPED_AT, bytes_per_s=100_000,
+                taken_bytes=taken, answered_at=answered_at)
+        self.assertEqual(self.end(
+            1.0, 5.6, executed_until=1.5), ["LOST"])  # Not a slow one.
+        for size, taken, after, until, expected in (
+                (900_000, 400_000, None, 1.5, []),
+                (900_000, 300_000, None, 1.5, ["LOST"]),
+                (300_000, 290_000, None, 1.5, ["LOST"]),
+                (900_000, 0, None, 5.59, ["LOST"]),  # Nothing was sent.
+                (100, 0, ahead(400_000), 1.5, []),
+                (100, 0, ahead(100_000), 1.5, ["LOST"]),
+                (100, 0, ahead(900_000, STOPPED_AT + 5.0), 1.5, ["LOST"])):
+            self.setUp()
+            self.checks.execution_ends["a0"] = STOPPED_AT + 1.5
+            self.assertEqual(self.end(
+                1.0, 5.6, executed_until=until, response_size=size,
+                taken_bytes=taken, bytes_per_s=100_000, after=after,
+                behind=after is not None), expected, (size, taken, after))
+
+
+class CutMessageTest(unittest.TestCase):
+
+    def test_tells_a_cut_chunked_body_from_a_malformed_one(self):
+        """A cut one is a lost answer; what was taken before counts."""
+        whole = encode_response(200, b"x" * 40_000, framing="chunked")
+
+        async def read(data, on_piece):
+            reader = asyncio.StreamReader()
+            reader.feed_data(data)
+            reader.feed_eof()
+            return await read_message(reader, on_piece=on_piece)
+        response = asyncio.run(read(whole, lambda size: None))
+        self.assertEqual(response.body, b"x" * 40_000)
+        for end in range(len(whole) - 30_000, len(whole), 499):
+            pieces = []
+            with self.assertRaises(asyncio.IncompleteReadError):
+                asyncio.run(read(whole[:end], pieces.append))
+            self.assertAlmostEqual(sum(pieces), end, delta=100)
+
+
 class FleetTest(unittest.TestCase):
 
     ACKNOWLEDGED_AT = 1000.0
--- a/tests/soak/messages.py
+++ b/tests/soak/messages.py
@@ -44,38 +44,48 @@
     return Message(lines[0], fields)
 
 
-async def read_body(reader, fields, piece_pause_s=0.0):
+async def read_body(reader, fields, piece_pause_s=0.0, on_piece=None):
     """Reads a body with Content-Length or in chunked encoding.
 
-    Pauses after each piece of PIECE_BYTES if `piece_pause_s` is not 0.
+    Pauses after each piece of PIECE_BYTES if `piece_pause_s` is not 0. Calls
+    `on_piece`, if there is one, with the size of each piece.
     """
     if "chunked" in fields.get("transfer-encoding", ""):
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
-            body += await read_pieces(reader, size, piece_pause_s)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b";")[0], 16)
+            body += await read_pieces(reader, size, piece_pause_s, on_piece)
             await reader.readexactly(2)
             if size == 0:
                 return body
     return await read_pieces(reader, int(fields.get("content-length", 0)),
-                             piece_pause_s)
+                             piece_pause_s, on_piece)
 
 
-async def read_pieces(reader, size, pause_s):
-    if not pause_s:
+async def read_pieces(reader, size, pause_s, on_piece):
+    if not pause_s and not on_piece:
         return await reader.readexactly(size)
     pieces = []
     while size > 0:
-        pieces.append(await reader.readexactly(min(size, PIECE_BYTES)))
-        size -= len(pieces[-1])
-        await asyncio.sleep(pause_s)
+        piece = await reader.read(min(size, PIECE_BYTES))
+        if not piece:
+            raise asyncio.IncompleteReadError(b"".join(pieces), None)
+        pieces.append(piece)
+        size -= len(piece)
+        if on_piece:
+            on_piece(len(piece))
+        await asyncio.sleep(pause_s * len(piece) / PIECE_BYTES)
     return b"".join(pieces)
 
 
-async def read_message(reader, piece_pause_s=0.0):
+async def read_message(reader, piece_pause_s=0.0, on_piece=None):
     message = await read_head(reader)
     if message is not None:
-        message.body = await read_body(reader, message.fields, piece_pause_s)
+        message.body = await read_body(reader, message.fields, piece_pause_s,
+                                       on_piece)
     return message
 
 
@@ -87,7 +97,22 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-def encode_response(status, body, fields=None):
-    lines = [f"HTTP/1.1 {status} -", f"Content-Length: {len(body)}"]
+def encode_response(status, body, fields=None, framing="length"):
+    """Encodes a response.
+
+    `framing`: what ends the body: its "length", the last chunk ("chunked") or
+    the "close" of the connection.
+    """
+    lines = [f"HTTP/1.1 {status} -"]
+    if framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "close":
+        lines.append("Connection: close")
+    else:
+        lines.append("Transfer-Encoding: chunked")
+        pieces = [body[start:start + PIECE_BYTES]
+                  for start in range(0, len(body), PIECE_BYTES)] + [b""]
+        body = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece)
+                        for piece in pieces)
     lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -43,8 +43,9 @@
 class Proxy:
     """Forwards connections from one port to another.
 
-    Bytes from the target take time on `link`, if there is one.
-
+    Bytes from the target take time on `link`, if there is one. `buffer_bytes`
+    bounds each buffer on their way, so that the target notices when they are
+    not taken; 0 leaves them to the kernel.
 
     The mode applies to open and to new connections:
 
@@ -55,9 +56,10 @@
     one_way: drops the bytes from the target.
     """
 
-    def __init__(self, seed, link=None):
+    def __init__(self, seed, link=None, buffer_bytes=0):
         self.random = random.Random(seed)
         self.link = link
+        self.buffer_bytes = buffer_bytes
         self.mode = "pass"
         self.target = 0
         self.writers = set()
@@ -83,8 +85,7 @@
             reset_connection(writer)
             return
         try:
-            upstream_reader, upstream_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target)
+            upstream_reader, upstream_writer = await self.connect(writer)
         except OSError:
             reset_connection(writer)
             return
@@ -102,6 +103,25 @@
             self.lossy_writers.discard(pair_writer)
             pair_writer.close()
 
+    async def connect(self, client_writer):
+        """Connects to the target, and bounds the buffers of both sides."""
+        if not self.buffer_bytes:
+            return await asyncio.open_connection("127.0.0.1", self.target)
+        client_writer.transport.set_write_buffer_limits(self.buffer_bytes)
+        client_writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, self.buffer_bytes)
+        sock = socket.socket()
+        # Has to be set before the connection is made.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.buffer_bytes)
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(
+                sock, ("127.0.0.1", self.target))
+        except OSError:
+            sock.close()
+            raise
+        return await asyncio.open_connection(sock=sock, limit=self.buffer_bytes)
+
     async def forward(self, reader, writer, is_response):
         link = self.link if is_response else None
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,8 @@
 
 Usage: soak.py BIN_DIR [--seed N] [--minutes M] [--vms N] [--keep] [--calm]
                [--store-faults restored|odd|all] [--server-faults]
-               [--server-restarts]
+               [--server-restarts] [--stops-in-series] [--slow-callers]
+               [--strict-answers]
 
 Each daemon is a process of its own. The store, the backend servers, the callers
 and the proxies (in front of the store and between the daemons) run in this
@@ -19,6 +20,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import subprocess
@@ -30,7 +32,8 @@
 
 from backend import ANNOUNCE_INTERVAL_S, CRASHING_NAME, Backend
 from callers import DEFAULT_HEADER_BYTES, ROUTES, Caller, Load
-from checks import APPLY_S, CONTACT_S, DRAIN_S, STOP_GRACE_S, Checks
+from checks import (APPLY_S, CONTACT_S, DRAIN_S, STOP_ACCEPT_S, STOP_GRACE_S,
+                    Checks)
 from fleet_control import PortBlock
 from odd_messages import send_odd_message
 from proxy import MODES, Link, Proxy
@@ -48,6 +51,10 @@
 # Limits of the operator: below and above the bounds of 16 and 64 KiB, and one
 # that no memory holds.
 HEADER_LIMITS = (4096, DEFAULT_HEADER_BYTES, 131_072, 131_072, 2 ** 40)
+# Links of the VMs that are not slow, with --stops-in-series, and buffers on the
+# way of their answers: what a path of 7 Mbit/s with 75 ms holds.
+FAST_LINK_MBPS = (20, 140)
+PATH_BUFFER_BYTES = 65_536
 # Memory of the smallest VM in the users' deployments.
 MEMORY_MB = 160
 
@@ -62,7 +69,7 @@
     PORT_COUNT = 9
 
     def __init__(self, index, service, bin_dir, work_dir, ports, store_port,
-                 checks, seed):
+                 checks, seed, limits_all_links):
         self.name = f"vm-{index}"
         self.service = service
         self.bin_dir = bin_dir
@@ -78,13 +85,18 @@
         self.all_ports = (listen_port, forward_port, local_port, ready_port,
                           metrics_port)
         is_slow = self.service == "files" or index % 6 == 4
-        link_mbps = random.Random(seed).uniform(4, 8) if is_slow else 0
+        link_mbps = random.Random(seed).uniform(
+            *((4, 8) if is_slow else FAST_LINK_MBPS))
+        if not is_slow and not limits_all_links:
+            link_mbps = 0
+        self.has_slow_link = is_slow
+        buffer_bytes = PATH_BUFFER_BYTES if limits_all_links else 0
         # A daemon on a link where bytes wait counts as out of touch.
         self.link = Link(link_mbps, lambda: checks.record_disruption_time(
-            self.name, planned=True)) if is_slow else None
+            self.name, planned=True)) if link_mbps else None
         self.store_proxy = Proxy(seed)
-        self.peer_proxy = Proxy(seed + 1, self.link)
-        self.caller_proxy = Proxy(seed + 3, self.link)
+        self.peer_proxy = Proxy(seed + 1, self.link, buffer_bytes)
+        self.caller_proxy = Proxy(seed + 3, self.link, buffer_bytes)
         self.backend = Backend(self.service, server_port, local_port, checks,
                                seed + 2)
         self.backend.vm = self.name
@@ -171,12 +183,14 @@
     # Time between the stops of a roll, and for the downloads to fill the links
     # before it.
     ROLL_INTERVAL_S = 0.25
+    SERIES_INTERVAL_S = 0.3
+    SERIES_CALLERS_PER_STOP = 8
     FILL_S = 2.0
 
     def __init__(self, options, work_dir):
         self.random = random.Random(options.seed)
         self.options = options
-        self.checks = Checks()
+        self.checks = Checks(options.stops_in_series, options.strict_answers)
         self.store = Store()
         self.port_blocks = [
             PortBlock() for _ in range(0, options.vms, self.VMS_PER_PORT_BLOCK)]
@@ -190,7 +204,8 @@
                options.bin_dir, work_dir,
                self.port_blocks[index // self.VMS_PER_PORT_BLOCK].allocate(
                    Vm.PORT_COUNT), self.store_port,
-               self.checks, options.seed * 1000 + index * 10)
+               self.checks, options.seed * 1000 + index * 10,
+               options.stops_in_series)
             for index in range(options.vms)]
         # Connections on which a request is sent at a moment of the grace.
         self.callers_per_stop = max(4, 180 // len(self.vms))
@@ -198,10 +213,16 @@
                             self.MAX_CALLERS // len(self.vms)))
         self.load = Load(per_vm * len(self.vms))
         self.load.has_long_heads = options.odd_messages
+        self.load.stops_in_series = options.stops_in_series
+        self.load.slow_callers = options.slow_callers
+        if options.stops_in_series:
+            self.callers_per_stop = self.SERIES_CALLERS_PER_STOP
         self.callers = [
             Caller(vm, self.checks, self.random.random(), self.load)
             for vm in self.vms for _ in range(per_vm)]
         self.rolling = False
+        self.stop_calls = []
+        self.max_lag_s = 0.0
         self.operator = asyncio.Lock()  # Held while the operator can't write.
         self.odd_entries = 0
         self.crashing_requests = 0
@@ -284,6 +305,13 @@
             self.checks.on_probe(vm.name, lifetime, vm.started_at, prefix,
                                  sent_at, status, first_status)
 
+    async def watch_loop(self):
+        """Measures how late this process runs, which delays all its bytes."""
+        while not self.load.ended:
+            due_at = time.monotonic() + 0.05
+            await asyncio.sleep(0.05)
+            self.max_lag_s = max(self.max_lag_s, time.monotonic() - due_at)
+
     async def watch_vm(self, vm):
         """Probes a daemon, and checks its backend server and its record."""
         while not self.load.ended:
@@ -469,16 +497,44 @@
         self.load.fills_links = False
         self.rolling = False
 
+    async def stop_in_series(self):
+        """Stops half of the daemons beside each service while links are full.
+
+        A SIGTERM comes every SERIES_INTERVAL_S, so the stops overlap.
+        """
+        if self.rolling:
+            return
+        self.rolling = self.load.fills_links = True
+        vms = []
+        for service in ("files", "shop"):
+            beside = [vm for vm in self.vms if vm.service == service]
+            vms += self.random.sample(beside, len(beside) // 2)
+        self.random.shuffle(vms)
+        await asyncio.sleep(self.random.uniform(0, 1) * self.FILL_S)
+        restarts = []
+        for vm in vms:
+            restarts.append(asyncio.create_task(self.restart(vm)))
+            await asyncio.sleep(self.SERIES_INTERVAL_S)
+        await asyncio.gather(*restarts)
+        self.load.fills_links = self.rolling = False
+
+    def call_during_stop(self, vm, stop, number):
+        caller = Caller(vm, self.checks, self.random.random(), self.load)
+        if not self.load.stops_in_series:
+            return caller.call_during_stop(stop,
+                                           STOP_GRACE_S * self.random.random())
+        return (caller.call_until_gone(stop) if number % 2 else
+                caller.call_during_stop(
+                    stop, STOP_ACCEPT_S * self.random.random()))
+
     async def restart(self, vm):
         if not vm.should_run:
             return
         vm.should_run = False
         stop = asyncio.Event()
         calls = [
-            asyncio.create_task(
-                Caller(vm, self.checks, self.random.random(), self.load)
-                .call_during_stop(stop, STOP_GRACE_S * self.random.random()))
-            for _ in range(self.callers_per_stop)]
+            asyncio.create_task(self.call_during_stop(vm, stop, number))
+            for number in range(self.callers_per_stop)]
         await asyncio.sleep(0.3)  # For the connections of these callers.
         if vm.process.poll() is not None:
             self.checks.on_exit(vm.name, vm.process.returncode, None)
@@ -504,7 +560,10 @@
         await asyncio.sleep(0.3)
         vm.start_daemon()
         self.checks.end_disruption(vm.name, planned=True)
-        await asyncio.gather(*calls)
+        if self.load.stops_in_series:
+            self.stop_calls += calls  # Other stops don't wait for them.
+        else:
+            await asyncio.gather(*calls)
 
     async def reload_daemon(self):
         vm = self.random.choice(self.vms)
@@ -714,6 +773,7 @@
                         for caller in self.callers]
         caller_tasks += [asyncio.create_task(self.watch_vm(vm))
                          for vm in self.vms]
+        caller_tasks.append(asyncio.create_task(self.watch_loop()))
         await asyncio.sleep(2)
         planned = (self.change_config, self.stop_daemon, self.roll_daemons,
                    self.reload_daemon, self.replace_backend)
@@ -731,6 +791,9 @@
             planned += (self.change_limits,)
             actions += 5 * (self.send_odd_messages,) + 2 * (
                 self.change_limits,)
+        if self.options.stops_in_series:
+            planned = (self.change_config, self.reload_daemon,
+                       self.stop_in_series, self.stop_in_series)
         store_faults = {
             "restored": (self.restore_store,), "odd": (self.write_odd_entries,),
             "all": (self.restore_store, self.write_odd_entries)}.get(
@@ -738,12 +801,13 @@
         actions += 4 * store_faults
         calm_period_end = time.monotonic() + CALM_PERIOD_S
         fault_period_start = calm_period_end
-        action = self.roll_daemons
+        action = (self.stop_in_series if self.options.stops_in_series else
+                  self.roll_daemons)
         end = time.monotonic() + self.options.minutes * 60
         while time.monotonic() < end:
             # Faults follow each other and overlap. Calm periods only have
             # planned actions, which must not affect callers.
-            if self.options.calm:
+            if self.options.calm or self.options.stops_in_series:
                 calm_period_end = end
             elif time.monotonic() > fault_period_start + FAULT_PERIOD_S:
                 await asyncio.gather(*self.tasks)
@@ -769,7 +833,8 @@
                           else self.refuse_twice)
             else:
                 action = self.random.choice(actions)
-        await asyncio.gather(*self.tasks)
+        self.load.fills_links = False
+        await asyncio.gather(*self.tasks, *self.stop_calls)
         await asyncio.sleep(RECOVERY_S)
         since = time.monotonic()
         await asyncio.sleep(3)
@@ -800,6 +865,20 @@
             block.release()
 
 
+def print_daemon_lines(work_dir, violations):
+    """Prints what the daemons logged of the requests in violations."""
+    attempt_ids = {violation.split(" ")[1] for violation in violations}
+    for name in sorted(os.listdir(work_dir)):
+        if not name.endswith(".log"):
+            continue
+        with open(os.path.join(work_dir, name), encoding="utf-8",
+                  errors="replace") as file:
+            for line in file:
+                found = re.search(r"\brequest=(\w+)", line)
+                if found and found[1] in attempt_ids:
+                    print(f"{name}: {line.rstrip()}")
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("bin_dir")
@@ -823,6 +902,15 @@
     parser.add_argument("--odd-messages", action="store_true",
                         help="also sends long, malformed and incomplete "
                         "messages to all listeners, and changes the limits")
+    parser.add_argument("--stops-in-series", action="store_true",
+                        help="planned work only: a SIGTERM every 0.3 s, in "
+                        "overlapping stops, beside requests that outlast the "
+                        "grace and large downloads; all links are limited")
+    parser.add_argument("--slow-callers", action="store_true",
+                        help="half of the callers read slowly")
+    parser.add_argument("--strict-answers", action="store_true",
+                        help="504 in place of an answer that was ready a "
+                        "second before the daemon's end is a violation")
     parser.add_argument("--known-check", action="append", default=[],
                         help="check whose violations do not count as a "
                         "failure, see KNOWN-RED.txt")
@@ -843,8 +931,10 @@
           f"{dict(soak.checks.response_counts)}, undisrupted checks "
           f"{dict(soak.checks.check_counts)}, a link in use for "
           f"{max(vm.link.longest_use_s for vm in soak.vms if vm.link):.1f} s, "
-          f"{share:.2f} served at the end, "
+          f"{share:.2f} served at the end, lost_late "
+          f"{soak.checks.lost_late}, late by up to {soak.max_lag_s:.2f} s, "
           f"{len(violations)} violations")
+    print_daemon_lines(work_dir, violations)
     if violations or options.keep:
         print(f"logs: {work_dir}")
     else:
