Stop: bounded turns, own callers and own stop in the link's queue

What callers would see, found by the review of the changes to the stop: 504 for ready downloads behind one slow caller, or while the link is idle; partial downloads whose first 64 KiB were being read at the SIGTERM; 504 for downloads of the backend server on the same VM.

Cause: a turn ended only after 300 ms without a byte, and a rate that was measured once bounded all that followed; the queue of the link knew neither the callers on the VM of a daemon that stops nor the stop of the daemon beside the server itself; whether an answer is read whole was decided before its first bytes were read; and a request whose last look for a refusal had begun could be offered again.

Change: the next response begins after 500 ms at the latest, and rates count only in the last second. Answers of the daemon that stops, queued and later ones, have its end as their deadline. The decision to read an answer whole is taken again when its first bytes are there. After the last look no offer is made; EndUnansweredRequests runs until the process ends.

These faults were found by reading; no test failed first.

--- a/libs/caller/src/write_turns.cc
+++ b/libs/caller/src/write_turns.cc
@@ -12,8 +12,15 @@
 // caller that reads 600 kB a second from a small receive buffer acknowledges
 // bytes at intervals of more than 100 ms.
 constexpr duration kMaxStall = std::chrono::milliseconds(300);
-// Shorter writes tell nothing of the rate of a link.
+// Time after which the next response begins beside one that is still being
+// written, so that one slow caller does not take all the time that is left. A
+// link of 7 Mbit/s carries 440 kB in it.
+constexpr duration kMaxTurn = std::chrono::milliseconds(500);
+// Shorter writes tell nothing more of the rate of a link.
 constexpr duration kMinRateTime = std::chrono::milliseconds(50);
+// Time before the end in which a response is not started if the rates seen are
+// too low for it. Earlier, a faster caller may still finish.
+constexpr duration kRateBoundTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -40,21 +47,19 @@
   if (*left > 0) {
     if (std::exchange(current.unacknowledged, *left) != *left)
       current.progress_at = now;
-    return now - current.progress_at >= kMaxStall;
-  }
-  const auto time = now - current.began_at;
-  if (time < kMinRateTime) {
-    is_fast_ = true;
-  } else {
-    const auto seconds = std::chrono::duration<double>(time).count();
-    best_bytes_per_second_ = std::max(
-        best_bytes_per_second_, static_cast<double>(current.bytes) / seconds);
+    return now - current.progress_at >= kMaxStall ||
+           now - current.began_at >= kMaxTurn;
   }
+  const std::chrono::duration<double> time =
+      std::max(now - current.began_at, kMinRateTime);
+  best_bytes_per_second_ =
+      std::max(best_bytes_per_second_,
+               static_cast<double>(current.bytes) / time.count());
   return true;
 }
 
 bool write_turns::HasTime(std::uint64_t bytes, instant now) const {
-  if (is_fast_ || best_bytes_per_second_ == 0 || end_ == instant::max())
+  if (best_bytes_per_second_ == 0 || now + kRateBoundTime < end_)
     return now < end_;
   const std::chrono::duration<double> needed(static_cast<double>(bytes) /
                                              best_bytes_per_second_);
--- a/libs/caller/src/write_turns.h
+++ b/libs/caller/src/write_turns.h
@@ -27,14 +27,14 @@
 // other, the smallest first. If all were written at once over a link that is
 // too slow for them, each would be cut at the end.
 //
-// A response that makes no progress does not hold up the others, so that a
-// caller that does not read delays them little.
+// A response that makes no progress or takes long does not hold up the others,
+// so that a caller that reads slowly or not at all delays them little.
 class write_turns {
  public:
   // Until then, each response is written at once.
   void Start() { active_ = true; }
-  // Sets when the connections close. A response that could not be written by
-  // then, at the highest rate seen, does not get a turn.
+  // Sets when the connections close. Shortly before, a response that could not
+  // be written by then, at the highest rate seen, does not get a turn.
   void SetEnd(instant end) { end_ = end; }
 
   // Returns whether the response may be written now. Otherwise BeginTurn()
@@ -62,8 +62,7 @@
   instant end_ = instant::max();
   std::vector<turn> current_;
   std::vector<turn> waiting_;
-  double best_bytes_per_second_ = 0;  // 0: not known to be limited.
-  bool is_fast_ = false;              // A response took no measurable time.
+  double best_bytes_per_second_ = 0;  // 0: not known yet.
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -17,6 +17,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+void LimitToStop(answer_times& times, instant latest) {
+  times.deadline = std::min(times.deadline, latest);
+  times.receiver_stops = true;
+}
+
 }  // namespace
 
 answer_sender::answer_sender(boost::asio::io_context& io,
@@ -27,13 +32,14 @@
       attempt_id_field_(std::move(attempt_id_field)) {}
 
 void answer_sender::Send(const std::shared_ptr<incoming_request>& request,
-                         incoming_response answer, const answer_times& times,
+                         incoming_response answer, answer_times times,
                          std::function<void(response_write_result)> done) {
   if (!paced_ || !answer.head.length || !queue_.IsPaced(*answer.head.length)) {
     CountSent(answer.head);
     request->Respond(std::move(answer), std::move(done));
     return;
   }
+  if (latest_deadline_) LimitToStop(times, *latest_deadline_);
   const auto id = ++last_id_;
   const auto now = MonotonicNow();
   queue_.Add({.id = id,
@@ -55,10 +61,17 @@
 void answer_sender::LimitDeadlinesOf(const std::string& receiver,
                                      instant latest) {
   for (auto& [id, waiting] : waiting_) {
-    auto& times = waiting.times;
-    if (times.receiver != receiver) continue;
-    times.deadline = std::min(times.deadline, latest);
-    times.receiver_stops = true;
+    if (waiting.times.receiver != receiver) continue;
+    LimitToStop(waiting.times, latest);
+    queue_.LimitToStop(id, latest);
+  }
+  SendReady();
+}
+
+void answer_sender::LimitDeadlines(instant latest) {
+  latest_deadline_ = latest;
+  for (auto& [id, waiting] : waiting_) {
+    LimitToStop(waiting.times, latest);
     queue_.LimitToStop(id, latest);
   }
   SendReady();
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,13 +46,17 @@
   // @param done Receives the result, also if the receiver disconnects while the
   //   answer is queued; not if the sender is stopped. May be empty.
   void Send(const std::shared_ptr<incoming_request>& request,
-            incoming_response answer, const answer_times& times,
+            incoming_response answer, answer_times times,
             std::function<void(response_write_result)> done = nullptr);
 
   // Limits the deadlines of the queued answers to another daemon, which stops
   // soon after `latest`.
   void LimitDeadlinesOf(const std::string& receiver, instant latest);
 
+  // Limits the deadlines of all answers, queued and later ones: this daemon
+  // stops soon after `latest`.
+  void LimitDeadlines(instant latest);
+
   // Accounts for an answer that is sent without queueing.
   void CountSent(const response_head& head);
 
@@ -89,6 +94,7 @@
   boost::asio::steady_timer timer_;
   const std::string attempt_id_field_;
   bool paced_ = true;
+  std::optional<instant> latest_deadline_;  // See LimitDeadlines().
   std::uint64_t last_id_ = 0;
   std::uint64_t sent_answers_ = 0;  // Queued ones only.
   std::unordered_map<std::uint64_t, waiting_answer> waiting_;
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -327,7 +327,7 @@
 bool routed_request::MayOffer() const {
   return offers_ < router_.options_.max_offers &&
          busy_refusals_ < plan_.Total() && sends_ < route_->max_servers &&
-         MonotonicNow() < deadline_ &&
+         MonotonicNow() < deadline_ && !last_read_done_ &&
          (!streamed_body_ || !streamed_body_->Consumed());
 }
 
@@ -419,6 +419,7 @@
   sent_ = router_.dispatcher_.Start(
       {.request = BuildRequest(),
        .attempt_id = attempt_id_,
+       .sender_stops = router_.stop_.has_value(),
        .instance = choice.member.server->instance,
        .fingerprint = fingerprint_,
        .on_trial = demand_.trial.has_value(),
@@ -690,24 +691,35 @@
   // slot on the backend server.
   //
   // While the daemon stops, a large answer is read completely as well: the rest
-  // of one that has been forwarded in part may arrive after the end. It is not
-  // read before there is memory for it.
+  // of one that has been forwarded in part may arrive after the end.
+  if (NeedsStopMemory()) {
+    ReadAnswerAtStop();
+  } else {
+    ReadAnswerBody();
+  }
+}
+
+// The answer is not read before there is memory for it.
+void routed_request::ReadAnswerAtStop() {
   const auto bytes = answer_bytes_.value_or(kMaxBufferedAnswerBytes);
-  if (router_.stop_ &&
-      bytes > std::max<std::uint64_t>(kMaxBufferedBodyBytes, stop_memory_) &&
-      bytes <= kMaxStopAnswerBytes) {
-    // That of an answer to an earlier offer is too small.
-    if (stop_memory_ > 0)
-      router_.ReleaseStopMemory(std::exchange(stop_memory_, 0));
-    if (!router_.ReserveStopMemory(bytes, shared_from_this())) {
-      awaits_stop_memory_ = true;
-      return;
-    }
-    stop_memory_ = bytes;
+  // That of an answer to an earlier offer is too small.
+  if (stop_memory_ > 0)
+    router_.ReleaseStopMemory(std::exchange(stop_memory_, 0));
+  if (!router_.ReserveStopMemory(bytes, shared_from_this())) {
+    awaits_stop_memory_ = true;
+    return;
   }
+  stop_memory_ = bytes;
   ReadAnswerBody();
 }
 
+bool routed_request::NeedsStopMemory() const {
+  const auto bytes = answer_bytes_.value_or(kMaxBufferedAnswerBytes);
+  return router_.stop_ &&
+         bytes > std::max<std::uint64_t>(kMaxBufferedBodyBytes, stop_memory_) &&
+         bytes <= kMaxStopAnswerBytes;
+}
+
 bool routed_request::OnStopMemory(std::uint64_t bytes) {
   if (finished_ || !std::exchange(awaits_stop_memory_, false)) return false;
   stop_memory_ = bytes;
@@ -736,6 +748,12 @@
     OnUnknownOutcome(start.error());
     return;
   }
+  if (!start->complete && NeedsStopMemory()) {  // The stop has begun meanwhile.
+    answer_->body =
+        std::make_shared<prefixed_body>(start->bytes, std::move(answer_->body));
+    ReadAnswerAtStop();
+    return;
+  }
   answer_is_complete_ = start->complete;
   if (start->complete) {
     answer_->body = std::make_shared<buffered_body>(start->bytes);
@@ -844,7 +862,9 @@
       router_.sender_.Queue().LinkTime(answer.head.length.value_or(0));
   if (answer_is_local_ && MonotonicNow() + send_time <= deadline_) {
     router_.sender_.Send(request_, std::move(answer),
-                         {.target_at = target_at_, .deadline = deadline_},
+                         {.target_at = target_at_,
+                          .deadline = deadline_,
+                          .receiver_stops = router_.stop_.has_value()},
                          std::move(done));
   } else {
     // The daemon beside another backend server has paced the answer: a second
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -115,6 +115,9 @@
 
   // Handling of the answer.
   void ReadAnswer(incoming_response answer);
+  // Whether the answer is to be read completely because the daemon stops.
+  bool NeedsStopMemory() const;
+  void ReadAnswerAtStop();
   void ReadAnswerBody();
   void OnResponseBody(const result<body_prefix>& start);
   void Deliver();
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -309,6 +309,7 @@
          .respond_at =
              std::max(stop_deadline_ - kStopResponseTime, request_deadline_)});
     dispatcher_.LimitDeadlines(request_deadline_);
+    sender_.LimitDeadlines(request_deadline_);
     caller_listener_.CloseAfterResponses();
     // Tells other daemons while requests in transit can still run.
     leaving_ = true;
@@ -550,6 +551,7 @@
 
   // Bytes that the kernel holds may be lost when the process ends.
   void AwaitWrites() {
+    router_.EndUnansweredRequests();
     const bool sending =
         caller_listener_.IsSending() || daemon_listener_.IsSending();
     if (!sending || MonotonicNow() >= write_deadline_) {
