--- a/libs/caller/src/write_turns.cc
+++ b/libs/caller/src/write_turns.cc
@@ -14,8 +14,8 @@
 constexpr duration kMaxStall = std::chrono::milliseconds(300);
 // Time after which the next response begins beside one that is still being
 // written, so that one slow caller does not take all the time that is left. A
-// link of 7 Mbit/s carries 440 kB in it.
-constexpr duration kMaxTurn = std::chrono::milliseconds(500);
+// link of 7 Mbit/s carries 875 kB in it.
+constexpr duration kMaxTurn = std::chrono::seconds(1);
 // Shorter writes tell nothing more of the rate of a link.
 constexpr duration kMinRateTime = std::chrono::milliseconds(50);
 // Time before the end in which a response is not started if the rates seen are
