Soak: bytes that are no chunk size are malformed, also at a cut

A cut with nothing or with the start of a size stays a closed connection, like a cut in a body with a length: chunked answers are new in the soak.

The soak was not run again.

--- a/tests/soak/messages.py
+++ b/tests/soak/messages.py
@@ -54,9 +54,10 @@
         body = b""
         while True:
             line = await reader.readline()
+            # A cut within the line is no reason to accept other bytes in it.
+            size = int(line.split(b";")[0], 16) if line else 0
             if not line.endswith(b"\n"):
                 raise asyncio.IncompleteReadError(line, None)
-            size = int(line.split(b";")[0], 16)
             body += await read_pieces(reader, size, piece_pause_s, on_piece)
             await reader.readexactly(2)
             if size == 0:
