Roll-out: a version is slow only if callers can notice it

What operators saw: a good version was rolled back once. rollout_bad had "mean run time in ms 0.40, other versions 0.15".

Cause: mean run times were compared by their ratio alone. For runs far below a millisecond the delays of a busy VM are larger than the factor of 2.5.

Change: the mean must also be 10 ms above that of the other version.

VersionComparison_ShortRunsBeyondTheFactor_AreNotBad failed before.

--- a/libs/rollout/src/version_comparison.cc
+++ b/libs/rollout/src/version_comparison.cc
@@ -29,7 +29,8 @@
   }
   if (counts.timed >= options_.min_timed &&
       others.timed >= options_.min_timed_others &&
-      counts.MeanTimeMs() > options_.time_factor * others.MeanTimeMs()) {
+      counts.MeanTimeMs() > options_.time_factor * others.MeanTimeMs() &&
+      counts.MeanTimeMs() > others.MeanTimeMs() + options_.time_margin_ms) {
     return Describe("mean run time in ms", counts.MeanTimeMs(),
                     others.MeanTimeMs());
   }
--- a/libs/rollout/tests/version_comparison_test.cc
+++ b/libs/rollout/tests/version_comparison_test.cc
@@ -64,6 +64,30 @@
   CHECK(IsBad());
 }
 
+// Guards against a good version with runs far below a millisecond that is taken
+// back because a busy VM doubled them.
+TEST_CASE_METHOD(version_comparison_fixture,
+                 "VersionComparison_ShortRunsBeyondTheFactor_AreNotBad",
+                 "[rollout]") {
+  for (int i = 0; i < 10; ++i)
+    Report("old-" + std::to_string(i), "v1", 200, 0, 0.15);
+  for (const auto* const instance : {"n1", "n2", "n3"})
+    Report(instance, "v2", 40, 0, 0.4);
+  CHECK_FALSE(IsBad());
+}
+
+// Guards against a version that stays though it turned short runs into ones
+// that callers notice.
+TEST_CASE_METHOD(version_comparison_fixture,
+                 "VersionComparison_ShortRunsThatBecameLong_AreBad",
+                 "[rollout]") {
+  for (int i = 0; i < 10; ++i)
+    Report("old-" + std::to_string(i), "v1", 200, 0, 0.15);
+  for (const auto* const instance : {"n1", "n2", "n3"})
+    Report(instance, "v2", 40, 0, 11);
+  CHECK(IsBad());
+}
+
 // Guards against a fault on a route with little traffic that the other routes
 // hide.
 TEST_CASE_METHOD(version_comparison_fixture,
