Configuration: a request between daemons confirms nothing

A daemon answers 404 only if its configuration was confirmed within the bound of 2.5 s, so it believed in a confirmation from after the acknowledgement.

Cause: a request carries the age of its sender's confirmation at the moment of sending, and the receiver took the moment of arrival for it. On its way behind others on a full link, or while one of both is cut off or paused, it takes seconds.

Change: a request tells of newer versions and of a restored store, and confirms no time. Answers do: the moment when their request was sent is known, and the time for which the other daemon has held it is added.

Sidecar_RequestWasLongOnItsWay_ConfirmsNothing failed before (404).

--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -128,9 +128,8 @@
                             const body_prefix& body) {
   auto& fields = outgoing.head.fields;
   const auto now = request->ReceivedAt();
-  // Requests are sent without delay, unlike answers.
   const auto sender = TakeField(fields, kMeshSenderField);
-  config_sync_.OnPeerState(fields, sender, now);
+  config_sync_.OnPeerState(fields, sender, std::nullopt);
   if (rollouts_ != nullptr) rollouts_->OnPeerState(fields);
   RemoveField(fields, kMeshVersionField);
   RemoveField(fields, kMeshConfirmedField);
--- a/libs/sidecar/src/peer_config_sync.cc
+++ b/libs/sidecar/src/peer_config_sync.cc
@@ -54,7 +54,7 @@
 
 void peer_config_sync::OnPeerState(const http_fields& fields,
                                    const std::string& address,
-                                   instant sent_at) {
+                                   std::optional<instant> sent_at) {
   const auto* field = FindField(fields, kMeshVersionField);
   const auto version = field == nullptr ? 0 : ParseNumber(*field).value_or(0);
   if (version == 0 || version < config_.Version()) return;
@@ -62,7 +62,10 @@
     OnNewerVersion(version, address);
     return;
   }
-  if (const auto confirmation = FindConfirmation(fields, sent_at)) {
+  if (auto confirmation =
+          FindConfirmation(fields, sent_at.value_or(instant()))) {
+    // The revision tells of a restored store, also without a time.
+    if (!sent_at) confirmation->at = instant();
     reader_.OnConfirmed(*confirmation);
   }
 }
--- a/libs/sidecar/src/peer_config_sync.h
+++ b/libs/sidecar/src/peer_config_sync.h
@@ -40,9 +40,13 @@
   virtual const std::string& LocalAddress() const = 0;
   // Handles these fields of a message from another daemon.
   // @param address Address at which that daemon serves its configuration.
-  // @param sent_at When the message was sent, or earlier.
+  // @param sent_at When the message was sent, or earlier. Without it the
+  //     message confirms nothing: it may have been on its way for seconds,
+  //     behind others on a full link or while one of both was cut off or
+  //     paused.
   virtual void OnPeerState(const http_fields& fields,
-                           const std::string& address, instant sent_at) = 0;
+                           const std::string& address,
+                           std::optional<instant> sent_at) = 0;
   virtual config_currency Currency() const = 0;
 };
 
@@ -80,7 +84,7 @@
   void AddState(http_fields& fields) const override;
   const std::string& LocalAddress() const override { return address_; }
   void OnPeerState(const http_fields& fields, const std::string& address,
-                   instant sent_at) override;
+                   std::optional<instant> sent_at) override;
   config_currency Currency() const override;
 
   // Asks another daemon for its configuration and confirmation.
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -495,7 +495,7 @@
   }
   RecordDelay(head);
   router_.versions_.OnPeerState(head.fields, offer_->member.address,
-                                offered_at_);
+                                offered_at_ + HeldTime(head));
   if (router_.rollouts_ != nullptr) {
     router_.rollouts_->OnPeerState(head.fields);
     router_.rollouts_->OnPeerReport(head.fields, service_);
@@ -517,6 +517,14 @@
   });
 }
 
+// Returns how long the daemon beside the server has held the request when it
+// wrote the head of the answer, 0 if it does not say.
+duration routed_request::HeldTime(const response_head& head) const {
+  const auto* text = FindField(head.fields, kMeshHeldField);
+  const auto held = text == nullptr ? std::nullopt : DecodeHeldTime(*text);
+  return std::min(held.value_or(duration(0)), MonotonicNow() - offered_at_);
+}
+
 void routed_request::RecordDelay(const response_head& head) {
   const auto* text = FindField(head.fields, kMeshHeldField);
   if (text == nullptr) return;
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -109,6 +109,7 @@
   void OnUnknownOutcome(const error& failure);
   void EndOffer(send_outcome outcome);
   // Records the time that the daemon of the current offer added to it.
+  duration HeldTime(const response_head& head) const;
   void RecordDelay(const response_head& head);
   bool AcquireRetry(run_state ran);
   bool ShouldRetry(int status);
--- a/tests/sidecar/config_delay_test.cc
+++ b/tests/sidecar/config_delay_test.cc
@@ -85,6 +85,27 @@
   CHECK_FALSE(refused.Field("Retry-After").empty());
 }
 
+// Guards against a request that was on its way for seconds, behind others on a
+// full link or during a cut, and confirms its sender's configuration as that of
+// the moment of its arrival: the daemon answered 404 on an added route.
+TEST_CASE_METHOD(config_delay_fixture,
+                 "Sidecar_RequestWasLongOnItsWay_ConfirmsNothing",
+                 "[sidecar]") {
+  scripted_server server(OkResponse);
+  PublishConfig(3);
+  store_link_rate_ = 1e9;
+  forward_link_rate_ = 1e9;
+  AddSidecar(&server);
+  WaitUntilOffered(1);
+  RunOnIoThread([this] { nodes_[0]->store_link->Silence(); });
+  std::this_thread::sleep_for(max_config_delay_ * 3 / 2);
+  raw_client sender(nodes_[0]->forward_link->Address());
+  sender.Call("GET", "/safe/1",
+              "Pomelohall-Mesh-Version: 3\r\n"
+              "Pomelohall-Mesh-Confirmed: 1 100000 0\r\n");
+  CHECK(Call(0, "GET", "/unknown/1").status == 503);
+}
+
 // The same for a daemon that has heard of a newer version and does not have it
 // yet.
 TEST_CASE_METHOD(config_delay_fixture,
