Configuration: daemons ask others than the reader that the store turns away

What callers saw: a change that was not in force in time, though other daemons had it.

Cause: a daemon that cannot read the store asked only the designated reader of its data centre, and only between its own reads. The reader asked nobody. If the store turned both away, they learned of a change with requests only.

Change: while its confirmation is old, each daemon asks the reader, then random members of its data centre and of all in turn, also while a read hangs: five within the bound, then once per maximum age.

--- a/libs/mesh/include/mesh/server_directory.h
+++ b/libs/mesh/include/mesh/server_directory.h
@@ -159,6 +159,11 @@
       instant now,
       const std::function<bool(const mesh_member&)>& filter = nullptr) const;
 
+  /// Returns a member that is chosen at random. Suspended members are left out.
+  /// @param filter Returns whether a member may be chosen.
+  std::optional<mesh_member> RandomMember(
+      instant now, const std::function<bool(const mesh_member&)>& filter);
+
   std::vector<mesh_member> Members() const;
   /// Returns the number of known servers of a service and of some versions.
   std::size_t CountServers(const std::string& service,
--- a/libs/mesh/src/server_directory.cc
+++ b/libs/mesh/src/server_directory.cc
@@ -110,6 +110,17 @@
   });
 }
 
+std::optional<mesh_member> server_directory::RandomMember(
+    instant now, const std::function<bool(const mesh_member&)>& filter) {
+  std::vector<const mesh_member*> candidates;
+  for (const auto& [name, state] : members_) {
+    if (now >= state.suspended_until && filter(state.member))
+      candidates.push_back(&state.member);
+  }
+  if (candidates.empty()) return std::nullopt;
+  return *candidates[random_.Below(candidates.size())];
+}
+
 std::vector<mesh_member> server_directory::Members() const {
   std::vector<mesh_member> members;
   for (const auto& [name, state] : members_) members.push_back(state.member);
--- a/libs/sidecar/src/config_reader.cc
+++ b/libs/sidecar/src/config_reader.cc
@@ -14,6 +14,11 @@
 // designated. During an outage, every call of every daemon fails and is charged
 // all the same. The designated daemons notice its end and tell the others.
 constexpr int kOtherDaemonsPause = 4;
+// Number of asks with pauses of that part of the maximum age of a confirmation.
+// Within the bound on configuration a daemon asks five others, so that one of
+// them has read the store even if it turns away half of all. Later pauses are
+// the maximum age, as an outage of the store for all lasts longer.
+constexpr int kQuickAsks = 4;
 
 }  // namespace
 
@@ -24,7 +29,48 @@
       config_(config),
       options_(std::move(options)),
       random_(seed),
-      pacer_(io, store_collection::kConfiguration, options_.backoff, seed) {}
+      pacer_(io, store_collection::kConfiguration, options_.backoff, seed),
+      ask_timer_(io) {}
+
+void config_reader::Start() {
+  List();
+  // Without a bound on the age nothing is asked.
+  if (options_.max_age.count() > 0) AskPeers();
+}
+
+void config_reader::Stop() {
+  pacer_.Stop();
+  ask_timer_.cancel();
+  ask_timeouts_.End();
+}
+
+void config_reader::AskPeers() {
+  const auto age = Age();
+  auto pause = options_.ask_age - age;
+  // While the first read is under way, there is nothing to confirm.
+  const bool is_starting =
+      !confirmation_.revision.IsKnown() && failed_reads_ == 0;
+  if (is_starting) {
+    pause = options_.ask_age;
+  } else if (age < options_.ask_age) {
+    asks_ = 0;
+  } else if (options_.is_fetching()) {
+    pause = AskPause();
+  } else {
+    options_.ask_peer(asks_++);
+    pause = AskPause();
+  }
+  ask_timer_.expires_after(pause);
+  ask_timer_.async_wait(
+      ask_timeouts_.Bind([this](boost::system::error_code cancelled) {
+        if (!cancelled) AskPeers();
+      }));
+}
+
+duration config_reader::AskPause() const {
+  return asks_ <= std::size_t{kQuickAsks} ? options_.max_age / kQuickAsks
+                                          : options_.max_age;
+}
 
 void config_reader::Refresh() {
   if (listing_ || pacer_.Stopped()) return;
@@ -133,14 +179,8 @@
     return;
   }
   const auto age = Age();
-  const bool ask = age >= options_.ask_age;
-  if (ask && asked_after_ != confirmation_.at) {
-    asked_after_ = confirmation_.at;
-    options_.ask_peer();
-  }
   if (age < max_age) {
-    pacer_.RunAfter((ask ? max_age : options_.ask_age) - age,
-                    [this, max_age] { CheckAge(max_age); });
+    pacer_.RunAfter(max_age - age, [this, max_age] { CheckAge(max_age); });
     return;
   }
   // The store would send the same routes and more on the same link.
@@ -163,26 +203,7 @@
       !options_.is_designated()) {
     pause *= kOtherDaemonsPause;
   }
-  next_read_at_ = MonotonicNow() + pause;
-  AwaitNextRead();
-}
-
-void config_reader::AwaitNextRead() {
-  asked_after_ = instant();  // Another daemon may have heard of a change since.
-  const auto left = next_read_at_ - MonotonicNow();
-  if (left.count() <= 0) {
-    ReadAgain();
-    return;
-  }
-  // Without a bound on the age there is nothing to check until then.
-  const auto pause =
-      options_.max_age.count() > 0 ? std::min(left, options_.max_age) : left;
-  pacer_.RunAfter(pause, [this] {
-    if (!options_.is_designated() && Age() >= options_.ask_age) {
-      options_.ask_peer();
-    }
-    AwaitNextRead();
-  });
+  pacer_.RunAfter(pause, [this] { ReadAgain(); });
 }
 
 void config_reader::ReadAgain() {
--- a/libs/sidecar/src/config_reader.h
+++ b/libs/sidecar/src/config_reader.h
@@ -2,6 +2,8 @@
 #define POMELOHALL_SIDECAR_SRC_CONFIG_READER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 
@@ -21,8 +23,11 @@
   std::function<bool()> is_designated;
   // Maximum duration of a watch call of a designated daemon.
   duration watch_wait{0};
-  // Asks a designated daemon for its configuration and confirmation.
-  std::function<void()> ask_peer;
+  // Asks another daemon for its configuration and confirmation, the designated
+  // one first. The others are asked as well, since the store may turn away the
+  // designated one.
+  // @param earlier_asks Number of asks that gave no recent confirmation.
+  std::function<void(std::size_t earlier_asks)> ask_peer;
   // Returns whether a fetch from another daemon is in progress. The store is
   // read meanwhile only if the confirmation reaches twice its maximum age.
   std::function<bool()> is_fetching;
@@ -56,8 +61,8 @@
                 active_config& config, config_reader_options options,
                 std::uint64_t seed);
 
-  void Start() { List(); }
-  void Stop() { pacer_.Stop(); }
+  void Start();
+  void Stop();
   // Reads the store now: another daemon has a newer version that could not be
   // fetched from it.
   void Refresh();
@@ -80,8 +85,10 @@
   void CheckAge(duration max_age);
   void OnFailure(const error& failure);
   void ReadAgain();
-  // Asks another daemon now and then until the next read after a failure.
-  void AwaitNextRead();
+  // Asks other daemons, one after the other, while the confirmation is old.
+  void AskPeers();
+  // Pause before the next ask.
+  duration AskPause() const;
   duration Age() const { return MonotonicNow() - confirmation_.at; }
 
   watched_store& store_;
@@ -90,11 +97,12 @@
   random_source random_;
   store_call_pacer pacer_;
   config_confirmation confirmation_;
-  instant asked_after_;  // Last confirmation when another daemon was asked.
+  boost::asio::steady_timer ask_timer_;
+  std::size_t asks_ = 0;  // Since the last recent confirmation.
   bool listing_ = false;
   std::size_t failed_reads_ = 0;  // Since the last successful one.
-  instant next_read_at_;          // After a failure.
   callback_scope answers_;        // Answers to superseded calls are ignored.
+  callback_scope ask_timeouts_;
 };
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -170,7 +170,10 @@
             io, *platform.store, active_config_,
             {.is_designated = [this] { return IsDesignatedConfigReader(); },
              .watch_wait = settings_.max_config_delay / 4,
-             .ask_peer = [this] { AskDesignatedConfigReader(); },
+             .ask_peer =
+                 [this](std::size_t earlier_asks) {
+                   AskForConfig(earlier_asks);
+                 },
              .is_fetching = [this] { return config_sync_.IsFetching(); },
              .ask_age = settings_.max_config_delay * 7 / 20,
              .max_age = settings_.max_config_delay * 2 / 5,
@@ -389,11 +392,19 @@
     return reader && reader->name == settings_.name;
   }
 
-  void AskDesignatedConfigReader() {
-    const auto reader = directory_.FastestMember(MonotonicNow());
-    if (reader && reader->name != settings_.name) {
-      config_sync_.Ask(reader->address);
+  // Asks the reader of the data centre first. After that, members of this data
+  // centre and of all take turns: the store may turn away a whole one.
+  void AskForConfig(std::size_t earlier_asks) {
+    const auto now = MonotonicNow();
+    const bool is_near = earlier_asks % 2 == 1;
+    auto peer = directory_.FastestMember(now);
+    if (earlier_asks > 0 || !peer || peer->name == settings_.name) {
+      peer = directory_.RandomMember(now, [&](const mesh_member& member) {
+        return member.name != settings_.name &&
+               (!is_near || member.data_centre == settings_.data_centre);
+      });
     }
+    if (peer) config_sync_.Ask(peer->address);
   }
 
   void OnStoreRestored() {
--- a/tests/sidecar/config_delay_test.cc
+++ b/tests/sidecar/config_delay_test.cc
@@ -53,6 +53,29 @@
   CHECK(HasAddedRoute(0));
 }
 
+// Guards against daemons that the store turns away and that ask only the
+// designated reader, which the store turns away as well.
+TEST_CASE_METHOD(config_delay_fixture,
+                 "Sidecar_ReaderIsTurnedAwayByStore_ChangeIsInForceInTime",
+                 "[sidecar]") {
+  scripted_server server(OkResponse);
+  PublishConfig(3);
+  store_link_rate_ = 1e9;
+  link_mbps_ = 100;
+  AddSidecar(&server);  // The designated reader.
+  link_mbps_ = 10;
+  AddSidecar(&server);
+  AddSidecar(&server);
+  WaitUntilOffered(3);  // All know each other.
+  RunOnIoThread([this] {
+    nodes_[0]->store_link->Silence();
+    nodes_[1]->store_link->Silence();
+  });
+  PublishAddedRoute();
+  CHECK(HasAddedRoute(1));
+  CHECK(HasAddedRoute(0));
+}
+
 // Guards against a daemon that notices only after the bound that the store no
 // longer answers its watch.
 TEST_CASE_METHOD(config_delay_fixture,
