Stop: large answers leave memory to smaller ones

Callers of a daemon that stops got 504 5.45 s after its SIGTERM although their answers were ready: answers of 64 KiB to 4 MiB are read whole during a stop, their memory of 32 MiB was given in order of arrival, and eight answers of 4 MiB on stalled links held all of it until then.

The decision is now in answer_memory. An answer gets memory only if four times its size is free, and the smallest waiting one goes first. The bound of 32 MiB is unchanged.

--- a/libs/sidecar/src/request_router.cc
+++ b/libs/sidecar/src/request_router.cc
@@ -81,29 +81,6 @@
        }});
 }
 
-bool request_router::ReserveStopMemory(
-    std::uint64_t bytes, const std::shared_ptr<routed_request>& request) {
-  if (memory_waits_.empty() && stop_memory_ + bytes <= kMaxStopMemory) {
-    stop_memory_ += bytes;
-    return true;
-  }
-  memory_waits_.push_back({.bytes = bytes, .request = request});
-  return false;
-}
-
-void request_router::ReleaseStopMemory(std::uint64_t bytes) {
-  stop_memory_ -= bytes;
-  while (!memory_waits_.empty()) {
-    const auto next = memory_waits_.front();
-    const auto request = next.request.lock();
-    if (request && stop_memory_ + next.bytes > kMaxStopMemory) return;
-    memory_waits_.pop_front();
-    if (!request) continue;
-    stop_memory_ += next.bytes;
-    if (!request->OnStopMemory(next.bytes)) stop_memory_ -= next.bytes;
-  }
-}
-
 std::vector<std::shared_ptr<routed_request>> request_router::InProgress()
     const {
   std::vector<std::shared_ptr<routed_request>> requests;
--- a/libs/sidecar/src/request_router.h
+++ b/libs/sidecar/src/request_router.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <tuple>
 #include <vector>
 
+#include "answer_memory.h"
 #include "answer_sender.h"
 #include "backend/connection_pool.h"
 #include "base/random.h"
@@ -123,23 +123,9 @@
 
   // Tells another daemon when the requests of this one end.
   void SendStopNotice(const std::string& address);
-  // Reserves memory to read an answer completely before it is forwarded.
-  // ReleaseStopMemory() has to follow if it returns true. Otherwise the request
-  // gets OnStopMemory() when there is memory.
-  bool ReserveStopMemory(std::uint64_t bytes,
-                         const std::shared_ptr<routed_request>& request);
-  void ReleaseStopMemory(std::uint64_t bytes);
   // Returns the requests in progress; ending one changes the set of them.
   std::vector<std::shared_ptr<routed_request>> InProgress() const;
 
-  struct memory_wait {
-    std::uint64_t bytes = 0;
-    std::weak_ptr<routed_request> request;
-  };
-
-  // Memory for answers that are read completely while the daemon stops.
-  static constexpr std::uint64_t kMaxStopMemory = 32UL * 1024 * 1024;
-
   boost::asio::io_context& io_;
   request_router_options options_;
   local_dispatcher& dispatcher_;
@@ -158,8 +144,7 @@
   std::map<offer_kind, offer_planner> offer_planners_;
   std::set<std::weak_ptr<routed_request>, std::owner_less<>> in_progress_;
   std::optional<stop_limits> stop_;
-  std::uint64_t stop_memory_ = 0;  // Reserved.
-  std::deque<memory_wait> memory_waits_;
+  answer_memory stop_memory_;
   bool accepting_ = true;
 };
 
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -28,10 +28,6 @@
 // Time for one more look for received bytes before a request times out.
 constexpr duration kLastReadTime = std::chrono::milliseconds(2);
 
-// Larger answers are forwarded while they arrive, also while the daemon stops.
-// Bounds the share of one answer in the memory of a stop.
-constexpr std::uint64_t kMaxStopAnswerBytes = 4UL * 1024 * 1024;
-
 // Time without a byte after which an answer that has outlasted the time-out of
 // its route ends. A working link repeats a lost packet within it.
 constexpr duration kMaxStall = std::chrono::milliseconds(300);
@@ -704,8 +700,12 @@
   const auto bytes = answer_bytes_.value_or(kMaxBufferedAnswerBytes);
   // That of an answer to an earlier offer is too small.
   if (stop_memory_ > 0)
-    router_.ReleaseStopMemory(std::exchange(stop_memory_, 0));
-  if (!router_.ReserveStopMemory(bytes, shared_from_this())) {
+    router_.stop_memory_.Release(std::exchange(stop_memory_, 0));
+  const auto on_granted = [waiting = weak_from_this(), bytes] {
+    const auto self = waiting.lock();
+    return self && self->OnStopMemory(bytes);
+  };
+  if (!router_.stop_memory_.Reserve(bytes, on_granted)) {
     awaits_stop_memory_ = true;
     return;
   }
@@ -717,7 +717,7 @@
   const auto bytes = answer_bytes_.value_or(kMaxBufferedAnswerBytes);
   return router_.stop_ &&
          bytes > std::max<std::uint64_t>(kMaxBufferedBodyBytes, stop_memory_) &&
-         bytes <= kMaxStopAnswerBytes;
+         bytes <= answer_memory::kMaxAnswerBytes;
 }
 
 bool routed_request::OnStopMemory(std::uint64_t bytes) {
@@ -996,7 +996,7 @@
       .With("version", table_ ? table_->Version() : 0);
   // Last, as other requests may go on.
   if (stop_memory_ > 0)
-    router_.ReleaseStopMemory(std::exchange(stop_memory_, 0));
+    router_.stop_memory_.Release(std::exchange(stop_memory_, 0));
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -53,9 +53,6 @@
   void EndIfDelaying();
   // Times out unless the response has been started or is small.
   void EndIfUnanswered();
-  // Continues with the memory that the router has reserved for the answer.
-  // Returns false if the request needs none any more.
-  bool OnStopMemory(std::uint64_t bytes);
   request_wait CurrentWait() const;
   // Logs what the request waits for.
   void LogUnanswered() const;
@@ -118,6 +115,9 @@
   // Whether the answer is to be read completely because the daemon stops.
   bool NeedsStopMemory() const;
   void ReadAnswerAtStop();
+  // Continues with memory that the answer has waited for. Returns false if the
+  // request needs none any more.
+  bool OnStopMemory(std::uint64_t bytes);
   void ReadAnswerBody();
   void OnResponseBody(const result<body_prefix>& start);
   void Deliver();
--- a/tests/sidecar/stop_caller_test.cc
+++ b/tests/sidecar/stop_caller_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "concurrent_server.h"
@@ -101,9 +102,11 @@
     WaitUntilOffered(1);
   }
 
-  static std::string Request(int run_millis, std::size_t bytes) {
+  /// @param end What the path ends with, see Serve().
+  static std::string Request(int run_millis, std::size_t bytes,
+                             const std::string& end = "") {
     return "GET /safe/" + std::to_string(run_millis) + "/" +
-           std::to_string(bytes) +
+           std::to_string(bytes) + end +
            " HTTP/1.1\r\nHost: test\r\nPomelohall-Attempt-Id: s" +
            "\r\nPomelohall-Request-Deadline: " +
            std::to_string(kDeadline.count()) + "\r\n\r\n";
@@ -160,15 +163,19 @@
   }
 
  private:
+  /// Sends only the start of the response if the path ends with "?stalled".
   static scripted_reply Serve(const std::string& header) {
     const auto bytes_at = header.rfind('/', header.find(" HTTP/1.1"));
     const auto run_at = header.rfind('/', bytes_at - 1);
     const auto number = [&](std::size_t at) {
       return std::stoul(header.substr(at + 1));
     };
-    return {
-        .bytes = SignedResponse(200, "s", std::string(number(bytes_at), 'x')),
-        .delay = milliseconds(number(run_at))};
+    auto response =
+        SignedResponse(200, "s", std::string(number(bytes_at), 'x'));
+    if (header.find("?stalled") != std::string::npos)
+      response.resize(response.size() / 2);
+    return {.bytes = std::move(response),
+            .delay = milliseconds(number(run_at))};
   }
 
   concurrent_server server_;
@@ -275,6 +282,29 @@
   CHECK(Count(Check(calls, StopAt(stop_at)), 200) == 12);
 }
 
+// Guards against answers that wait for memory until the end although they are
+// ready: large ones that stall on their way hold theirs until then.
+TEST_CASE_METHOD(stop_caller_fixture,
+                 "Sidecar_LargeAnswersStallDuringAStop_SmallerOnesAreServed",
+                 "[sidecar]") {
+  constexpr std::size_t kLargest = 4UL * 1024 * 1024;
+  shared_link link;
+  const auto stop_at = Now() + milliseconds(200);
+  std::vector<std::future<received>> stalled;
+  stalled.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    stalled.push_back(CallAt(stop_at + milliseconds(100),
+                             Request(100, kLargest, "?stalled"), link));
+  }
+  std::vector<std::future<received>> calls;
+  for (const std::size_t bytes : {100'000UL, 300'000UL, 900'000UL, 1'500'000UL})
+    calls.push_back(
+        CallAt(stop_at + milliseconds(1000), Request(500, bytes), link));
+  const auto ended_at = StopAt(stop_at);
+  CHECK(Count(Check(calls, ended_at), 200) == 4);
+  CHECK(Count(Check(stalled, ended_at), 504) == 8);
+}
+
 class slow_server_link_fixture : public stop_caller_fixture {
  protected:
   slow_server_link_fixture() : stop_caller_fixture(7) {}
