Stop: only large responses look for requests that delay them

From 5.0 s after a SIGTERM on, each response looked at all requests in progress, for running ones that keep a large response of their connection waiting. With hundreds in progress this costs the time of the event loop shortly before its end. A small response delays nobody, so only one above 64 KiB looks. Responses that leave the queue of the link at 5.25 s get a look of their own; until now they depended on the next response of any size.

Not measured: the time saved. No test covers the look at 5.25 s.

--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -876,8 +876,12 @@
   if (!delivering_) finished_ = true;
   // Last, as it may start requests that were held.
   request_->SetHoldsFollowing(delivering_ && !answer_is_complete_);
-  if (router_.stop_ && MonotonicNow() >= router_.stop_->break_off_at)
+  // Looks at all requests in progress, so not after small responses: these keep
+  // no earlier request from running on.
+  if (answer_bytes_.value_or(0) > kMaxBufferedBodyBytes && router_.stop_ &&
+      MonotonicNow() >= router_.stop_->break_off_at) {
     router_.EndDelayingRequests();
+  }
 }
 
 void routed_request::OnTimeout() {
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -539,6 +539,7 @@
   // Of an answer above the size of the send buffer, the rest may be cut.
   void SendQueuedAnswers() {
     sender_.SendAll();
+    router_.EndDelayingRequests();
     RunAt(stop_deadline_, [this] { EndRequests(); });
   }
 
