Link: one very large response does not exclude its class at stops

After one very large response, requests of its class were refused to daemons that stop, with 503, until about twenty others had ended: the large size that CanSendBefore counts with rose to that of the response at once and sinks by 2% a response. It now rises by a factor of four a response at most, from at least the size of a first download. Large sizes that recur count after two or three responses. The mean size, by which link time is reserved, is unchanged.

Measured: failed before: TransmitQueue_OneVeryLargeResponse_ClassIsStillSent- BeforeStop (1.5 s before the deadline, 700 kB/s, classes of 1 and 60 kB). TransmitQueue_*, mesh and sidecar_stop_link pass.

--- a/libs/mesh/src/transmit_queue.cc
+++ b/libs/mesh/src/transmit_queue.cc
@@ -28,6 +28,11 @@
 // Weight of a response that is smaller than the large size of its class.
 // Without a decay, one large response would count until the next start.
 constexpr double kLargeSizeDecay = 0.02;
+// Largest rise of the large size of a class by one response, as a multiple of
+// it or of the size of a first download. One response of 4 MB would otherwise
+// refuse its class on a link of 700 kB/s to receivers that stop, until about 20
+// others have ended. Large sizes that recur count after two or three responses.
+constexpr double kMaxLargeSizeRise = 4;
 
 }  // namespace
 
@@ -49,8 +54,14 @@
                                     std::uint64_t bytes) {
   const auto size = static_cast<double>(bytes);
   class_bytes_[work_class].Add(size);
-  auto& large = large_class_bytes_[work_class];
-  large = std::max(size, large - kLargeSizeDecay * (large - size));
+  const auto [entry, first] = large_class_bytes_.try_emplace(work_class, size);
+  if (first) return;
+  auto& large = entry->second;
+  const double highest =
+      kMaxLargeSizeRise *
+      std::max(large, static_cast<double>(options_.first_download_bytes));
+  large = std::max(std::min(size, highest),
+                   large - kLargeSizeDecay * (large - size));
 }
 
 duration transmit_queue::ExpectedLinkTime(const std::string& work_class,
--- a/libs/mesh/tests/transmit_queue_test.cc
+++ b/libs/mesh/tests/transmit_queue_test.cc
@@ -696,5 +696,29 @@
   CHECK(can_send(milliseconds(1250), 1));
 }
 
+// Guards against a class that is refused to all receivers that stop after one
+// very large response, and against large ones that recur and are not expected.
+TEST_CASE("TransmitQueue_OneVeryLargeResponse_ClassIsStillSentBeforeStop",
+          "[mesh]") {
+  const std::uint64_t usual = GENERATE(1000, 60'000);
+  transmit_queue link({.bytes_per_second = 700'000});
+  const instant now(seconds(100));
+  const auto can_send = [&](duration time_left) {
+    return link.CanSendBefore(now + time_left, milliseconds(200), "file", now);
+  };
+  for (int i = 0; i < 20; ++i) link.OnResponseSize("file", usual);
+  REQUIRE(can_send(milliseconds(500)));
+  link.OnResponseSize("file", 4'000'000);
+  CHECK(can_send(milliseconds(1500)));
+  CHECK_FALSE(can_send(milliseconds(500)));
+  // It recurs: the link carries none of them in 7 s.
+  for (int i = 0; i < 2; ++i) {
+    for (int j = 0; j < 5; ++j) link.OnResponseSize("file", usual);
+    link.OnResponseSize("file", 4'000'000);
+  }
+  CHECK_FALSE(can_send(milliseconds(7000)));
+  CHECK(can_send(milliseconds(8500)));
+}
+
 }  // namespace
 }  // namespace pomelohall
