--- a/libs/sidecar/src/answer_sender.cc
+++ b/libs/sidecar/src/answer_sender.cc
@@ -17,13 +17,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+}  // namespace
+
 void LimitToStop(answer_times& times, instant latest) {
   times.deadline = std::min(times.deadline, latest);
   times.receiver_stops = true;
 }
 
-}  // namespace
-
 answer_sender::answer_sender(boost::asio::io_context& io,
                              transmit_queue_options options,
                              std::string attempt_id_field)
@@ -60,17 +60,17 @@
 
 void answer_sender::LimitDeadlinesOf(const std::string& receiver,
                                      instant latest) {
-  for (auto& [id, waiting] : waiting_) {
-    if (waiting.times.receiver != receiver) continue;
-    LimitToStop(waiting.times, latest);
-    queue_.LimitToStop(id, latest);
-  }
-  SendReady();
+  LimitQueued(&receiver, latest);
 }
 
 void answer_sender::LimitDeadlines(instant latest) {
   latest_deadline_ = latest;
+  LimitQueued(nullptr, latest);
+}
+
+void answer_sender::LimitQueued(const std::string* receiver, instant latest) {
   for (auto& [id, waiting] : waiting_) {
+    if (receiver != nullptr && waiting.times.receiver != *receiver) continue;
     LimitToStop(waiting.times, latest);
     queue_.LimitToStop(id, latest);
   }
--- a/libs/sidecar/src/answer_sender.h
+++ b/libs/sidecar/src/answer_sender.h
@@ -28,6 +28,9 @@
   std::string receiver{};
 };
 
+// Handles that the receiver of an answer stops soon after `latest`.
+void LimitToStop(answer_times& times, instant latest);
+
 // Larger answers are streamed. Bounds the memory for answers that wait for the
 // network link: a backend server has a few tens of slots.
 inline constexpr std::size_t kMaxBufferedAnswerBytes = 1024UL * 1024;
@@ -81,6 +84,9 @@
     std::uint64_t sent_before = 0;  // Answers sent when this one was queued.
   };
 
+  // Limits the deadlines of queued answers.
+  // @param receiver Null for all answers.
+  void LimitQueued(const std::string* receiver, instant latest);
   void SendReady();
   void SendQueued(waiting_answer next);
   void Remove(std::uint64_t id);
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -267,10 +267,7 @@
   auto limited = times;
   const auto limit =
       stop_notices_.LatestDeadline(times.receiver, request->ReceivedAt());
-  if (limit != instant::max()) {
-    limited.deadline = std::min(limited.deadline, limit);
-    limited.receiver_stops = true;
-  }
+  if (limit != instant::max()) LimitToStop(limited, limit);
   sender_.Send(request, std::move(answer), limited);
 }
 
