Link: keep the order of responses when the only stopping one is limited

LimitToStop takes a response out of the queue and inserts it again. If it was the only one to receivers that stop, the latest send times of all others were postponed in between, as at the end of a stop. Later responses then overtook those that had waited for longer. The times are now postponed only when the last response to receivers that stop is sent or removed.

Measured: failed before: TransmitQueue_OnlyStoppingResponseIsLimited_Others- KeepTheirOrder (two later responses sent before 19 of 40 earlier ones). TransmitQueue_*, mesh and sidecar_stop_link pass.

--- a/libs/mesh/src/transmit_queue.cc
+++ b/libs/mesh/src/transmit_queue.cc
@@ -134,7 +134,11 @@
   waiting_link_time_ += added.link_time;
 }
 
-void transmit_queue::Remove(std::uint64_t id) { Take(id); }
+void transmit_queue::Remove(std::uint64_t id) {
+  const auto removed = Take(id);
+  if (removed && removed->response.receiver_stops && stopping_.empty())
+    SpaceWaiting();
+}
 
 std::optional<transmit_queue::waiting_response> transmit_queue::Take(
     std::uint64_t id) {
@@ -146,7 +150,6 @@
     const auto taken = *found;
     waiting_link_time_ -= taken.link_time;
     queue->erase(found);
-    if (queue == &stopping_ && stopping_.empty()) SpaceWaiting();
     return taken;
   }
   return std::nullopt;
--- a/libs/mesh/tests/transmit_queue_test.cc
+++ b/libs/mesh/tests/transmit_queue_test.cc
@@ -670,6 +670,41 @@
   CHECK(link.link_.Empty());
 }
 
+// Guards against responses that are overtaken by later ones because the only
+// one to a receiver that stops is limited again, as if no receiver stopped.
+TEST_CASE_METHOD(transmit_queue_fixture,
+                 "TransmitQueue_OnlyStoppingResponseIsLimited_"
+                 "OthersKeepTheirOrder",
+                 "[mesh]") {
+  constexpr std::uint64_t kOthers = 40;  // The link carries them in 4 s.
+  std::vector<std::uint64_t> expected;
+  for (std::uint64_t id = 1; id <= kOthers; ++id) {
+    Add(id, milliseconds(-1));
+    expected.push_back(id);
+  }
+  const auto start = now_;
+  std::vector<std::uint64_t> sent{link_.Next(now_).value()};
+  const auto add_stopping = [&](std::uint64_t id) {
+    link_.Add({.id = id,
+               .bytes = kBytes,
+               .target_at = start,
+               .deadline = start + seconds(20),
+               .receiver_stops = true},
+              now_);
+  };
+  now_ = start + milliseconds(10);
+  add_stopping(kOthers + 1);
+  link_.LimitToStop(kOthers + 1, start + seconds(15));
+  now_ = start + milliseconds(20);
+  Add(kOthers + 2, milliseconds(-1));
+  expected.insert(expected.end(), {kOthers + 1, kOthers + 2});
+  while (!link_.Empty()) {
+    now_ = link_.NextAt();
+    sent.push_back(link_.Next(now_).value());
+  }
+  CHECK(sent == expected);
+}
+
 // Guards against requests that run although the link carries their response
 // only after the end of its receiver.
 TEST_CASE("TransmitQueue_BacklogUntilReceiverStops_CannotSendBefore",
