Tests of late writes: times from the end of a stop, a link at its rate

Callers could have lost responses that were ready 4.6 s after a SIGTERM without a failing test: after the turns were added, the case with three of them had been moved to 4.5 s, and the link of the callers made up for 50 ms.

Cause: the callers shrank their receive buffers after the connection had been opened, so transfers stalled.

Change: - The receive buffer is set before the connection is opened. - The run times are computed from the end of all writes (5.85 s), the time that the link needs for each response with an allowance of 2 % and two polls, and 100 ms for the answer on its way. Two of three responses ready at 4.69 s must be whole (4.5 s before), and one ready at 5.22 s (5.2 s). - The link is a token bucket whose burst is the receive buffer of a caller, 27 ms (50 ms before). - The check of the last byte prints milliseconds, rounded up; its bound is the same.

--- a/tests/http/raw_client.cc
+++ b/tests/http/raw_client.cc
@@ -28,6 +28,14 @@
   socket_.connect(*ParseTcpEndpoint(address));
 }
 
+raw_client::raw_client(const std::string& address, int receive_buffer_bytes)
+    : socket_(io_) {
+  const auto server = *ParseTcpEndpoint(address);
+  socket_.open(server.protocol());
+  SetReceiveBuffer(receive_buffer_bytes);
+  socket_.connect(server);
+}
+
 void raw_client::Send(std::string_view bytes) {
   // A server may reject the request early and close.
   boost::asio::write(socket_, boost::asio::buffer(bytes), send_failure_);
--- a/tests/http/raw_client.h
+++ b/tests/http/raw_client.h
@@ -31,6 +31,10 @@
  public:
   /// Connects to "ip:port"; the connection must succeed.
   explicit raw_client(const std::string& address);
+  /// Connects with a limited receive buffer. Unlike with SetReceiveBuffer(),
+  /// the server is never told a larger window than the buffer holds, which
+  /// makes transfers stall. For reads at a given rate.
+  raw_client(const std::string& address, int receive_buffer_bytes);
 
   void Send(std::string_view bytes);
   /// Sends a request with a Host field; `fields` are lines that end with CRLF.
--- a/tests/sidecar/stop_caller_test.cc
+++ b/tests/sidecar/stop_caller_test.cc
@@ -27,10 +27,17 @@
 constexpr milliseconds kTransitTime(60);
 constexpr int kReceiveBufferBytes = 16'384;
 constexpr std::size_t kReadBytes = 8192;
+// Times after SIGTERM with the default grace, see OPERATIONS.md: backend
+// servers end their work, and the last responses have been written.
+constexpr milliseconds kServersEnd(5250);
+constexpr milliseconds kWritesEnd(5850);
+// Time from the requests of late responses to SIGTERM.
+constexpr milliseconds kSentBefore(200);
 
 steady_instant Now() { return std::chrono::steady_clock::now(); }
 
-/// The rate at which callers read together.
+/// The rate at which callers read together: a token bucket. While a caller is
+/// late, a real link goes on and fills its receive buffer, which is the burst.
 struct shared_link {
   double bytes_per_second = 0;  ///< 0 for no limit.
   std::mutex mutex;
@@ -41,15 +48,19 @@
     steady_instant until;
     {
       const std::lock_guard lock(mutex);
-      const std::chrono::duration<double> time(static_cast<double>(bytes) /
-                                               bytes_per_second);
-      // Makes up for late wake-ups on a busy machine.
-      free_at = std::max(free_at, Now() - milliseconds(50)) +
-                std::chrono::duration_cast<steady_instant::duration>(time);
+      free_at = std::max(free_at, Now() - TimeOf(kReceiveBufferBytes)) +
+                TimeOf(bytes);
       until = free_at;
     }
     std::this_thread::sleep_until(until);
   }
+
+  /// Returns how long the link needs for the given bytes.
+  steady_instant::duration TimeOf(std::size_t bytes) const {
+    return std::chrono::duration_cast<steady_instant::duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) /
+                                      bytes_per_second));
+  }
 };
 
 /// What a caller has got on one connection.
@@ -115,14 +126,15 @@
     const auto address = CallerAddress(kCallerVm);
     return std::async(std::launch::async, [=, &link] {
       std::this_thread::sleep_until(at);
-      raw_client client(address);
-      if (link.bytes_per_second > 0)
-        client.SetReceiveBuffer(kReceiveBufferBytes);
-      client.Send(requests);
+      auto client =
+          link.bytes_per_second > 0
+              ? std::make_unique<raw_client>(address, kReceiveBufferBytes)
+              : std::make_unique<raw_client>(address);
+      client->Send(requests);
       std::string text;
       steady_instant last_byte_at;
       while (true) {
-        const auto bytes = client.ReadBytes(kReadBytes);
+        const auto bytes = client->ReadBytes(kReadBytes);
         if (!bytes.empty()) last_byte_at = Now();
         text += bytes;
         if (bytes.size() < kReadBytes) break;
@@ -153,7 +165,9 @@
     for (auto& call : calls) {
       const auto result = call.get();
       CHECK_FALSE(result.cut);
-      CHECK(result.last_byte_at <= ended_at + kTransitTime);
+      const auto after_end =
+          std::chrono::ceil<milliseconds>(result.last_byte_at - ended_at);
+      CHECK(after_end.count() <= kTransitTime.count());
       statuses.insert(statuses.end(), result.whole.begin(), result.whole.end());
     }
     return statuses;
@@ -200,11 +214,33 @@
   CHECK(Count(Check(calls, ended_at), 200) == count);
 }
 
+// Rate of the callers' link and size of the responses at the end of a stop.
+constexpr double kCallerBytesPerSecond = 600'000;
+constexpr std::size_t kLateBytes = 300'000;
+// Time that one of them takes on the way to its caller.
+constexpr milliseconds kWriteTime(static_cast<int>(1000 * kLateBytes /
+                                                   kCallerBytesPerSecond));
+// Allowance for each: 2 % for header fields of up to 6 kB, and 20 ms, as a
+// daemon that stops looks every 10 ms whether a response has been written.
+constexpr milliseconds kWriteAllowance = kWriteTime / 50 + milliseconds(20);
+// Time from the end of a run until its answer is at the daemon of the caller.
+// Daemons allow as much for the answer at a deadline.
+constexpr milliseconds kAnswerTransitTime(100);
+
+/// Returns how long a request runs, in milliseconds, whose answer is ready when
+/// `count` of them can just be written one after the other before the end.
+constexpr int RunTimeBeforeWrites(int count) {
+  const auto ready_at =
+      kWritesEnd - kAnswerTransitTime - count * (kWriteTime + kWriteAllowance);
+  return static_cast<int>((kSentBefore + ready_at).count());
+}
+// Later ones would be ended by the backend server.
+static_assert(milliseconds(RunTimeBeforeWrites(1)) < kSentBefore + kServersEnd);
+
 // Callers whose responses are ready shortly before the end.
 struct late_writes {
   const char* failure;  // That the case guards against.
   std::vector<std::string> requests;
-  double bytes_per_second;
   std::size_t min_served;
   std::size_t max_timed_out;
 };
@@ -213,30 +249,26 @@
 TEST_CASE_METHOD(stop_caller_fixture,
                  "Sidecar_ResponsesWrittenAtTheEndOfAStop_AreWholeOrTimeOut",
                  "[sidecar]") {
-  // Requests are sent 200 ms before the signal.
-  const auto late = Request(5400, 300'000);   // Ready after 5.2 s.
-  const auto early = Request(4700, 300'000);  // Ready after 4.5 s.
+  // Of the latter, two can be written before the end.
+  const auto late = Request(RunTimeBeforeWrites(1), kLateBytes);
+  const auto early = Request(RunTimeBeforeWrites(2), kLateBytes);
   const auto test = GENERATE_COPY(
-      late_writes{"the process ends while it writes", {late}, 6e5, 1, 0},
-      late_writes{"all share the link and none is whole",
-                  {early, early, early},
-                  6e5,
-                  2,
-                  1},
+      late_writes{"the process ends while it writes", {late}, 1, 0},
+      late_writes{
+          "all share the link and none is whole", {early, early, early}, 2, 1},
       late_writes{"a request that runs on holds up the response behind it",
-                  {Request(8000, 10) + Request(3000, 300'000)},
-                  6e5,
+                  {Request(8000, 10) + Request(3000, kLateBytes)},
                   1,
                   1});
   const bool stops_both = GENERATE(false, true);
   INFO(test.failure);
   shared_link link;
-  link.bytes_per_second = test.bytes_per_second;
+  link.bytes_per_second = kCallerBytesPerSecond;
   const auto stop_at = Now() + milliseconds(400);
   std::vector<std::future<received>> calls;
   calls.reserve(test.requests.size());
   for (const auto& request : test.requests)
-    calls.push_back(CallAt(stop_at - milliseconds(200), request, link));
+    calls.push_back(CallAt(stop_at - kSentBefore, request, link));
   const auto statuses = Check(calls, StopAt(stop_at, stops_both));
   CHECK(Count(statuses, 200) >= test.min_served);
   CHECK(Count(statuses, 200) + Count(statuses, 504) ==
