Tests: one server for connections that are served in order

scripted_server and early_answer_server had the same code to listen, accept on a thread of their own, read the header and stop; late_request_test.cc had a copy of HeaderValue().

Change: both use serial_server. The copy is removed. No assertion changes. One difference: scripted_server now reads until the other side closes, where it stopped after 1 MiB before, as early_answer_server does.

--- a/tests/http/scripted_server.cc
+++ b/tests/http/scripted_server.cc
@@ -5,10 +5,9 @@
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/system/error_code.hpp>
-#include <sstream>
+#include <cstddef>
 #include <utility>
 
 namespace pomelohall {
@@ -30,50 +29,18 @@
 }  // namespace
 
 scripted_server::scripted_server(script respond)
-    : acceptor_(io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-      respond_(std::move(respond)),
-      thread_([this] { Serve(); }) {}
+    : respond_(std::move(respond)),
+      server_([this](tcp::socket& socket, const std::string& received,
+                     std::size_t) { Serve(socket, received); }) {}
 
-scripted_server::~scripted_server() {
-  stopping_ = true;
-  // Unblocks accept().
-  tcp::socket connection(io_);
-  error_code ignored;
-  connection.connect(acceptor_.local_endpoint(), ignored);
-  thread_.join();
-}
-
-std::string scripted_server::Address() const {
-  std::ostringstream text;
-  text << acceptor_.local_endpoint();
-  return text.str();
-}
-
-void scripted_server::Serve() {
-  while (!stopping_) {
-    error_code failure;
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, failure);
-    if (!failure && !stopping_) ServeOne(std::move(socket));
-  }
-}
-
-void scripted_server::ServeOne(tcp::socket socket) {
-  std::string header;
-  error_code failure;
-  boost::asio::read_until(socket, boost::asio::dynamic_buffer(header),
-                          "\r\n\r\n", failure);
-  if (failure) return;
+void scripted_server::Serve(tcp::socket& socket, const std::string& header) {
   ++requests_;
   const auto response = respond_(header);
   HoldPartialSegment(socket);
+  error_code failure;
   boost::asio::write(socket, boost::asio::buffer(response), failure);
   socket.shutdown(tcp::socket::shutdown_send, failure);
-  // Reads until the other side closes: closing a socket with unread data resets
-  // the connection, which may discard the response.
-  std::string rest;
-  boost::asio::read_until(socket, boost::asio::dynamic_buffer(rest, 1 << 20),
-                          std::string("\0no such text", 13), failure);
+  ReadToEnd(socket);
 }
 
 std::string HeaderValue(const std::string& header, const std::string& name) {
--- a/tests/http/scripted_server.h
+++ b/tests/http/scripted_server.h
@@ -2,11 +2,11 @@
 #define POMELOHALL_TESTS_HTTP_SCRIPTED_SERVER_H_
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <string>
-#include <thread>
+
+#include "serial_server.h"
 
 namespace pomelohall {
 
@@ -20,24 +20,17 @@
   using script = std::function<std::string(const std::string& header)>;
 
   explicit scripted_server(script respond);
-  ~scripted_server();
-  scripted_server(const scripted_server&) = delete;
-  scripted_server& operator=(const scripted_server&) = delete;
 
-  std::string Address() const;
+  std::string Address() const { return server_.Address(); }
   /// Number of requests whose header arrived.
   int Requests() const { return requests_; }
 
  private:
-  void Serve();
-  void ServeOne(boost::asio::ip::tcp::socket socket);
+  void Serve(boost::asio::ip::tcp::socket& socket, const std::string& header);
 
-  boost::asio::io_context io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   script respond_;
   std::atomic<int> requests_{0};
-  std::atomic<bool> stopping_{false};
-  std::thread thread_;
+  serial_server server_;  // Last: its thread uses the others.
 };
 
 /// Returns the value of a field in a request header, empty if it is absent.
--- a/tests/sidecar/late_request_test.cc
+++ b/tests/sidecar/late_request_test.cc
@@ -37,14 +37,6 @@
 
 steady_instant Now() { return std::chrono::steady_clock::now(); }
 
-/// Returns the value of a header field, empty if it is absent.
-std::string FieldOf(const std::string& header, const std::string& name) {
-  const auto start = header.find("\r\n" + name + ": ");
-  if (start == std::string::npos) return "";
-  const auto value = start + name.size() + 4;
-  return header.substr(value, header.find("\r\n", value) - value);
-}
-
 /// What a caller has got.
 struct call_result {
   raw_response response;
@@ -171,13 +163,13 @@
 
  private:
   scripted_reply Serve(std::size_t vm, const std::string& header) {
-    const auto id = FieldOf(header, "Pomelohall-Attempt-Id");
+    const auto id = HeaderValue(header, "Pomelohall-Attempt-Id");
     const auto path_end = header.find(" HTTP/1.1");
     const auto number = header.rfind('/', path_end) + 1;
     const milliseconds run_time(
         std::stoi(header.substr(number, path_end - number)));
     const milliseconds time_left(
-        std::stoi(FieldOf(header, "Pomelohall-Request-Deadline")));
+        std::stoi(HeaderValue(header, "Pomelohall-Request-Deadline")));
     const bool late = run_time > time_left && !ignore_deadline_;
     const auto delay = late ? time_left : run_time;
     {
--- a/tests/support/early_answer_server.cc
+++ b/tests/support/early_answer_server.cc
@@ -5,13 +5,12 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/system/error_code.hpp>
 #include <chrono>
 #include <cstddef>
-#include <sstream>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 namespace pomelohall {
@@ -63,55 +62,21 @@
   }
 }
 
-// Reads until the other side closes. Otherwise the close would be a reset.
-void ReadToEnd(tcp::socket& socket) {
-  std::array<char, 4096> bytes{};
-  error_code failure;
-  while (!failure) socket.read_some(boost::asio::buffer(bytes), failure);
-}
-
 }  // namespace
 
 early_answer_server::early_answer_server(script respond)
-    : acceptor_(io_, tcp::v4()), respond_(std::move(respond)) {
-  // Accepted connections inherit it.
-  acceptor_.set_option(
-      boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
-  acceptor_.bind({boost::asio::ip::address_v4::loopback(), 0});
-  acceptor_.listen();
-  thread_ = std::thread([this] { Serve(); });
-}
-
-early_answer_server::~early_answer_server() {
-  stopping_ = true;
-  // Unblocks accept().
-  tcp::socket connection(io_);
-  error_code ignored;
-  connection.connect(acceptor_.local_endpoint(), ignored);
-  thread_.join();
-}
-
-std::string early_answer_server::Address() const {
-  std::ostringstream text;
-  text << acceptor_.local_endpoint();
-  return text.str();
-}
-
-void early_answer_server::Serve() {
-  while (!stopping_) {
-    error_code failure;
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, failure);
-    if (!failure && !stopping_) ServeOne(std::move(socket));
-  }
-}
-
-void early_answer_server::ServeOne(tcp::socket socket) {
-  std::string received;
+    : respond_(std::move(respond)),
+      server_(
+          [this](tcp::socket& socket, const std::string& received,
+                 std::size_t header_bytes) {
+            Serve(socket, received, header_bytes);
+          },
+          kReceiveBufferBytes) {}
+
+void early_answer_server::Serve(tcp::socket& socket,
+                                const std::string& received,
+                                std::size_t header_bytes) {
   error_code failure;
-  const auto header_bytes = boost::asio::read_until(
-      socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", failure);
-  if (failure) return;
   const auto header = received.substr(0, header_bytes);
   const auto answer = respond_(header);
   if (answer.end == answer_end::kClose) {
--- a/tests/support/early_answer_server.h
+++ b/tests/support/early_answer_server.h
@@ -2,11 +2,12 @@
 #define POMELOHALL_TESTS_SUPPORT_EARLY_ANSWER_SERVER_H_
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <functional>
 #include <string>
-#include <thread>
+
+#include "serial_server.h"
 
 namespace pomelohall {
 
@@ -33,24 +34,18 @@
   using script = std::function<early_answer(const std::string& header)>;
 
   explicit early_answer_server(script respond);
-  ~early_answer_server();
-  early_answer_server(const early_answer_server&) = delete;
-  early_answer_server& operator=(const early_answer_server&) = delete;
 
-  std::string Address() const;
+  std::string Address() const { return server_.Address(); }
   /// Number of connections that it has ended.
   int Ended() const { return ended_; }
 
  private:
-  void Serve();
-  void ServeOne(boost::asio::ip::tcp::socket socket);
+  void Serve(boost::asio::ip::tcp::socket& socket, const std::string& received,
+             std::size_t header_bytes);
 
-  boost::asio::io_context io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   script respond_;
   std::atomic<int> ended_{0};
-  std::atomic<bool> stopping_{false};
-  std::thread thread_;
+  serial_server server_;  // Last: its thread uses the others.
 };
 
 }  // namespace pomelohall
