pomelohalld: no "not run" for a key while the configuration is unknown

Callers that sent a transaction again with its key got 503 config_unknown with "not run" from a daemon that had just started, although the request had run before. They may then send it with a new key.

Cause: a daemon without a configuration refuses a call before the home of its key is asked, and reported it as not run. With a key the outcome is now unknown, unless the class is known to be safe to repeat.

The test now waits for the version before it asks for outcome_unknown, and before that checks a home without a configuration, which has to answer with config_unknown and an unknown outcome.

--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -99,8 +99,9 @@
   if (auto parsed = ParseFields(); !parsed) return parsed;
   snapshot_ = context_->snapshot;
   if (!snapshot_) {
-    return Fail(error_kind::kConfigUnknown,
-                "this daemon has no configuration yet");
+    return tl::unexpected(error(error_kind::kConfigUnknown,
+                                "this daemon has no configuration yet",
+                                OutcomeBeforeGrant()));
   }
   const auto found = FindClass(*snapshot_, request_head_.method,
                                StripQuery(request_head_.target));
@@ -168,6 +169,11 @@
   RunActions(state_machine_->Start(MonotonicNow()));
 }
 
+run_state entry_call::OutcomeBeforeGrant() const {
+  const bool safe = class_ != nullptr && IsIdempotent(class_->definition.kind);
+  return key_.empty() || safe ? run_state::kNotRun : run_state::kUnknown;
+}
+
 void entry_call::RunActions(call_state_machine::actions actions) {
   for (auto& action : actions) actions_.push_back(std::move(action));
   if (running_actions_ || waiting_for_release_) return;
--- a/libs/caller/src/entry_call.h
+++ b/libs/caller/src/entry_call.h
@@ -78,6 +78,9 @@
   void OnCallerDisconnected();
   void StartDetachedTimeout();
 
+  // Returns what is known before the key's home daemon has granted the key: an
+  // earlier request with this key may have run.
+  run_state OutcomeBeforeGrant() const;
   void SendResponse(incoming_response response, run_state ran,
                     std::optional<error_kind> failure);
   void ReportObservation(const response_write_result& written, run_state ran,
--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -399,6 +399,20 @@
   CHECK(ErrorBody(response).at("ran") == "not_run");
 }
 
+// Guards against "not run" for a key whose request ran before its daemon was
+// restarted: without a configuration the home of the key is not asked.
+TEST_CASE("Fault_NoSnapshotWithKey_IsNotReportedNotRun", "[fault]") {
+  mesh_fixture mesh;
+  mesh.AddDaemon();
+  mesh.AddBackend(0);
+  const auto key = KeyField(IssueKey(mesh.CallerAddress(0)));
+  raw_client client(mesh.CallerAddress(0));
+  const auto response = client.Call("POST", "/order/1", key);
+  CHECK(response.status == 503);
+  CHECK(ErrorBody(response).at("error") == "config_unknown");
+  CHECK(ErrorBody(response).at("ran") == "unknown");
+}
+
 // Guards the published service level figures: each call counts once, and errors
 // and incomplete responses count as missed.
 TEST_CASE("Observation_EachCall_IsReportedOnce", "[fault]") {
--- a/tests/process/call_process_test.py
+++ b/tests/process/call_process_test.py
@@ -253,21 +253,32 @@
         remaining = [d for d in fleet.daemons if d is not home]
         expected = {done: 1, unused: 0, running: 1}
 
+        def resend(daemon, error):
+            for key, executions in expected.items():
+                result = call(daemon, path, "POST", key, b"order")
+                assert result.error == error, result
+                assert result.outcome == "unknown", result
+                assert counter.count(key) == executions, result
+
         def resend_all():
             for daemon in remaining:
-                for key, executions in expected.items():
-                    result = call(daemon, path, "POST", key, b"order")
-                    assert result.error == "outcome_unknown", result
-                    assert result.outcome == "unknown", result
-                    assert counter.count(key) == executions, result
+                resend(daemon, "outcome_unknown")
 
         resend_all()
         result = in_flight.result()
         assert result.outcome != "not_run", result
     fleet.wait_members(len(remaining), remaining)
     resend_all()
+    # Without a configuration, it cannot tell that it does not know the keys.
+    fleet.set_platform_fault("down")
+    fleet.start_daemon(home, [d.address("peer") for d in remaining])
+    wait_until(lambda: fleet.status(home), f"{home.name} serves its status")
+    resend(home, "config_unknown")
+    home.program.kill()
+    fleet.set_platform_fault("none")
     fleet.start_daemon(home)
     fleet.wait_members(len(fleet.daemons))
+    fleet.wait_version(1)
     remaining = fleet.daemons
     resend_all()
 
