pomelohalld: a stop ends within a grace period and answers before

A stop waited for all calls and connections without a bound: for a call up to its deadline (60 s by default, an hour at most), for a caller that read slowly as long as it made progress, for an incomplete request to the local listener up to its time-out. Callers of a daemon that its supervisor killed meanwhile got no answer.

The new setting stop_grace_ms (62 s by default: the default deadline of calls and 2 s for the end) bounds the stop. It limits the deadlines of calls of callers, also of those in progress; what has certainly not run gets 503 draining, the rest 504 with an unknown outcome. Requests with an incomplete body get 503, responses that stall before their first byte 502 (time_limited_body), and a release of a key that is not confirmed no longer holds back the response. Connections that are open after that are closed. The SLO windows are waited for until 1 s before the end of the grace period, the local listener until 150 ms before it.

The fixtures Fault_*Stop* and TimeLimitedBody_DeadlineLimitedWhileItWaits_Fails cannot be compiled on the code before; each fails if its part of the change is taken out.

--- a/libs/caller/include/caller/call_service.h
+++ b/libs/caller/include/caller/call_service.h
@@ -71,8 +71,9 @@
   void OnBackendChanged();
 
   /// Stops gracefully: accepts no new connections of callers, rejects new calls
-  /// of other daemons with `kDraining`, completes all calls in progress, then
-  /// calls `done`.
+  /// of other daemons with `kDraining`, completes the calls in progress, then
+  /// calls `done`. Calls that cannot complete within `options.stop_time` get an
+  /// error before, and connections that are still open at its end are closed.
   void Stop(std::function<void()> done);
 
   call_service_status Status() const;
--- a/libs/caller/include/caller/call_service_options.h
+++ b/libs/caller/include/caller/call_service_options.h
@@ -73,6 +73,10 @@
   duration detached_call_timeout = std::chrono::seconds(60);
   /// Timeout of a claim request to the daemon that issued the key.
   duration claim_timeout = std::chrono::seconds(2);
+  /// Time from Stop() after which all connections are closed. Calls have their
+  /// responses 200 ms earlier at the latest. The default leaves the default
+  /// deadline to calls that arrive just before Stop().
+  duration stop_time = std::chrono::milliseconds(60'500);
   /// Maximum number of connections to the backend server.
   std::size_t max_backend_connections = 100;
 
--- a/libs/caller/include/caller/time_limited_body.h
+++ b/libs/caller/include/caller/time_limited_body.h
@@ -13,8 +13,8 @@
 struct body_time_limits {
   instant deadline;
   // From this time on, the reader waits for a part for `max_stall` at most.
-  instant stall_from;
-  duration max_stall;
+  instant stall_from = instant::max();
+  duration max_stall{0};
 };
 
 // Forwards a body until a deadline or until it stalls. It then cancels the body
@@ -28,6 +28,9 @@
       boost::asio::io_context& io, std::shared_ptr<body_source> inner,
       const body_time_limits& limits);
 
+  // Makes the deadline earlier, also for a reader that waits.
+  void LimitDeadline(instant deadline);
+
   void Read(callback done) override;
   void Cancel() override;
 
@@ -41,7 +44,7 @@
 
   std::shared_ptr<body_source> inner_;
   boost::asio::steady_timer timer_;
-  const body_time_limits limits_;
+  body_time_limits limits_;
   callback pending_;
 };
 
--- a/libs/caller/src/call_service.cc
+++ b/libs/caller/src/call_service.cc
@@ -1,13 +1,17 @@
 #include "caller/call_service.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/error_code.hpp>
 #include <cassert>
+#include <memory>
 #include <utility>
+#include <vector>
 
 #include "caller/call_server.h"
+#include "entry_call.h"
 #include "entry_handler.h"
 #include "forward_handler.h"
 #include "key_claim_client.h"
@@ -25,6 +29,13 @@
 constexpr auto kSweepInterval = std::chrono::seconds(1);
 // Interval between checks for calls in progress while stopping.
 constexpr auto kStopPollInterval = std::chrono::milliseconds(10);
+// Time from the latest deadline of calls until the connections close. The owner
+// of a call has 50 ms for its error, and what is left is for kStopWriteTime and
+// a busy VM.
+constexpr auto kStopAnswerTime = std::chrono::milliseconds(500);
+// Part of it that is left when the last response begins: an error response is
+// a single segment, and a round trip between data centres takes up to 100 ms.
+constexpr auto kStopWriteTime = std::chrono::milliseconds(200);
 
 call_server_options ServerOptions(const call_service_options& options,
                                   const std::string& address) {
@@ -82,7 +93,12 @@
  private:
   void ScheduleSweep();
   void Sweep();
+  void LimitToStop(instant now);
+  std::vector<std::shared_ptr<entry_call>> CallsInProgress() const;
+  bool HaveCallsEnded() const;
   void PollStopped();
+  void EndForStop();
+  void OnStopped();
 
   const context_ptr context_;
   entry_handler entry_handler_;
@@ -92,6 +108,9 @@
   asio::steady_timer sweep_timer_;
   asio::steady_timer stop_timer_;
   bool callers_stopped_ = false;
+  bool forward_stopping_ = false;
+  bool responses_ended_ = false;
+  instant stop_end_;  // When all connections close.
   std::function<void()> on_stopped_;
 };
 
@@ -123,18 +142,51 @@
 void call_service::impl::Stop(std::function<void()> done) {
   on_stopped_ = std::move(done);
   context_->draining = true;
+  LimitToStop(MonotonicNow());
   caller_server_.Stop([this] { callers_stopped_ = true; });
   PollStopped();
 }
 
+void call_service::impl::LimitToStop(instant now) {
+  stop_end_ = now + context_->options.stop_time;
+  context_->stop = {
+      .request_deadline = std::max(stop_end_ - kStopAnswerTime, now),
+      .body_deadline = std::max(stop_end_ - kStopWriteTime, now)};
+  for (const auto& call : CallsInProgress()) call->LimitToStop();
+}
+
+// Copies the calls, as they may end meanwhile.
+std::vector<std::shared_ptr<entry_call>> call_service::impl::CallsInProgress()
+    const {
+  std::vector<std::shared_ptr<entry_call>> calls;
+  for (auto* call : context_->entry_calls) {
+    if (auto shared = call->weak_from_this().lock())
+      calls.push_back(std::move(shared));
+  }
+  return calls;
+}
+
+bool call_service::impl::HaveCallsEnded() const {
+  return callers_stopped_ && context_->entry_calls.empty() &&
+         context_->dispatcher->InFlight() == 0;
+}
+
+// Ends the calls in steps, so that after a late step there is time to write.
 void call_service::impl::PollStopped() {
-  const bool ended = callers_stopped_ && context_->entry_calls == 0 &&
-                     context_->dispatcher->InFlight() == 0;
-  if (ended) {
+  if (!on_stopped_) return;
+  const auto now = MonotonicNow();
+  if (now >= context_->stop->body_deadline && !responses_ended_) {
+    EndForStop();
+  } else if (now >= stop_end_) {
+    caller_server_.Abort();
+    forward_server_.Abort();
+    context_->dispatcher->Abort();
+    OnStopped();
+    return;
+  } else if (HaveCallsEnded() && !std::exchange(forward_stopping_, true)) {
     // The forward server stops last: until all calls have ended, it still
     // serves calls and claims of other daemons.
-    forward_server_.Stop(std::move(on_stopped_));
-    return;
+    forward_server_.Stop([this] { OnStopped(); });
   }
   stop_timer_.expires_after(kStopPollInterval);
   stop_timer_.async_wait(
@@ -144,6 +196,16 @@
       });
 }
 
+void call_service::impl::EndForStop() {
+  responses_ended_ = true;
+  for (const auto& call : CallsInProgress()) call->EndForStop();
+}
+
+void call_service::impl::OnStopped() {
+  stop_timer_.cancel();
+  if (const auto done = std::exchange(on_stopped_, nullptr)) done();
+}
+
 call_service_status call_service::impl::Status() const {
   auto status = context_->counters;
   const auto& admission = context_->dispatcher->Admission();
@@ -153,7 +215,7 @@
   status.forward_connections = forward_server_.OpenConnections();
   status.backend_connections =
       context_->backend.OpenConnections(context_->options.backend().address);
-  status.entry_calls = context_->entry_calls;
+  status.entry_calls = context_->entry_calls.size();
   status.owner_queued = admission.Queued();
   status.owner_running = admission.InFlight();
   status.owner_limit = admission.Limit();
--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -70,10 +70,10 @@
       request_head_(request_->Head()),
       call_id_(context_->NewCallId()),
       timer_(context_->io) {
-  ++context_->entry_calls;
+  context_->entry_calls.insert(this);
 }
 
-entry_call::~entry_call() { --context_->entry_calls; }
+entry_call::~entry_call() { context_->entry_calls.erase(this); }
 
 void entry_call::Start() {
   request_->SetDisconnectHandler([call = weak_from_this()] {
@@ -132,6 +132,7 @@
 }
 
 void entry_call::OnBodyPrefix(result<body_prefix> prefix) {
+  if (refused_for_stop_) return;
   if (!prefix) {
     RespondWithError(
         {prefix.error().kind, prefix.error().message, run_state::kNotRun});
@@ -166,9 +167,34 @@
                                       .deadline = deadline_},
                          context_->options.call, context_->selector,
                          context_->retries);
+  if (context_->stop) LimitToStop();
   RunActions(state_machine_->Start(MonotonicNow()));
 }
 
+void entry_call::LimitToStop() {
+  deadline_ = std::min(deadline_, context_->stop->request_deadline);
+  if (!state_machine_) return;
+  state_machine_->LimitDeadline(deadline_);
+  for (const auto& [number, entry] : attempts_) {
+    if (entry.body) entry.body->LimitDeadline(context_->stop->body_deadline);
+  }
+  ScheduleTimer();
+}
+
+void entry_call::EndForStop() {
+  if (!state_machine_) {
+    if (std::exchange(refused_for_stop_, true)) return;
+    RespondWithError({error_kind::kDraining,
+                      "the daemon stops, and the request is incomplete",
+                      OutcomeBeforeGrant()});
+  } else if (waiting_for_release_) {
+    // The response is due. Until the key is released, the caller is told that
+    // its outcome is unknown if it sends the request again.
+    waiting_for_release_ = false;
+    RunActions({});
+  }
+}
+
 run_state entry_call::OutcomeBeforeGrant() const {
   const bool safe = class_ != nullptr && IsIdempotent(class_->definition.kind);
   return key_.empty() || safe ? run_state::kNotRun : run_state::kUnknown;
@@ -340,7 +366,12 @@
   RemoveHopByHopFields(response->head.fields);
   RemovePomelohallFields(response->head.fields);
   auto& entry = attempts_[number];
-  entry.body = std::move(response->body);
+  if (response->body) {
+    entry.body = time_limited_body::Create(
+        context_->io, std::move(response->body),
+        {.deadline =
+             context_->stop ? context_->stop->body_deadline : instant::max()});
+  }
   entry.stored.status = response->head.status;
   for (const auto& field : response->head.fields) {
     entry.stored.headers.emplace_back(field.name, field.value);
--- a/libs/caller/src/entry_call.h
+++ b/libs/caller/src/entry_call.h
@@ -12,6 +12,7 @@
 #include "caller/body_prefix.h"
 #include "caller/incoming_request.h"
 #include "caller/prefixed_body.h"
+#include "caller/time_limited_body.h"
 #include "policy/call_state_machine.h"
 #include "service_context.h"
 
@@ -26,11 +27,16 @@
 
   void Start();
 
+  // Applies the limits of a stop that has begun.
+  void LimitToStop();
+  // Sends an error if the caller would get no response before the daemon ends.
+  void EndForStop();
+
  private:
   struct attempt {
     std::shared_ptr<exchange> call;
-    std::shared_ptr<body_source> body;  // Of the response.
-    std::optional<response_head> head;  // Moved out on delivery.
+    std::shared_ptr<time_limited_body> body;  // Of the response.
+    std::optional<response_head> head;        // Moved out on delivery.
     bool delivering = false;
     stored_response stored;  // Only with an idempotency key.
   };
@@ -106,6 +112,7 @@
   std::deque<call_action> actions_;
   bool running_actions_ = false;
   bool waiting_for_release_ = false;
+  bool refused_for_stop_ = false;
   boost::asio::steady_timer timer_;
   std::optional<instant> timer_at_;
   // Set once the caller has its response or disconnected. Attempts that still
--- a/libs/caller/src/service_context.h
+++ b/libs/caller/src/service_context.h
@@ -5,9 +5,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "backend/connection_pool.h"
@@ -21,9 +23,16 @@
 
 namespace pomelohall {
 
+class entry_call;
 class owner_dispatcher;
 class key_claim_client;
 
+// When the calls of callers end while the daemon stops.
+struct stop_limits {
+  instant request_deadline;  // Latest deadline of a call.
+  instant body_deadline;     // When the body of a response must have arrived.
+};
+
 // State shared by all calls of one daemon. Calls hold a reference, so that
 // their last events are safe after the call_service was destroyed.
 struct service_context {
@@ -49,7 +58,9 @@
   std::shared_ptr<owner_dispatcher> dispatcher;
   std::shared_ptr<key_claim_client> key_claims;
   bool draining = false;
-  std::size_t entry_calls = 0;  // Calls of callers in progress.
+  std::optional<stop_limits> stop;  // Set while the daemon stops.
+  // Calls of callers in progress. They remove themselves.
+  std::unordered_set<entry_call*> entry_calls;
   std::uint64_t next_call = 0;
   call_service_status counters;
 };
--- a/libs/caller/src/time_limited_body.cc
+++ b/libs/caller/src/time_limited_body.cc
@@ -27,6 +27,11 @@
                                      const body_time_limits& limits)
     : inner_(std::move(inner)), timer_(io), limits_(limits) {}
 
+void time_limited_body::LimitDeadline(instant deadline) {
+  limits_.deadline = std::min(limits_.deadline, deadline);
+  if (pending_) StartTimer();
+}
+
 void time_limited_body::Read(callback done) {
   if (MonotonicNow() >= limits_.deadline) {
     inner_->Cancel();
@@ -46,9 +51,11 @@
 // Only a reader that waits is timed out: between its reads it still uses the
 // last part, which a cancellation would invalidate.
 void time_limited_body::StartTimer() {
-  timer_.expires_at(std::min(
+  const auto expiry = std::min(
       limits_.deadline,
-      std::max(limits_.stall_from, MonotonicNow() + limits_.max_stall)));
+      std::max(limits_.stall_from, MonotonicNow() + limits_.max_stall));
+  if (expiry == instant::max()) return;
+  timer_.expires_at(expiry);
   timer_.async_wait(
       [weak = weak_from_this()](boost::system::error_code cancelled) {
         const auto self = weak.lock();
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -35,7 +35,8 @@
 
   /// Shuts down gracefully: announces that the backend server is draining,
   /// refuses new calls, waits for the calls in flight, leaves the cluster, then
-  /// calls `done`. Repeated calls are ignored.
+  /// calls `done`, within `stop_grace` of the settings. Repeated calls are
+  /// ignored.
   void Stop(std::function<void()> done);
 
  private:
--- a/libs/daemon/src/daemon.cc
+++ b/libs/daemon/src/daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,6 +34,16 @@
 constexpr std::uint32_t kHeadWatchTimeoutMs = 30'000;
 // Allows the last frames, which announce that this member left, to be sent.
 constexpr std::uint32_t kTransportStopTimeoutMs = 500;
+// Parts of the stop grace period that are left when a step of a stop ends.
+// When all calls have ended: the writes of the SLO windows to the platform take
+// some milliseconds each.
+constexpr std::chrono::milliseconds kCallsEndMargin(1500);
+// When the daemon begins to leave the cluster: kTransportStopTimeoutMs, and the
+// requests of the local listener.
+constexpr std::chrono::milliseconds kLeaveMargin(1000);
+// When the process ends whatever is in progress: the exit takes some
+// milliseconds, and some tens on a busy VM.
+constexpr std::chrono::milliseconds kMinExitMargin(150);
 
 std::int64_t UnixSeconds() {
   constexpr std::int64_t kMillisPerSecond = 1000;
@@ -71,7 +82,8 @@
              }),
         calls_(io, CallOptions()),
         lease_timer_(io),
-        slo_timer_(io) {}
+        slo_timer_(io),
+        stop_timer_(io) {}
 
   ~impl() override {
     transport_ready_ = false;
@@ -107,11 +119,13 @@
   void Stop(std::function<void()> done) {
     if (stopping_) return;
     stopping_ = true;
+    on_stopped_ = std::move(done);
     log_event(log_level::kInfo, "daemon_stopping").With("member", Name());
+    BoundStop(MonotonicNow() + settings_.stop_grace);
     if (lease_.Drain()) OnLeaseChanged();
-    calls_.Stop([this, done = std::move(done)]() mutable {
+    calls_.Stop([this] {
       slo_.SendOpenWindow();
-      FlushSloWindows(std::move(done));
+      FlushSloWindows();
     });
   }
 
@@ -145,6 +159,8 @@
       metrics_.Record(observation);
     };
     options.claims = &store_;
+    options.stop_time =
+        std::max<duration>(settings_.stop_grace - kCallsEndMargin, duration(0));
     return options;
   }
 
@@ -216,34 +232,54 @@
   // to the control actor. The actor runs tasks in order: before this one, it
   // has sent the window to the other aggregators and, if this daemon is one
   // itself, posted it to the I/O thread, where it is handled before the flush.
-  void FlushSloWindows(std::function<void()> done) {
-    control_->Post([this, done = std::move(done)](control_core&, instant) {
-      boost::asio::post(io_, [this, done] {
-        slo_.Flush([this, done] { LeaveCluster(done); });
-      });
+  void FlushSloWindows() {
+    control_->Post([this](control_core&, instant) {
+      boost::asio::post(io_,
+                        [this] { slo_.Flush([this] { LeaveCluster(); }); });
     });
   }
 
-  void LeaveCluster(std::function<void()> done) {
-    control_->Post(
-        [this, done = std::move(done)](control_core& core, instant now) {
-          core.Leave(now);
-          boost::asio::post(io_, [this, done] { Shutdown(done); });
-        });
+  void LeaveCluster() {
+    control_->Post([this](control_core& core, instant now) {
+      core.Leave(now);
+      boost::asio::post(io_, [this] { Shutdown(); });
+    });
   }
 
-  void Shutdown(const std::function<void()>& done) {
+  void Shutdown() {
     lease_timer_.cancel();
     slo_timer_.cancel();
     transport_ready_ = false;
     transport_->Stop(kTransportStopTimeoutMs);
-    local_api_.Stop([this, done] {
-      control_->Stop();
-      log_event(log_level::kInfo, "daemon_stopped").With("member", Name());
-      done();
+    local_api_.Stop([this] { OnStopped("idle"); });
+  }
+
+  // Goes on with the stop if one of its steps takes too long.
+  void BoundStop(instant end) {
+    RunAt(end - kLeaveMargin, [this, end] {
+      slo_.EndFlush();
+      RunAt(end - kMinExitMargin, [this] { OnStopped("time"); });
     });
   }
 
+  template <typename Function>
+  void RunAt(instant time, Function next) {
+    stop_timer_.expires_at(time);
+    stop_timer_.async_wait([next](boost::system::error_code cancelled) {
+      if (!cancelled) next();
+    });
+  }
+
+  void OnStopped(const char* reason) {
+    if (!on_stopped_) return;
+    stop_timer_.cancel();
+    control_->Stop();
+    log_event(log_level::kInfo, "daemon_stopped")
+        .With("member", Name())
+        .With("reason", reason);
+    std::exchange(on_stopped_, nullptr)();
+  }
+
   // Timers and backend server -----------------------------------------------
 
   void ScheduleLeaseCheck() {
@@ -487,6 +523,8 @@
   call_service calls_;
   boost::asio::steady_timer lease_timer_;
   boost::asio::steady_timer slo_timer_;
+  boost::asio::steady_timer stop_timer_;
+  std::function<void()> on_stopped_;  ///< Set while the daemon stops.
 
   std::shared_ptr<const member_directory> members_;
   std::map<std::string, std::size_t> routed_server_counts_;  ///< By service.
--- a/libs/daemon/src/slo_reporter.h
+++ b/libs/daemon/src/slo_reporter.h
@@ -52,6 +52,9 @@
   /// reason but a name conflict, calls `done` at once without a retry.
   void Flush(std::function<void()> done);
 
+  /// Calls the callback of a Flush() that has not ended.
+  void EndFlush() { CompleteFlush(); }
+
   /// Number of objects not yet written to the platform.
   std::size_t PendingObjects() const { return pending_.size(); }
 
--- a/libs/policy/include/policy/call_state_machine.h
+++ b/libs/policy/include/policy/call_state_machine.h
@@ -116,6 +116,10 @@
   /// completion.
   actions OnCallerDisconnected(instant now);
 
+  /// The daemon stops: the call must end by `deadline`, if its own is later.
+  /// What has not run by then gets `kDraining`. NextTimer() may change.
+  void LimitDeadline(instant deadline);
+
   /// Must be called at the time that NextTimer() returned.
   actions OnTimer(instant now);
 
@@ -174,6 +178,8 @@
   void ScheduleHedge(instant now);
   actions Hedge(instant now);
   actions OnDeadline(instant now);
+  /// Returns the error at the deadline.
+  error DeadlineError(std::string message, run_state ran) const;
   actions RespondWithError(const error& reason);
   void ResolveKeyAfterFailure(actions& out);
   error ToCallerError(const error& reason) const;
@@ -189,6 +195,7 @@
   std::uint32_t retries_done_ = 0;
   std::uint32_t backend_failures_ = 0;
   instant started_at_{};
+  bool limited_ = false;  ///< The daemon stops before the call's own deadline.
   std::optional<instant> hedge_at_;
   bool granted_ = false;
   bool key_resolved_ = false;
--- a/libs/policy/src/call_state_machine.cc
+++ b/libs/policy/src/call_state_machine.cc
@@ -216,6 +216,12 @@
   return out;
 }
 
+void call_state_machine::LimitDeadline(instant deadline) {
+  if (deadline >= request_.deadline) return;
+  request_.deadline = deadline;
+  limited_ = true;
+}
+
 call_state_machine::actions call_state_machine::OnTimer(instant now) {
   if (phase_ == phase::kAwaitingGrant && now >= DeadlineTimer()) {
     return OnGrant({.verdict = grant_verdict::kUnavailable}, now);
@@ -266,9 +272,8 @@
 
 call_state_machine::actions call_state_machine::SendFirstAttempt(instant now) {
   if (now >= request_.deadline) {
-    return RespondWithError({error_kind::kDeadlineExceeded,
-                             "deadline exceeded before the request was sent",
-                             run_state::kNotRun});
+    return RespondWithError(DeadlineError(
+        "deadline exceeded before the request was sent", run_state::kNotRun));
   }
   auto server = selector_->Pick(request_.service, tried_members_, now);
   if (!server) return RespondWithError(server.error());
@@ -382,13 +387,22 @@
     EndAttempt(attempt, FailureResult(now - attempt.started_at, timed_out),
                now);
   }
-  auto response =
-      RespondWithError({error_kind::kDeadlineExceeded,
-                        "deadline exceeded without a response", ran});
+  auto response = RespondWithError(
+      DeadlineError("deadline exceeded without a response", ran));
   std::move(response.begin(), response.end(), std::back_inserter(out));
   return out;
 }
 
+error call_state_machine::DeadlineError(std::string message,
+                                        run_state ran) const {
+  if (!limited_)
+    return {error_kind::kDeadlineExceeded, std::move(message), ran};
+  if (ran == run_state::kNotRun)
+    return {error_kind::kDraining, "the daemon stops", ran};
+  return {error_kind::kDeadlineExceeded,
+          "the daemon stops, and the request has no response yet", ran};
+}
+
 call_state_machine::actions call_state_machine::RespondWithError(
     const error& reason) {
   phase_ = phase::kResponded;
--- a/libs/policy/tests/call_state_machine_test.cc
+++ b/libs/policy/tests/call_state_machine_test.cc
@@ -267,6 +267,32 @@
   CHECK(failure_->ran == (sent ? run_state::kUnknown : run_state::kNotRun));
 }
 
+// Guards against a request that is still in progress when its daemon ends, and
+// against an outcome that is reported wrongly because of the stop.
+TEST_CASE_METHOD(call_fixture, "Call_DeadlineLimitedByAStop_ReportsRunState") {
+  const bool sent = GENERATE(false, true);
+  auto call = NewCall(class_kind::kLookup);
+  Run(call.Start(now_));
+  if (sent) call.OnSent(1);
+  call.LimitDeadline(now_ + milliseconds(300));
+  call.LimitDeadline(now_ + milliseconds(600));
+  CHECK(call.NextTimer() < now_ + milliseconds(400));
+  now_ = *call.NextTimer();
+  CHECK(Run(call.OnTimer(now_)) == names{"cancel_attempt", "answer_error"});
+  CHECK(failure_->ran == (sent ? run_state::kUnknown : run_state::kNotRun));
+  CHECK(failure_->kind ==
+        (sent ? error_kind::kDeadlineExceeded : error_kind::kDraining));
+}
+
+// Guards against sending a request that its stopping daemon cannot answer.
+TEST_CASE_METHOD(call_fixture, "Call_StartsAfterTheLimitOfAStop_IsRefused") {
+  auto call = NewCall(class_kind::kTransaction);
+  call.LimitDeadline(now_);
+  CHECK(Run(call.Start(now_)) == error_response_);
+  CHECK(failure_->kind == error_kind::kDraining);
+  CHECK(failure_->ran == run_state::kNotRun);
+}
+
 // Guards against delivering the responses of both hedged attempts, and against
 // an error while the other attempt may still succeed.
 TEST_CASE_METHOD(call_fixture, "Call_Hedge_FirstResponseWins") {
--- a/libs/settings/include/settings/daemon_settings.h
+++ b/libs/settings/include/settings/daemon_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/time.h"
 
 namespace pomelohall {
 
@@ -46,6 +47,10 @@
   std::string platform_address;    ///< "ip:port" of the object API.
   std::string platform_namespace = "pomelohall";
   std::string log_level = "info";  ///< "info", "warning" or "error".
+  /// Time from SIGTERM until the process is killed, 2 s to 1 h. The default
+  /// leaves 60 s, the default deadline of calls, to calls that arrive just
+  /// before SIGTERM, and 2 s to end them and the process.
+  duration stop_grace = std::chrono::seconds(62);
   test_settings test;
 };
 
--- a/libs/settings/src/daemon_settings.cc
+++ b/libs/settings/src/daemon_settings.cc
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -115,6 +117,10 @@
   settings.platform_namespace =
       platform.value("namespace", settings.platform_namespace);
   settings.log_level = document.value("log_level", settings.log_level);
+  if (document.contains("stop_grace_ms")) {
+    settings.stop_grace = std::chrono::milliseconds(
+        document.at("stop_grace_ms").get<std::int64_t>());
+  }
   const json test = document.value("test", empty_object);
   settings.test.blocked_peers =
       test.value("blocked_peers", settings.test.blocked_peers);
--- a/libs/settings/src/settings_schema.cc
+++ b/libs/settings/src/settings_schema.cc
@@ -68,6 +68,7 @@
       }
     },
     "log_level": {"type": "string", "enum": ["info", "warning", "error"]},
+    "stop_grace_ms": {"type": "integer", "minimum": 2000, "maximum": 3600000},
     "test": {
       "type": "object",
       "additionalProperties": false,
--- a/libs/settings/tests/daemon_settings_test.cc
+++ b/libs/settings/tests/daemon_settings_test.cc
@@ -41,6 +41,7 @@
   CHECK(settings->listeners.peer == "10.20.0.11:7402");
   CHECK(settings->seeds.size() == 2);
   CHECK(settings->platform_address == "10.20.0.2:8080");
+  CHECK(settings->stop_grace == std::chrono::seconds(30));
   CHECK(settings->test == test_settings{});
 }
 
@@ -55,6 +56,7 @@
   CHECK(settings->test.blocked_peers ==
         std::vector<std::string>{"127.0.0.1:9"});
   CHECK(settings->test.tick_ms == 5);
+  CHECK(settings->stop_grace == std::chrono::seconds(62));
 }
 
 // Guards against error messages that do not identify the invalid field.
@@ -65,6 +67,9 @@
   CHECK(ErrorFor("/test/tick_ms", 0) ==
         "invalid settings\n  /test/tick_ms: found 0, allowed: integer from 1 "
         "to 10000");
+  CHECK(ErrorFor("/stop_grace_ms", 1999) ==
+        "invalid settings\n  /stop_grace_ms: found 1999, allowed: integer from "
+        "2000 to 3600000");
   CHECK(ErrorFor("/seeds/1", "localhost:7402") ==
         "invalid settings\n  /seeds/1: found \"localhost:7402\", allowed: "
         "\"ip:port\" with a port of 1 to 65535");
--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -13,6 +14,8 @@
 namespace pomelohall {
 namespace {
 
+using std::chrono::milliseconds;
+
 std::string IssueKey(const std::string& daemon) {
   raw_client client(daemon);
   const auto response = client.Call("POST", "/v1/keys");
@@ -50,6 +53,28 @@
   std::vector<std::unique_ptr<scripted_server>> servers_;
 };
 
+/// Two daemons that stop within a given time. Daemon 0 has no backend server.
+class stopping_mesh : public mesh_fixture {
+ public:
+  explicit stopping_mesh(duration stop_time) {
+    const auto adjust = [stop_time](call_service_options& options) {
+      options.stop_time = stop_time;
+    };
+    AddDaemon(adjust);
+    AddDaemon(adjust);
+  }
+
+  void Stop(std::size_t index) {
+    RunOnIoThread([&] { At(index).service->Stop([this] { ended_ = true; }); });
+  }
+  void WaitUntilStopped() {
+    WaitUntil([this] { return ended_.load(); });
+  }
+
+ private:
+  std::atomic<bool> ended_{false};
+};
+
 // Guarantee P4: a body that the backend server truncated must not reach the
 // caller as a complete response, and does not make its request a suspect.
 TEST_CASE("Fault_TruncatedBody_IsNotACompleteResponse", "[fault]") {
@@ -219,6 +244,78 @@
   }
 }
 
+// Guards against a stop that waits for a response without a byte until its
+// caller gives up, with the entry and the owner in one daemon and in two.
+TEST_CASE("Fault_StopWhileAResponseStalls_CallerGetsAnError", "[fault]") {
+  for (const std::size_t entry : {0U, 1U}) {
+    INFO(entry);
+    concurrent_server server([](const std::string& header) {
+      return scripted_reply{.bytes =
+                                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n"
+                                "Pomelohall-Call-Id: " +
+                                HeaderValue(header, "Pomelohall-Call-Id") +
+                                "\r\n\r\n"};
+    });
+    stopping_mesh mesh(milliseconds(1000));
+    mesh.SetBackend(1, server.Address());
+    mesh.PublishSnapshot();
+    raw_client client(mesh.CallerAddress(entry));
+    client.SendRequest("GET", "/file/1");
+    mesh.WaitUntil([&] { return server.Requests() == 1; });
+    mesh.Stop(entry);
+    const auto response = client.Read();
+    CHECK(response.status >= 502);
+    CHECK(ErrorBody(response).at("ran") == "unknown");
+    mesh.WaitUntilStopped();
+  }
+}
+
+// Guards against a request that gets no response because its body is incomplete
+// when the daemon ends, and against "not run" for a key that has run before.
+TEST_CASE("Fault_StopWhileABodyIsIncomplete_IsRefused", "[fault]") {
+  stopping_mesh mesh(milliseconds(1000));
+  mesh.AddBackend(1);
+  mesh.PublishSnapshot();
+  const auto key = KeyField(IssueKey(mesh.CallerAddress(0)));
+  raw_client first(mesh.CallerAddress(0));
+  CHECK(first.Call("POST", "/order/1", key).status == 200);
+  raw_client keyed(mesh.CallerAddress(0));
+  keyed.SendRequest("POST", "/order/1", key + "Content-Length: 10\r\n");
+  raw_client plain(mesh.CallerAddress(0));
+  plain.SendRequest("POST", "/order/1", "Content-Length: 10\r\n");
+  mesh.WaitUntil([&] { return mesh.At(0).service->Status().entry_calls == 2; });
+  mesh.Stop(0);
+  const auto refused = plain.Read();
+  CHECK(refused.status == 503);
+  CHECK(ErrorBody(refused).at("error") == "draining");
+  CHECK(ErrorBody(refused).at("ran") == "not_run");
+  const auto unknown = keyed.Read();
+  CHECK(unknown.status == 503);
+  CHECK(ErrorBody(unknown).at("ran") == "unknown");
+  mesh.WaitUntilStopped();
+  CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 1);
+}
+
+// Guards against running a request that a stopping daemon cannot answer.
+TEST_CASE("Fault_RequestAtTheEndOfAStop_IsRefusedNotRun", "[fault]") {
+  // Shorter than the time that is reserved for the last responses.
+  stopping_mesh mesh(milliseconds(450));
+  mesh.AddBackend(1);
+  mesh.PublishSnapshot();
+  raw_client client(mesh.CallerAddress(0));
+  client.Send("GET /look/1 HTTP/1.1\r\n");
+  mesh.WaitUntil(
+      [&] { return mesh.At(0).service->Status().caller_connections == 1; });
+  mesh.Stop(0);
+  client.Send("Host: x\r\n\r\n");
+  const auto response = client.Read();
+  CHECK(response.status == 503);
+  CHECK(ErrorBody(response).at("error") == "draining");
+  CHECK(ErrorBody(response).at("ran") == "not_run");
+  mesh.WaitUntilStopped();
+  CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 0);
+}
+
 // Guarantees P7 and P5: a draining owner refuses new calls as "not run" and
 // finishes the running ones; the entry retries a refused call at another owner.
 TEST_CASE("Fault_OwnerDrains_CallsAreRetriedElsewhere", "[fault]") {
--- a/tests/http/time_limited_body_test.cc
+++ b/tests/http/time_limited_body_test.cc
@@ -89,4 +89,18 @@
   CHECK(failure_ == error_kind::kDeadlineExceeded);
 }
 
+// Guards against a reader that keeps waiting when a stop limits the deadline.
+TEST_CASE_METHOD(time_limited_body_fixture,
+                 "TimeLimitedBody_DeadlineLimitedWhileItWaits_Fails",
+                 "[time_limited_body]") {
+  body_ = time_limited_body::Create(io_, source_, {.deadline = instant::max()});
+  Read();
+  RunUntil(kStallFrom);
+  CHECK_FALSE(failure_);
+  body_->LimitDeadline(start_ + kDeadline / 2);
+  RunUntil(kDeadline);
+  CHECK(failure_ == error_kind::kDeadlineExceeded);
+  CHECK(source_->cancelled);
+}
+
 }  // namespace pomelohall
--- a/tests/process/call_process_test.py
+++ b/tests/process/call_process_test.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import socket
 import sys
 import time
 
@@ -31,6 +32,9 @@
 # design allows that, so the tests wait this long between resends.
 RESEND_INTERVAL_SECONDS = 2
 MAX_DRAIN_SECONDS = 3  # Guarantee P7.
+# Longer than the margins at the end of a stop (2 s).
+STOP_GRACE_MS = 5000
+STUCK_MS = 40000  # Far longer than the grace.
 
 
 def start_fleet(fleet, services, backend=("--service-time-ms", "1")):
@@ -400,6 +404,112 @@
     check_all_ok(loads)
 
 
+def check_exit_within_grace(daemon, started):
+    """Checks that a daemon that got SIGTERM at `started` ends as planned."""
+    code = daemon.program.process.wait(timeout=STUCK_MS / 1000)
+    seconds = time.monotonic() - started
+    assert code == 0, f"{daemon.name} exited with {code}"
+    assert seconds <= STOP_GRACE_MS / 1000, (
+        f"{daemon.name} ended {seconds:.1f} s after SIGTERM")
+
+
+def send_raw(daemon, text, listener="caller"):
+    """Sends bytes to a daemon on a connection that buffers little."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.settimeout(60)
+    connection.connect(("127.0.0.1", daemon.ports[listener]))
+    connection.sendall(text.encode())
+    return connection
+
+
+def read_response(connection):
+    """Reads a response, such as send_raw() leads to; returns a CallResult."""
+    try:
+        response = http.client.HTTPResponse(connection)
+        response.begin()
+        return CallResult(response.status, response.headers, response.read())
+    except (OSError, http.client.HTTPException):
+        return CallResult(connection_lost=True)
+
+
+def entry_sigterm_with_stuck_calls_answers_them_within_its_grace(fleet):
+    """Guards against a stop without a bound and calls it leaves unanswered.
+
+    The calls run at the own backend server and at that of another daemon, have
+    an incomplete body, and have a caller that reads nothing.
+    """
+    fleet.daemon_settings["stop_grace_ms"] = STOP_GRACE_MS
+    start_fleet(fleet, ["catalogue", "orders"])
+    entry, owner = fleet.daemons
+    key = issue_key(entry)
+    stuck = f"sleep?ms={STUCK_MS}"
+    with concurrent.futures.ThreadPoolExecutor(3) as pool:
+        lookups = [pool.submit(call, entry, f"/{service}/{stuck}")
+                   for service in ("catalogue", "orders")]
+        order = pool.submit(call, entry, f"/orders/{stuck}", "POST", key,
+                            b"order")
+        upload = send_raw(entry, "POST /orders/new HTTP/1.1\r\nHost: x\r\n"
+                          "Content-Length: 10\r\n\r\norder")
+        with upload, send_raw(entry, "GET /catalogue/bytes?n=1000000000 "
+                              "HTTP/1.1\r\nHost: x\r\n\r\n"):
+            wait_until(lambda: metric(entry, "pomelohall_entry_calls") == 5,
+                       "the calls are in progress")
+            wait_until(lambda: executions_at(owner, key) == 1,
+                       "the transaction runs")
+            started = time.monotonic()
+            entry.program.process.terminate()
+            upload_result = read_response(upload)
+            check_exit_within_grace(entry, started)
+        for future in lookups:
+            result = future.result()
+            assert result.error == "deadline_exceeded", result
+            assert result.outcome == "unknown", result
+        result = order.result()
+        assert result.error == "outcome_unknown", result
+        assert result.outcome == "unknown", result
+        assert (upload_result.status, upload_result.error,
+                upload_result.outcome) == (503, "draining", "not_run"), (
+                    upload_result)
+    assert executions_at(owner, key) == 1
+
+
+def owner_sigterm_with_stuck_calls_ends_within_its_grace(fleet):
+    """Guards against a stop that waits for another daemon's calls for long."""
+    fleet.daemon_settings["stop_grace_ms"] = STOP_GRACE_MS
+    start_fleet(fleet, ["catalogue", "orders"])
+    entry, owner = fleet.daemons
+    key = issue_key(entry)
+    stuck = f"/orders/sleep?ms={STUCK_MS}"
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        lookup = pool.submit(call, entry, stuck)
+        order = pool.submit(call, entry, stuck, "POST", key, b"order")
+        with send_raw(entry, "GET /orders/bytes?n=1000000000 HTTP/1.1\r\n"
+                      "Host: x\r\n\r\n"):
+            wait_until(lambda: metric(owner, "pomelohall_owner_running") == 3,
+                       "the calls run")
+            started = time.monotonic()
+            owner.program.process.terminate()
+            check_exit_within_grace(owner, started)
+        result = lookup.result()
+        assert result.status >= 500 and result.outcome == "unknown", result
+        result = order.result()
+        assert result.error == "outcome_unknown", result
+        assert result.outcome == "unknown", result
+    assert executions_at(owner, key) == 1
+
+
+def sigterm_with_incomplete_local_request_ends_within_its_grace(fleet):
+    """Guards against a stop that waits for a request to the local listener."""
+    fleet.daemon_settings["stop_grace_ms"] = STOP_GRACE_MS
+    start_fleet(fleet, ["catalogue"])
+    daemon = fleet.daemons[0]
+    with send_raw(daemon, "GET /status HTTP/1.1\r\n", "local"):
+        started = time.monotonic()
+        daemon.program.process.terminate()
+        check_exit_within_grace(daemon, started)
+
+
 # SLO figures ------------------------------------------------------------------
 
 def metric(daemon, name):
@@ -501,6 +611,9 @@
     poison_among_other_requests_two_servers_crash_and_others_serve,
     drain_under_load_every_call_ok_and_no_new_work_after_3_s,
     backend_sigterm_under_load_every_call_ok,
+    entry_sigterm_with_stuck_calls_answers_them_within_its_grace,
+    owner_sigterm_with_stuck_calls_ends_within_its_grace,
+    sigterm_with_incomplete_local_request_ends_within_its_grace,
     entry_killed_slo_figure_not_above_share_seen_by_callers,
     aggregator_killed_slo_figure_not_above_share_seen_by_callers,
     platform_down_lookups_and_issued_keys_answered,
--- a/tests/process/fleet_control.py
+++ b/tests/process/fleet_control.py
@@ -156,6 +156,7 @@
         self.bin_dir = os.path.abspath(bin_dir)
         self.work_dir = tempfile.mkdtemp(prefix="pomelohall-")
         self.log_level = log_level
+        self.daemon_settings = {}  # Added to the settings of each daemon.
         self.platform = None
         self.platform_port = 0
         self.daemons = []
@@ -236,6 +237,7 @@
                       if seed != daemon.address("peer")],
             "platform": {"address": self.platform_address()},
             "log_level": self.log_level,
+            **self.daemon_settings,
         }
         if blocked_peers:
             settings["test"] = {"blocked_peers": list(blocked_peers)}
