Stop: begin further responses beside slow callers

What callers saw: several callers that read slowly, each over a way of its own, got 504 or a cut response at the end of a stop, although the daemon had all responses for seconds and its link was idle.

Cause: during a stop large responses are written one after the other, and the next one begins after up to a second. That is right for a link that the responses share. With callers that need 2 s each, four responses begin, and those that begin late are cut.

Change: the turns know the rate of the link. Once the responses being written have been measured for 200 ms and leave most of the link unused, as many again begin beside them. If their mean rate drops then, something else limits it, and no more begin. If the rate of the link is unknown, nothing changes.

Measured: eight callers of 150 kB/s and responses of 300 kB that are ready 2.4 s after the signal (Sidecar_SeveralCallersReadSlowlyDuringStop).

--- a/libs/caller/src/call_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -37,7 +37,7 @@
         head_memory_(
             std::make_shared<memory_budget>(options_.max_head_memory_bytes)),
         handler_(handler),
-        turns_(std::make_shared<write_turns>()),
+        turns_(std::make_shared<write_turns>(options_.link_bytes_per_second)),
         acceptor_(io),
         timer_(io) {}
 
--- a/libs/caller/src/write_turns.cc
+++ b/libs/caller/src/write_turns.cc
@@ -18,6 +18,16 @@
 constexpr duration kMaxTurn = std::chrono::seconds(1);
 // Shorter writes tell nothing more of the rate of a link.
 constexpr duration kMinRateTime = std::chrono::milliseconds(50);
+// Time after which the rate of a response tells whether the link or the caller
+// limits it: some round trips, and some reads of a slow caller.
+constexpr duration kRateTime = std::chrono::milliseconds(200);
+// Share of the link up to which responses begin beside others. A response that
+// the link limits takes more than this on its own.
+constexpr double kUsableLinkShare = 0.5;
+// If the mean rate drops below this share when others begin, they take it from
+// each other: something else fills the link. Without a limit other than that of
+// the callers it stays the same.
+constexpr double kMinMeanShare = 0.7;
 // Time before the end in which a response is not started if the rates seen are
 // too low for it. Earlier, a faster caller may still finish.
 constexpr duration kRateBoundTime = std::chrono::seconds(1);
@@ -66,9 +76,39 @@
   return needed <= end_ - now;
 }
 
+// At most as many as are being written, so that a wrong guess does little.
+std::size_t write_turns::Room(instant now) {
+  if (current_.empty()) {
+    mean_bytes_per_second_ = 0;
+    return 1;
+  }
+  if (link_bytes_per_second_ == 0) return 0;
+  double total = 0;
+  double fastest = 0;
+  for (const auto& entry : current_) {
+    if (now - entry.began_at < kRateTime) return 0;
+    const std::chrono::duration<double> time = now - entry.began_at;
+    const auto written =
+        entry.bytes - std::min(entry.bytes, entry.unacknowledged);
+    const auto rate = static_cast<double>(written) / time.count();
+    total += rate;
+    fastest = std::max(fastest, rate);
+  }
+  const auto mean = total / static_cast<double>(current_.size());
+  const auto unused = kUsableLinkShare * link_bytes_per_second_ - total;
+  if (fastest == 0 || unused < fastest ||
+      mean < kMinMeanShare * mean_bytes_per_second_) {
+    return 0;
+  }
+  mean_bytes_per_second_ = mean;
+  return std::min(current_.size(), static_cast<std::size_t>(unused / fastest));
+}
+
 void write_turns::Poll(instant now) {
   std::erase_if(current_, [&](turn& entry) { return Update(entry, now); });
-  while (current_.empty() && !waiting_.empty()) {
+  if (waiting_.empty()) return;
+  auto room = Room(now);
+  while (room > 0 && !waiting_.empty()) {
     const auto smallest = std::min_element(
         waiting_.begin(), waiting_.end(),
         [](const turn& a, const turn& b) { return a.bytes < b.bytes; });
@@ -81,7 +121,11 @@
     next.began_at = now;
     next.progress_at = now;
     current_.push_back(std::move(next));
-    if (!writer->BeginTurn()) current_.clear();
+    if (writer->BeginTurn()) {
+      --room;
+    } else {
+      current_.pop_back();
+    }
   }
 }
 
--- a/libs/caller/src/write_turns.h
+++ b/libs/caller/src/write_turns.h
@@ -1,6 +1,7 @@
 #ifndef POMELOHALL_CALLER_SRC_WRITE_TURNS_H_
 #define POMELOHALL_CALLER_SRC_WRITE_TURNS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -28,9 +29,15 @@
 // too slow for them, each would be cut at the end.
 //
 // A response that makes no progress or takes long does not hold up the others,
-// so that a caller that reads slowly or not at all delays them little.
+// so that a caller that reads slowly or not at all delays them little. If the
+// rate of the link is known, further responses begin beside those that leave
+// most of it unused.
 class write_turns {
  public:
+  // @param link_bytes_per_second Rate of the link to the callers; 0 if unknown.
+  explicit write_turns(double link_bytes_per_second = 0)
+      : link_bytes_per_second_(link_bytes_per_second) {}
+
   // Until then, each response is written at once.
   void Start() { active_ = true; }
   // Sets when the connections close. Shortly before, a response that could not
@@ -57,12 +64,18 @@
   // Returns whether the turn has ended or does not hold up others any more.
   bool Update(turn& current, instant now);
   bool HasTime(std::uint64_t bytes, instant now) const;
+  // Returns how many further responses may begin.
+  std::size_t Room(instant now);
 
+  const double link_bytes_per_second_;
   bool active_ = false;
   instant end_ = instant::max();
   std::vector<turn> current_;
   std::vector<turn> waiting_;
   double best_bytes_per_second_ = 0;  // 0: not known yet.
+  // Mean rate of the responses being written when others began beside them; 0
+  // if none have.
+  double mean_bytes_per_second_ = 0;
 };
 
 }  // namespace pomelohall
--- a/libs/caller/tests/write_turns_test.cc
+++ b/libs/caller/tests/write_turns_test.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace pomelohall {
 namespace {
@@ -35,7 +37,11 @@
  protected:
   static constexpr std::uint64_t kBytes = 300'000;
 
-  write_turns_fixture() { turns_.Start(); }
+  // @param link_bytes_per_second Rate of the link; 0 if unknown.
+  explicit write_turns_fixture(double link_bytes_per_second = 0)
+      : turns_(link_bytes_per_second) {
+    turns_.Start();
+  }
 
   // Returns a writer that has asked for a turn.
   std::shared_ptr<fake_writer> Request(std::uint64_t bytes) {
@@ -46,9 +52,15 @@
 
   // Lets the time pass while a caller takes some bytes at each 100 ms.
   void Advance(milliseconds time, fake_writer& reader, std::uint64_t bytes) {
+    Advance(time, {&reader}, bytes);
+  }
+  void Advance(milliseconds time, const std::vector<fake_writer*>& readers,
+               std::uint64_t bytes) {
     for (milliseconds passed{0}; passed < time; passed += milliseconds(100)) {
       now_ += milliseconds(100);
-      reader.unacknowledged_ -= std::min(reader.unacknowledged_, bytes);
+      for (auto* const reader : readers) {
+        reader->unacknowledged_ -= std::min(reader->unacknowledged_, bytes);
+      }
       turns_.Poll(now_);
     }
   }
@@ -94,5 +106,52 @@
   CHECK_FALSE(large->began_);
 }
 
+class known_link_fixture : public write_turns_fixture {
+ protected:
+  known_link_fixture() : write_turns_fixture(1'000'000) {}
+};
+
+// Guards against callers that read slowly and get their responses one after the
+// other although the link could carry all at once.
+TEST_CASE_METHOD(known_link_fixture,
+                 "WriteTurns_CallersReadSlowly_OthersBeginBeside", "[caller]") {
+  std::vector<std::shared_ptr<fake_writer>> writers;
+  std::vector<fake_writer*> begun;
+  writers.reserve(5);
+  for (int i = 0; i < 5; ++i) writers.push_back(Request(kBytes));
+  const std::vector<std::size_t> expected{1, 2, 4, 5};
+  for (const auto count : expected) {
+    begun.clear();
+    for (const auto& writer : writers) {
+      if (writer->began_) begun.push_back(writer.get());
+    }
+    CHECK(begun.size() == count);
+    Advance(milliseconds(200), begun, 8000);  // 80 kB/s each.
+  }
+}
+
+// Guards against responses that share a link which the first one fills.
+TEST_CASE_METHOD(known_link_fixture, "WriteTurns_LinkIsFull_NextWaits",
+                 "[caller]") {
+  const auto first = Request(3 * kBytes);
+  const auto next = Request(3 * kBytes);
+  Advance(milliseconds(800), *first, 90'000);  // 900 kB/s.
+  CHECK_FALSE(next->began_);
+}
+
+// Guards against responses that all begin at once when something else fills the
+// link: they take it from each other, and all are late.
+TEST_CASE_METHOD(known_link_fixture,
+                 "WriteTurns_RateDropsWhenOthersBegin_NoMoreBegin",
+                 "[caller]") {
+  const auto first = Request(kBytes);
+  const auto second = Request(kBytes);
+  const auto third = Request(kBytes);
+  Advance(milliseconds(200), *first, 20'000);  // 200 kB/s.
+  CHECK(second->began_);
+  Advance(milliseconds(500), {first.get(), second.get()}, 10'000);
+  CHECK_FALSE(third->began_);
+}
+
 }  // namespace
 }  // namespace pomelohall
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -99,9 +99,13 @@
   return TimeUntilEnd(stop_grace) / kRequestPhases;
 }
 
-double PacedBytesPerSecond(double link_mbps) {
+double BytesPerSecond(double link_mbps) {
   constexpr double kBytesPerMegabit = 125'000;
-  return kPacedLinkShare * link_mbps * kBytesPerMegabit;
+  return link_mbps * kBytesPerMegabit;
+}
+
+double PacedBytesPerSecond(double link_mbps) {
+  return kPacedLinkShare * BytesPerSecond(link_mbps);
 }
 
 // A request that waits for longer could not be answered if a stop of its daemon
@@ -195,7 +199,10 @@
         mesh_endpoint_(dispatcher_, sender_, config_sync_, crashes_,
                        platform.fields),
         caller_listener_(
-            io, {.address = settings_.caller_address, .stops_in_turns = true},
+            io,
+            {.address = settings_.caller_address,
+             .stops_in_turns = true,
+             .link_bytes_per_second = BytesPerSecond(settings_.link_mbps)},
             router_),
         // The daemon that took a request has held it to the limit in force
         // there, which may be another one than here while it changes.
--- a/tests/sidecar/stop_caller_test.cc
+++ b/tests/sidecar/stop_caller_test.cc
@@ -87,14 +87,17 @@
   static constexpr std::size_t kCallerVm = 1;
 
   /// @param server_mbps Rate of the link of the backend server; 0 for no limit.
-  explicit stop_caller_fixture(double server_mbps = 0)
+  /// @param caller_mbps Rate that the daemon of the callers knows of its link;
+  /// 0
+  ///     if it knows none.
+  explicit stop_caller_fixture(double server_mbps = 0, double caller_mbps = 0)
       : server_([](const std::string& header) { return Serve(header); }) {
     route_timeout_ = kDeadline;
     slots_ = 90;
     link_mbps_ = server_mbps;
     forward_link_rate_ = server_mbps * 125'000;
     AddSidecar(&server_);
-    link_mbps_ = 0;
+    link_mbps_ = caller_mbps;
     forward_link_rate_ = 0;
     AddSidecar(nullptr, "front");
     PublishConfig(3);
@@ -259,6 +262,30 @@
   CHECK(Count(Check(calls, StopAt(stop_at)), 200) == 3);
 }
 
+class known_caller_link_fixture : public stop_caller_fixture {
+ protected:
+  known_caller_link_fixture() : stop_caller_fixture(0, 140) {}
+};
+
+// Guards against callers that read slowly, each over a way of its own, and get
+// their responses one after the other: the link has room for all of them.
+TEST_CASE_METHOD(known_caller_link_fixture,
+                 "Sidecar_SeveralCallersReadSlowlyDuringStop_AllAreServed",
+                 "[sidecar]") {
+  constexpr std::size_t kCallers = 8;
+  // Each takes 2 s for a response that is ready 2.4 s after the signal.
+  std::vector<shared_link> ways(kCallers);
+  const auto stop_at = Now() + milliseconds(400);
+  std::vector<std::future<received>> calls;
+  calls.reserve(kCallers);
+  for (auto& way : ways) {
+    way.bytes_per_second = 150'000;
+    calls.push_back(
+        CallAt(stop_at - milliseconds(100), Request(2500, 300'000), way));
+  }
+  CHECK(Count(Check(calls, StopAt(stop_at)), 200) == kCallers);
+}
+
 // Guards against answers that get no memory: they are to wait for it rather
 // than to be forwarded in part.
 TEST_CASE_METHOD(stop_caller_fixture,
