Forward downloads without a length that their server makes slowly

What callers saw: 504 for a download without a length whose body takes longer than the time-out of its route, over another daemon and without any stop.

Cause: the daemon beside the server reads such a download completely, up to 1 MiB, before it sends its first byte. The daemon of the caller forwards an answer past the time-out only if it has started before.

Change: it is held for half of the time left to the deadline, and forwarded as it arrives from then on.

Measured: 300 kB over 3 s with a time-out of 2 s (Sidecar_DownloadWithoutLengthOutlastsTimeout_IsForwarded). Failed before: 504.

--- a/libs/caller/include/caller/body_prefix.h
+++ b/libs/caller/include/caller/body_prefix.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "backend/body_source.h"
+#include "base/time.h"
 
 namespace pomelohall {
 
@@ -19,11 +20,13 @@
   bool complete = false;  // `bytes` is the whole body.
 };
 
-// Reads `source` until it ends or more than `limit` bytes have arrived.
-// `on_part` is called for each part that is not the last; it may be empty.
+// Reads `source` until it ends, more than `limit` bytes have arrived, or a part
+// arrives at `until` or later. `on_part` is called for each part after which
+// reading goes on; it may be empty.
 void ReadBodyPrefix(std::shared_ptr<body_source> source, std::size_t limit,
                     std::function<void(result<body_prefix>)> done,
-                    std::function<void()> on_part = nullptr);
+                    std::function<void()> on_part = nullptr,
+                    instant until = instant::max());
 
 // Reads and drops a body that is not needed, which keeps its connection
 // reusable. Cancels a body of more than kMaxBufferedBodyBytes. `done` may be
--- a/libs/caller/src/body_prefix.cc
+++ b/libs/caller/src/body_prefix.cc
@@ -9,11 +9,12 @@
  public:
   prefix_reader(std::shared_ptr<body_source> source, std::size_t limit,
                 std::function<void(result<body_prefix>)> done,
-                std::function<void()> on_part)
+                std::function<void()> on_part, instant until)
       : source_(std::move(source)),
         limit_(limit),
         done_(std::move(done)),
-        on_part_(std::move(on_part)) {}
+        on_part_(std::move(on_part)),
+        until_(until) {}
 
   void Read() {
     source_->Read([self = shared_from_this()](result<body_part> part) {
@@ -28,7 +29,7 @@
       return;
     }
     bytes_.append(part->bytes);
-    if (!part->last && bytes_.size() <= limit_) {
+    if (!part->last && bytes_.size() <= limit_ && MonotonicNow() < until_) {
       if (on_part_) on_part_();
       Read();
       return;
@@ -41,6 +42,7 @@
   const std::size_t limit_;
   std::function<void(result<body_prefix>)> done_;
   std::function<void()> on_part_;
+  const instant until_;
   std::string bytes_;
 };
 
@@ -48,9 +50,9 @@
 
 void ReadBodyPrefix(std::shared_ptr<body_source> source, std::size_t limit,
                     std::function<void(result<body_prefix>)> done,
-                    std::function<void()> on_part) {
+                    std::function<void()> on_part, instant until) {
   std::make_shared<prefix_reader>(std::move(source), limit, std::move(done),
-                                  std::move(on_part))
+                                  std::move(on_part), until)
       ->Read();
 }
 
--- a/libs/sidecar/src/mesh_endpoint.cc
+++ b/libs/sidecar/src/mesh_endpoint.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -22,6 +23,11 @@
 // Longest time of a stop notice: far above the grace of any stop.
 constexpr std::uint64_t kMaxStopMillis = 600'000;
 
+// Share of the time left to the deadline for which an answer is held to learn
+// its length. The rest is for the wait for the link, and for the first bytes to
+// reach the caller's daemon before the time-out of the route.
+constexpr double kMaxHeldShare = 0.5;
+
 std::string TakeField(http_fields& fields, std::string_view name) {
   const auto* value = FindField(fields, name);
   std::string text = value == nullptr ? std::string() : *value;
@@ -212,6 +218,11 @@
     const std::shared_ptr<incoming_request>& request, const answer_times& times,
     incoming_response answer) {
   const auto body = answer.body;
+  const auto now = MonotonicNow();
+  const auto until = answer.head.length
+                         ? instant::max()
+                         : now + std::chrono::duration_cast<duration>(
+                                     kMaxHeldShare * (times.deadline - now));
   ReadBodyPrefix(
       body, kMaxBufferedAnswerBytes,
       [this, request, times,
@@ -233,7 +244,8 @@
                                                         std::move(answer.body));
         }
         Answer(request, times, std::move(answer));
-      });
+      },
+      nullptr, until);
 }
 
 void mesh_endpoint::Answer(const std::shared_ptr<incoming_request>& request,
--- a/tests/sidecar/concurrent_server.cc
+++ b/tests/sidecar/concurrent_server.cc
@@ -167,11 +167,22 @@
 }
 
 void concurrent_server::Respond(const std::shared_ptr<connection>& served) {
-  boost::asio::async_write(served->socket,
-                           boost::asio::buffer(served->reply.bytes),
-                           [this, served](error_code failure, std::size_t) {
-                             if (!failure) OnResponded(served);
-                           });
+  const auto& reply = served->reply;
+  const auto limit =
+      reply.piece_bytes == 0 ? reply.bytes.size() : reply.piece_bytes;
+  boost::asio::async_write(
+      served->socket, boost::asio::buffer(reply.bytes, limit),
+      [this, served](error_code failure, std::size_t written) {
+        if (failure) return;
+        served->reply.bytes.erase(0, written);
+        if (served->reply.bytes.empty()) {
+          OnResponded(served);
+          return;
+        }
+        served->timer.expires_after(served->reply.piece_interval);
+        served->timer.async_wait(
+            [this, served](error_code) { Respond(served); });
+      });
 }
 
 void concurrent_server::OnResponded(const std::shared_ptr<connection>& served) {
--- a/tests/sidecar/concurrent_server.h
+++ b/tests/sidecar/concurrent_server.h
@@ -30,6 +30,9 @@
   /// must arrive later.
   std::string late_bytes{};
   std::chrono::milliseconds late_delay{0};
+  /// If not 0, `bytes` are sent in pieces of this size at an interval.
+  std::size_t piece_bytes = 0;
+  std::chrono::milliseconds piece_interval{0};
 };
 
 /// A backend server that keeps connections open and serves them concurrently on
--- a/tests/sidecar/link_share_test.cc
+++ b/tests/sidecar/link_share_test.cc
@@ -25,8 +25,9 @@
   static constexpr std::size_t kBytes = 60'000;
   static constexpr double kBytesPerSecond = 700'000;
 
-  shared_link_fixture() : server_(&shared_link_fixture::Serve) {
-    route_timeout_ = seconds(8);
+  explicit shared_link_fixture(seconds timeout = seconds(8))
+      : server_(&shared_link_fixture::Serve) {
+    route_timeout_ = timeout;
     link_mbps_ = 7;
     AddSidecar(&server_);
     link_mbps_ = 0;
@@ -78,6 +79,18 @@
       return {.bytes = SignedResponse(200, "a1", std::string(1'500'000, 'x')),
               .delay = milliseconds(300)};
     }
+    if (header.starts_with("GET /file/slow")) {
+      // 300 kB over 3 s, without a length.
+      constexpr std::size_t kPieceBytes = 10'000;
+      return {.bytes =
+                  "HTTP/1.1 200 OK\r\n"
+                  "Pomelohall-Attempt-Id: a1\r\n"
+                  "Pomelohall-Response-Signature: s\r\n\r\n" +
+                  std::string(30 * kPieceBytes, 'x'),
+              .close = true,
+              .piece_bytes = kPieceBytes,
+              .piece_interval = milliseconds(100)};
+    }
     if (header.starts_with("GET /file/")) {
       // The first response comes when all requests of a test have arrived.
       auto response = SignedResponse(200, "a1", std::string(300'000, 'x'));
@@ -171,6 +184,22 @@
   CHECK(other.get().complete);
 }
 
+class short_timeout_fixture : public shared_link_fixture {
+ protected:
+  short_timeout_fixture() : shared_link_fixture(seconds(2)) {}
+};
+
+// Guards against a download that its server makes slowly and that is held back
+// until it is complete: its first bytes then miss the time-out of the route.
+TEST_CASE_METHOD(short_timeout_fixture,
+                 "Sidecar_DownloadWithoutLengthOutlastsTimeout_IsForwarded",
+                 "[sidecar]") {
+  const auto response = Download(CallerAddress(kCallerVm), "/file/slow");
+  CHECK(response.status == 200);
+  CHECK(response.complete);
+  CHECK(response.body.size() == 300'000);
+}
+
 // Guards against a daemon that has just started and runs all downloads at once,
 // as it does not know the size of a response yet: the link then takes many
 // seconds for them.
