Stop: answer other daemons in turns at the end

What callers saw: the daemon beside a backend server stops while its link is full, and several of its callers at other daemons get a part of a download.

Cause: answers to other daemons wait for the link in a queue until 5.25 s after the signal. What was still queued then was sent at once, shared the link, and was cut at the end of the process.

Change: the listener for other daemons writes large answers one after the other at a stop, as that for callers does. An answer that cannot be written in time is not begun. The other daemon then gets the end of the connection without an answer: it may repeat the request or answers its caller itself. The rate that bounds the last second is never taken above that of the link: buffers on the way take the first bytes faster.

--- a/libs/caller/src/write_turns.cc
+++ b/libs/caller/src/write_turns.cc
@@ -69,10 +69,14 @@
 }
 
 bool write_turns::HasTime(std::uint64_t bytes, instant now) const {
-  if (best_bytes_per_second_ == 0 || now + kRateBoundTime < end_)
-    return now < end_;
-  const std::chrono::duration<double> needed(static_cast<double>(bytes) /
-                                             best_bytes_per_second_);
+  // Buffers on the way take the bytes of a response faster than the link does.
+  auto rate = best_bytes_per_second_;
+  if (link_bytes_per_second_ > 0 &&
+      (rate == 0 || rate > link_bytes_per_second_)) {
+    rate = link_bytes_per_second_;
+  }
+  if (rate == 0 || now + kRateBoundTime < end_) return now < end_;
+  const std::chrono::duration<double> needed(static_cast<double>(bytes) / rate);
   return needed <= end_ - now;
 }
 
--- a/libs/caller/src/write_turns.h
+++ b/libs/caller/src/write_turns.h
@@ -41,7 +41,8 @@
   // Until then, each response is written at once.
   void Start() { active_ = true; }
   // Sets when the connections close. Shortly before, a response that could not
-  // be written by then, at the highest rate seen, does not get a turn.
+  // be written by then, at the highest rate seen and at that of the link, does
+  // not get a turn.
   void SetEnd(instant end) { end_ = end; }
 
   // Returns whether the response may be written now. Otherwise BeginTurn()
--- a/libs/caller/tests/write_turns_test.cc
+++ b/libs/caller/tests/write_turns_test.cc
@@ -130,6 +130,18 @@
   }
 }
 
+// Guards against a response that begins although the link is too slow for it:
+// buffers on the way had taken an earlier one faster than the link.
+TEST_CASE_METHOD(known_link_fixture,
+                 "WriteTurns_RateAboveThatOfTheLink_DoesNotCount", "[caller]") {
+  const auto [time_left, begins] = GENERATE(
+      std::pair{milliseconds(400), true}, std::pair{milliseconds(200), false});
+  const auto first = Request(kBytes);
+  Advance(milliseconds(100), *first, kBytes);  // 3 MB/s.
+  turns_.SetEnd(now_ + time_left);
+  CHECK(Request(kBytes)->began_ == begins);
+}
+
 // Guards against responses that share a link which the first one fills.
 TEST_CASE_METHOD(known_link_fixture, "WriteTurns_LinkIsFull_NextWaits",
                  "[caller]") {
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -209,7 +209,9 @@
         daemon_listener_(
             io,
             {.address = settings_.forward_address,
-             .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance},
+             .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance,
+             .stops_in_turns = true,
+             .link_bytes_per_second = BytesPerSecond(settings_.link_mbps)},
             mesh_endpoint_),
         publisher_(
             io, *platform.store,
@@ -306,6 +308,7 @@
         std::max(stop_deadline_, now + settings_.stop_grace - kMinExitMargin);
     break_off_at_ = std::min(now + undisturbed, request_deadline_);
     caller_listener_.SetEnd(write_deadline_);
+    daemon_listener_.SetEnd(write_deadline_);
     log_event(log_level::kInfo, "sidecar_stopping")
         .With("member", settings_.name)
         .With("caller_connections",
--- a/tests/sidecar/stop_link_test.cc
+++ b/tests/sidecar/stop_link_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <future>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -36,6 +37,7 @@
 /// of "/file/N" has N bytes.
 class stop_link_fixture : public sidecar_fleet {
  protected:
+  static constexpr std::size_t kServerVm = 0;
   static constexpr std::size_t kStoppingVm = 1;
   static constexpr std::size_t kBusyVm = 2;
 
@@ -75,6 +77,31 @@
         });
   }
 
+  /// Lets the daemon beside the server expect small downloads.
+  void LearnSmallSize() {
+    for (int i = 0; i < 20; ++i) {
+      REQUIRE(DownloadAt(kBusyVm, {}, "w" + std::to_string(i), 60'000)
+                  .get()
+                  .response.status == 200);
+    }
+    AnnounceAgain();
+  }
+
+  /// Stops the daemon beside the server. Nothing leaves it once it has stopped.
+  void StopServerDaemon(steady_instant at) {
+    std::this_thread::sleep_until(at);
+    auto stopped = std::make_shared<std::promise<void>>();
+    RunOnIoThread([&] {
+      auto& node = *nodes_[kServerVm];
+      node.daemon->Stop([&node, stopped] {
+        node.forward_link->Silence();
+        stopped->set_value();
+      });
+    });
+    REQUIRE(stopped->get_future().wait_until(at + kGrace) ==
+            std::future_status::ready);
+  }
+
   /// Describes what is wrong with a download through the daemon that stops and
   /// ends at `ended_at`; empty if nothing is.
   std::string Fault(const download& result, steady_instant ended_at) {
@@ -120,13 +147,7 @@
   constexpr std::array<std::size_t, 4> kSizes{90'000, 540'000, 60'000, 300'000};
   constexpr int kBurst = 10;
   constexpr int kCallsAfterStop = 20;  // Until 2 s after the signal.
-  // The daemon beside the server expects small downloads.
-  for (int i = 0; i < 20; ++i) {
-    REQUIRE(DownloadAt(kBusyVm, {}, "w" + std::to_string(i), 60'000)
-                .get()
-                .response.status == 200);
-  }
-  AnnounceAgain();
+  LearnSmallSize();
   const auto stop_at = std::chrono::steady_clock::now() + milliseconds(500);
   const auto call_at = [&](std::size_t vm, milliseconds at, int number,
                            std::size_t bytes) {
@@ -176,5 +197,32 @@
   CHECK(others_served >= 6);
 }
 
+// Guards against answers that share the link at the end of the stop of their
+// daemon, so that all of them are cut.
+TEST_CASE_METHOD(stop_link_fixture,
+                 "Sidecar_ServersDaemonStopsWithAFullLink_NoDownloadIsCut",
+                 "[sidecar]") {
+  LearnSmallSize();
+  const auto stop_at = std::chrono::steady_clock::now() + milliseconds(500);
+  constexpr int kCalls = 13;  // The link carries all in 7 s.
+  std::vector<std::future<download>> calls;
+  calls.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(DownloadAt(kBusyVm, stop_at - milliseconds(220),
+                               "o" + std::to_string(i),
+                               i % 4 == 0 ? 200'000 : 440'000));
+  }
+  StopServerDaemon(stop_at);
+  std::map<int, int> statuses;
+  for (auto& call : calls) {
+    const auto result = call.get();
+    ++statuses[result.response.status];
+    INFO(result.id);
+    CHECK(result.response.complete);
+  }
+  WARN("200: " << statuses[200] << ", others: " << kCalls - statuses[200]);
+  CHECK(statuses[200] >= 7);
+}
+
 }  // namespace
 }  // namespace pomelohall
