Stop: count with the share of the link that responses get

Cause: a response was begun if the whole rate of the link would have carried it in the time left. Other bytes take a part of the link.

Change: turns count with the share that is paced for responses, 80 %.

--- a/libs/caller/include/caller/call_server.h
+++ b/libs/caller/include/caller/call_server.h
@@ -43,7 +43,8 @@
   std::size_t max_head_memory_bytes = kMaxHeadMemoryBytes;
   /// Whether large responses are written one after the other after Stop().
   bool stops_in_turns = false;
-  /// Rate of the link to the callers, for these turns; 0 if unknown.
+  /// Rate at which the link to the callers carries responses, for these turns;
+  /// 0 if unknown.
   double link_bytes_per_second = 0;
 };
 
--- a/libs/caller/src/write_turns.h
+++ b/libs/caller/src/write_turns.h
@@ -34,7 +34,8 @@
 // most of it unused.
 class write_turns {
  public:
-  // @param link_bytes_per_second Rate of the link to the callers; 0 if unknown.
+  // @param link_bytes_per_second Rate at which the link to the callers carries
+  //   responses; 0 if unknown.
   explicit write_turns(double link_bytes_per_second = 0)
       : link_bytes_per_second_(link_bytes_per_second) {}
 
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -99,13 +99,9 @@
   return TimeUntilEnd(stop_grace) / kRequestPhases;
 }
 
-double BytesPerSecond(double link_mbps) {
-  constexpr double kBytesPerMegabit = 125'000;
-  return link_mbps * kBytesPerMegabit;
-}
-
 double PacedBytesPerSecond(double link_mbps) {
-  return kPacedLinkShare * BytesPerSecond(link_mbps);
+  constexpr double kBytesPerMegabit = 125'000;
+  return kPacedLinkShare * link_mbps * kBytesPerMegabit;
 }
 
 // A request that waits for longer could not be answered if a stop of its daemon
@@ -202,7 +198,7 @@
             io,
             {.address = settings_.caller_address,
              .stops_in_turns = true,
-             .link_bytes_per_second = BytesPerSecond(settings_.link_mbps)},
+             .link_bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
             router_),
         // The daemon that took a request has held it to the limit in force
         // there, which may be another one than here while it changes.
@@ -211,7 +207,7 @@
             {.address = settings_.forward_address,
              .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance,
              .stops_in_turns = true,
-             .link_bytes_per_second = BytesPerSecond(settings_.link_mbps)},
+             .link_bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
             mesh_endpoint_),
         publisher_(
             io, *platform.store,
