--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -198,14 +198,19 @@
         mesh_endpoint_(dispatcher_, sender_, config_sync_, crashes_,
                        platform.fields),
         caller_listener_(
-            io, {.address = settings_.caller_address, .stops_in_turns = true},
+            io,
+            {.address = settings_.caller_address,
+             .stops_in_turns = true,
+             .link_bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
             router_),
         // The daemon that took a request has held it to the limit in force
         // there, which may be another one than here while it changes.
         daemon_listener_(
             io,
             {.address = settings_.forward_address,
-             .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance},
+             .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance,
+             .stops_in_turns = true,
+             .link_bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
             mesh_endpoint_),
         publisher_(
             io, *platform.store,
@@ -302,6 +307,7 @@
         std::max(stop_deadline_, now + settings_.stop_grace - kMinExitMargin);
     break_off_at_ = std::min(now + undisturbed, request_deadline_);
     caller_listener_.SetEnd(write_deadline_);
+    daemon_listener_.SetEnd(write_deadline_);
     log_event(log_level::kInfo, "sidecar_stopping")
         .With("member", settings_.name)
         .With("caller_connections",
@@ -311,7 +317,7 @@
          .deadline = request_deadline_,
          .respond_at =
              std::max(stop_deadline_ - kStopResponseTime, request_deadline_)});
-    dispatcher_.LimitDeadlines(request_deadline_);
+    dispatcher_.LimitDeadlines(request_deadline_, write_deadline_);
     sender_.LimitDeadlines(request_deadline_);
     caller_listener_.CloseAfterResponses();
     // Tells other daemons while requests in transit can still run.
--- a/tests/sidecar/stop_link_test.cc
+++ b/tests/sidecar/stop_link_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <future>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -35,16 +36,28 @@
 // `link_mbps`. The rest is for requests, acknowledgements and packet headers.
 constexpr double kAnswerShare = 0.8;
 
-/// Returns how many answers of a size the link carries whole before their
-/// callers give up, if they are requested at the same time and `bytes_before`
-/// bytes of other answers go first.
-constexpr int AnswersInTime(std::size_t bytes, std::size_t bytes_before) {
-  constexpr std::chrono::duration<double> kLinkTime = kCallerLimit - kRunTime;
-  const auto left = kAnswerShare * kLinkBytesPerSecond * kLinkTime.count() -
+// Time from the requests before a stop to SIGTERM, and from SIGTERM until the
+// last answers have been written.
+constexpr milliseconds kSentBefore(220);
+constexpr milliseconds kWritesEnd(5850);
+// Part of the time before a stop for which a daemon accepts answers; the rest
+// is for the transfer to the caller and for runs that take longer.
+constexpr double kAcceptedShare = 0.75;
+
+/// Returns how many answers of a size the link carries whole within a time, if
+/// `bytes_before` bytes of other answers go first.
+constexpr int AnswersWithin(std::chrono::duration<double> time,
+                            std::size_t bytes, std::size_t bytes_before = 0) {
+  const auto left = kAnswerShare * kLinkBytesPerSecond * time.count() -
                     static_cast<double>(bytes_before);
   return left <= 0 ? 0 : static_cast<int>(left / static_cast<double>(bytes));
 }
 
+// Time from the end of the first runs until the last answers have been written,
+// and until callers give up.
+constexpr milliseconds kTimeToWritesEnd = kSentBefore - kRunTime + kWritesEnd;
+constexpr milliseconds kTimeToCallerLimit = kCallerLimit - kRunTime;
+
 /// What a caller has got.
 struct download {
   std::string id;
@@ -57,14 +70,16 @@
 /// of "/file/N" has N bytes.
 class stop_link_fixture : public sidecar_fleet {
  protected:
+  static constexpr std::size_t kServerVm = 0;
   static constexpr std::size_t kStoppingVm = 1;
   static constexpr std::size_t kBusyVm = 2;
 
-  stop_link_fixture()
+  /// @param slots Requests that the backend server runs at once.
+  explicit stop_link_fixture(std::size_t slots = 20)
       : server_([this](const std::string& header) { return Serve(header); }) {
     route_timeout_ = kCallerLimit;
     latency_target_ = milliseconds(4000);
-    slots_ = 20;
+    slots_ = slots;
     link_mbps_ = kLinkMbps;
     forward_link_rate_ = kLinkBytesPerSecond;
     AddSidecar(&server_);
@@ -96,6 +111,36 @@
         });
   }
 
+  /// Lets the daemon beside the server expect small downloads.
+  void LearnSmallSize() {
+    for (int i = 0; i < 20; ++i) {
+      REQUIRE(DownloadAt(kBusyVm, {}, "w" + std::to_string(i), 60'000)
+                  .get()
+                  .response.status == 200);
+    }
+    AnnounceAgain();
+  }
+
+  /// Stops the daemon beside the server. Nothing leaves it once it has stopped.
+  void StopServerDaemon(steady_instant at) {
+    std::this_thread::sleep_until(at);
+    auto stopped = std::make_shared<std::promise<void>>();
+    RunOnIoThread([&] {
+      auto& node = *nodes_[kServerVm];
+      node.daemon->Stop([&node, stopped] {
+        node.forward_link->Silence();
+        stopped->set_value();
+      });
+    });
+    REQUIRE(stopped->get_future().wait_until(at + kGrace) ==
+            std::future_status::ready);
+  }
+
+  bool HasRun(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return runs_.contains(id);
+  }
+
   /// Describes what is wrong with a download through the daemon that stops and
   /// ends at `ended_at`; empty if nothing is.
   std::string Fault(const download& result, steady_instant ended_at) {
@@ -141,13 +186,7 @@
   constexpr int kBurst = 10;
   constexpr std::size_t kBurstBytes = 540'000;
   constexpr int kCallsAfterStop = 20;  // Until 2 s after the signal.
-  // The daemon beside the server expects small downloads.
-  for (int i = 0; i < 20; ++i) {
-    REQUIRE(DownloadAt(kBusyVm, {}, "w" + std::to_string(i), 60'000)
-                .get()
-                .response.status == 200);
-  }
-  AnnounceAgain();
+  LearnSmallSize();
   const auto stop_at = std::chrono::steady_clock::now() + milliseconds(500);
   const auto call_at = [&](std::size_t vm, milliseconds at, int number,
                            std::size_t bytes) {
@@ -199,7 +238,79 @@
   CHECK(statuses[200] >= 4);
   // The answers to the daemon that stops go first.
   CHECK(others_served >=
-        std::min(kBurst, AnswersInTime(kBurstBytes, bytes_before)));
+        std::min(kBurst,
+                 AnswersWithin(kTimeToCallerLimit, kBurstBytes, bytes_before)));
+}
+
+// Guards against answers that share the link at the end of the stop of their
+// daemon, so that all of them are cut.
+TEST_CASE_METHOD(stop_link_fixture,
+                 "Sidecar_ServersDaemonStopsWithAFullLink_NoDownloadIsCut",
+                 "[sidecar]") {
+  LearnSmallSize();
+  const auto stop_at = std::chrono::steady_clock::now() + milliseconds(500);
+  constexpr int kCalls = 13;  // The link needs 7 s for all.
+  constexpr std::size_t kMostBytes = 440'000;
+  std::vector<std::future<download>> calls;
+  calls.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(DownloadAt(kBusyVm, stop_at - kSentBefore,
+                               "o" + std::to_string(i),
+                               i % 4 == 0 ? 200'000 : kMostBytes));
+  }
+  StopServerDaemon(stop_at);
+  std::map<int, int> statuses;
+  for (auto& call : calls) {
+    const auto result = call.get();
+    ++statuses[result.response.status];
+    INFO(result.id);
+    CHECK(result.response.complete);
+  }
+  WARN("200: " << statuses[200] << ", others: " << kCalls - statuses[200]);
+  CHECK(statuses[200] >= AnswersWithin(kTimeToWritesEnd, kMostBytes));
+}
+
+class few_slots_fixture : public stop_link_fixture {
+ protected:
+  few_slots_fixture() : stop_link_fixture(2) {}
+};
+
+// Guards against downloads that wait for a slot and run although their answers
+// cannot leave before the daemon beside the server stops.
+TEST_CASE_METHOD(few_slots_fixture,
+                 "Sidecar_ServersDaemonStopsWhileDownloadsWait_"
+                 "LateOnesAreNotRun",
+                 "[sidecar]") {
+  LearnSmallSize();
+  const auto stop_at = std::chrono::steady_clock::now() + milliseconds(500);
+  constexpr int kCalls = 30;
+  constexpr std::size_t kBytes = 300'000;
+  std::vector<std::future<download>> calls;
+  calls.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(DownloadAt(kBusyVm, stop_at - kSentBefore,
+                               "o" + std::to_string(i), kBytes));
+  }
+  StopServerDaemon(stop_at);
+  int served = 0;
+  int refused = 0;
+  int lost = 0;
+  for (auto& call : calls) {
+    const auto result = call.get();
+    const auto& response = result.response;
+    INFO(result.id);
+    CHECK(response.complete);
+    if (response.status == 200 && response.complete) {
+      ++served;
+    } else if (!HasRun(result.id)) {
+      ++refused;
+    } else {
+      ++lost;
+    }
+  }
+  WARN("served " << served << ", refused " << refused << ", lost " << lost);
+  CHECK(served >= AnswersWithin(kAcceptedShare * kTimeToWritesEnd, kBytes));
+  CHECK(lost == 0);
 }
 
 }  // namespace
