--- a/libs/sidecar/include/sidecar/header_field_names.h
+++ b/libs/sidecar/include/sidecar/header_field_names.h
@@ -37,7 +37,8 @@
 /// Version of the active configuration of the sender.
 inline constexpr std::string_view kMeshVersionField = "Pomelohall-Mesh-Version";
 /// Last confirmation of that configuration: "ERA REVISION AGE", the era and
-/// revision of the store and the milliseconds since.
+/// revision of the store and the milliseconds since. The time counts on answers
+/// only.
 inline constexpr std::string_view kMeshConfirmedField =
     "Pomelohall-Mesh-Confirmed";
 /// Address at which the sender serves that configuration.
