--- a/libs/caller/include/caller/call_server.h
+++ b/libs/caller/include/caller/call_server.h
@@ -17,6 +17,8 @@
 
 namespace pomelohall {
 
+class write_turns;
+
 /// Handles the requests of a call_server.
 class call_handler {
  public:
@@ -41,11 +43,9 @@
   /// kilobytes a connection. A request beyond it gets 503, or 431 if it needs
   /// more than this alone.
   std::size_t max_head_memory_bytes = kMaxHeadMemoryBytes;
-  /// Whether large responses are written one after the other after Stop().
-  bool stops_in_turns = false;
-  /// Rate at which the link to the callers carries responses, for these turns;
-  /// 0 if unknown.
-  double link_bytes_per_second = 0;
+  /// Turns of large responses from StartTurns() on. Servers that write over the
+  /// same link share them.
+  std::shared_ptr<write_turns> turns = nullptr;
 };
 
 /// HTTP/1.1 server with keep-alive, pipelining and back-pressure on bodies.
@@ -81,10 +81,9 @@
   /// connection has closed, never before Stop() returns.
   void Stop(std::function<void()> done);
 
-  /// Sets when the connections will be closed after Stop(). A large response
-  /// that cannot be written by then is not started, so that it can be taken
-  /// back.
-  void SetEnd(instant end);
+  /// Writes large responses in the turns of the options from now on. One whose
+  /// turn does not come can be taken back.
+  void StartTurns();
 
   /// Returns whether a response is being written, or bytes of one are not
   /// acknowledged yet. Bytes that the kernel holds may be lost when the process
--- a/libs/caller/src/write_turns.h
+++ b/libs/caller/include/caller/write_turns.h
@@ -1,5 +1,5 @@
-#ifndef POMELOHALL_CALLER_SRC_WRITE_TURNS_H_
-#define POMELOHALL_CALLER_SRC_WRITE_TURNS_H_
+#ifndef POMELOHALL_CALLER_WRITE_TURNS_H_
+#define POMELOHALL_CALLER_WRITE_TURNS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -39,8 +39,6 @@
   explicit write_turns(double link_bytes_per_second = 0)
       : link_bytes_per_second_(link_bytes_per_second) {}
 
-  // Until then, each response is written at once.
-  void Start() { active_ = true; }
   // Sets when the connections close. Shortly before, a response that could not
   // be written by then, at the highest rate seen and at that of the link, does
   // not get a turn.
@@ -73,7 +71,6 @@
   std::size_t Room(instant now);
 
   const double link_bytes_per_second_;
-  bool active_ = false;
   instant end_ = instant::max();
   std::vector<turn> current_;
   std::vector<turn> waiting_;
@@ -85,4 +82,4 @@
 
 }  // namespace pomelohall
 
-#endif  // POMELOHALL_CALLER_SRC_WRITE_TURNS_H_
+#endif  // POMELOHALL_CALLER_WRITE_TURNS_H_
--- a/libs/caller/src/call_server.cc
+++ b/libs/caller/src/call_server.cc
@@ -13,7 +13,7 @@
 
 #include "backend/tcp_socket.h"
 #include "call_session.h"
-#include "write_turns.h"
+#include "caller/write_turns.h"
 
 namespace pomelohall {
 
@@ -37,7 +37,6 @@
         head_memory_(
             std::make_shared<memory_budget>(options_.max_head_memory_bytes)),
         handler_(handler),
-        turns_(std::make_shared<write_turns>(options_.link_bytes_per_second)),
         acceptor_(io),
         timer_(io) {}
 
@@ -49,7 +48,7 @@
   std::size_t OpenConnections() const { return sessions_.size(); }
   void SetLimits(const call_server_options& options);
   void CloseAfterResponses();
-  void SetEnd(instant end) { turns_->SetEnd(end); }
+  void StartTurns();
   bool IsSending() const;
 
  private:
@@ -64,7 +63,7 @@
   std::shared_ptr<memory_budget> head_memory_;
   bool close_after_responses_ = false;
   call_handler& handler_;
-  const std::shared_ptr<write_turns> turns_;
+  std::shared_ptr<write_turns> turns_;  // Null before StartTurns().
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer timer_;
   std::unordered_set<std::shared_ptr<call_session>> sessions_;
@@ -119,8 +118,9 @@
     return;
   }
   const auto session = std::make_shared<call_session>(
-      std::move(socket), options_, head_memory_, handler_, turns_);
+      std::move(socket), options_, head_memory_, handler_);
   sessions_.insert(session);
+  session->TakeTurns(turns_);
   if (close_after_responses_) session->CloseAfterResponse();
   session->Start();
   Accept();
@@ -138,6 +138,11 @@
   for (const auto& session : sessions_) session->CloseAfterResponse();
 }
 
+void call_server::impl::StartTurns() {
+  turns_ = options_.turns;
+  for (const auto& session : sessions_) session->TakeTurns(turns_);
+}
+
 void call_server::impl::CloseListener() {
   error_code ignored;
   acceptor_.close(ignored);
@@ -147,7 +152,6 @@
 void call_server::impl::Stop(std::function<void()> done) {
   on_stopped_ = std::move(done);
   CloseListener();
-  if (options_.stops_in_turns) turns_->Start();
   const std::vector<std::shared_ptr<call_session>> sessions(sessions_.begin(),
                                                             sessions_.end());
   for (const auto& session : sessions) session->Drain();
@@ -160,7 +164,7 @@
 }
 
 void call_server::impl::PollDrained() {
-  turns_->Poll(MonotonicNow());
+  if (turns_) turns_->Poll(MonotonicNow());
   RemoveClosedSessions();
   if (sessions_.empty()) {
     if (const auto done = std::exchange(on_stopped_, nullptr)) done();
@@ -211,7 +215,7 @@
 
 void call_server::CloseAfterResponses() { impl_->CloseAfterResponses(); }
 
-void call_server::SetEnd(instant end) { impl_->SetEnd(end); }
+void call_server::StartTurns() { impl_->StartTurns(); }
 
 bool call_server::IsSending() const { return impl_->IsSending(); }
 
--- a/libs/caller/src/call_session.cc
+++ b/libs/caller/src/call_session.cc
@@ -56,12 +56,10 @@
 call_session::call_session(asio::ip::tcp::socket socket,
                            const call_server_options& options,
                            std::shared_ptr<memory_budget> head_memory,
-                           call_handler& handler,
-                           std::shared_ptr<write_turns> turns)
+                           call_handler& handler)
     : socket_(std::move(socket)),
       options_(options),
       handler_(handler),
-      turns_(std::move(turns)),
       head_memory_(std::move(head_memory)),
       last_progress_(MonotonicNow()) {}
 
@@ -457,7 +455,7 @@
 }
 
 bool call_session::AcquireTurn(pending_response& entry) {
-  if (entry.has_turn || !IsLarge(entry)) return true;
+  if (!turns_ || entry.has_turn || !IsLarge(entry)) return true;
   if (entry.waits_for_turn) return false;
   entry.has_turn = turns_->Request(shared_from_this(),
                                    *entry.response.head.length, MonotonicNow());
@@ -650,7 +648,7 @@
   // Sized for one request.
   if (pending_.empty()) part_.reset();
   if (close_after_write_) Linger();
-  turns_->Poll(MonotonicNow());
+  if (turns_) turns_->Poll(MonotonicNow());
   if (entry.on_written)
     entry.on_written({!response_replaced_, response_bytes_});
   if (linger_until_ || closed_) return;
--- a/libs/caller/src/call_session.h
+++ b/libs/caller/src/call_session.h
@@ -16,9 +16,9 @@
 
 #include "caller/call_server.h"
 #include "caller/incoming_request.h"
+#include "caller/write_turns.h"
 #include "http1/request_parser.h"
 #include "memory_budget.h"
-#include "write_turns.h"
 
 namespace pomelohall {
 
@@ -35,11 +35,15 @@
   call_session(boost::asio::ip::tcp::socket socket,
                const call_server_options& options,
                std::shared_ptr<memory_budget> head_memory,
-               call_handler& handler, std::shared_ptr<write_turns> turns);
+               call_handler& handler);
 
   void Start();
   // Closes the connection after the next response.
   void CloseAfterResponse() { draining_ = true; }
+  // Writes large responses in turns from now on; null for none.
+  void TakeTurns(std::shared_ptr<write_turns> turns) {
+    turns_ = std::move(turns);
+  }
   // Closes the connection after the responses in progress, or immediately if it
   // is idle.
   void Drain();
@@ -139,7 +143,7 @@
   boost::asio::ip::tcp::socket socket_;
   const call_server_options& options_;
   call_handler& handler_;
-  const std::shared_ptr<write_turns> turns_;
+  std::shared_ptr<write_turns> turns_;
   std::string input_;  // Received bytes that are not parsed yet.
   // Has the request whose head or body is being read.
   std::optional<request_parser> parser_;
--- a/libs/caller/src/write_turns.cc
+++ b/libs/caller/src/write_turns.cc
@@ -1,4 +1,4 @@
-#include "write_turns.h"
+#include "caller/write_turns.h"
 
 #include <algorithm>
 #include <chrono>
@@ -39,7 +39,6 @@
 
 bool write_turns::Request(const std::shared_ptr<turn_writer>& writer,
                           std::uint64_t bytes, instant now) {
-  if (!active_) return true;
   turn next{.writer = writer,
             .bytes = bytes,
             .began_at = now,
--- a/libs/caller/tests/write_turns_test.cc
+++ b/libs/caller/tests/write_turns_test.cc
@@ -1,4 +1,4 @@
-#include "write_turns.h"
+#include "caller/write_turns.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -39,9 +39,7 @@
 
   // @param link_bytes_per_second Rate of the link; 0 if unknown.
   explicit write_turns_fixture(double link_bytes_per_second = 0)
-      : turns_(link_bytes_per_second) {
-    turns_.Start();
-  }
+      : turns_(link_bytes_per_second) {}
 
   // Returns a writer that has asked for a turn.
   std::shared_ptr<fake_writer> Request(std::uint64_t bytes) {
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -12,6 +12,7 @@
 #include "backend/connection_pool.h"
 #include "base/http_limits.h"
 #include "caller/call_server.h"
+#include "caller/write_turns.h"
 #include "collection_watch.h"
 #include "config_reader.h"
 #include "local_dispatcher.h"
@@ -197,20 +198,18 @@
                 crashes_, metrics_, RandomSeed()),
         mesh_endpoint_(dispatcher_, sender_, config_sync_, crashes_,
                        platform.fields),
-        caller_listener_(
-            io,
-            {.address = settings_.caller_address,
-             .stops_in_turns = true,
-             .link_bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
-            router_),
+        turns_(std::make_shared<write_turns>(
+            PacedBytesPerSecond(settings_.link_mbps))),
+        caller_listener_(io,
+                         {.address = settings_.caller_address, .turns = turns_},
+                         router_),
         // The daemon that took a request has held it to the limit in force
         // there, which may be another one than here while it changes.
         daemon_listener_(
             io,
             {.address = settings_.forward_address,
              .max_header_bytes = kMaxRequestHeadBytes + kMeshHeadAllowance,
-             .stops_in_turns = true,
-             .link_bytes_per_second = PacedBytesPerSecond(settings_.link_mbps)},
+             .turns = turns_},
             mesh_endpoint_),
         publisher_(
             io, *platform.store,
@@ -306,8 +305,7 @@
     write_deadline_ =
         std::max(stop_deadline_, now + settings_.stop_grace - kMinExitMargin);
     break_off_at_ = std::min(now + undisturbed, request_deadline_);
-    caller_listener_.SetEnd(write_deadline_);
-    daemon_listener_.SetEnd(write_deadline_);
+    turns_->SetEnd(write_deadline_);
     log_event(log_level::kInfo, "sidecar_stopping")
         .With("member", settings_.name)
         .With("caller_connections",
@@ -544,6 +542,7 @@
   void CloseListeners() {
     router_.StopAccepting();
     dispatcher_.StopAccepting();
+    caller_listener_.StartTurns();
     caller_listener_.Stop([this] { OnListenerStopped(); });
     daemon_listener_.Stop([this] { OnListenerStopped(); });
     RunAt(break_off_at_, [this] {
@@ -554,7 +553,9 @@
 
   // Bytes that were handed to the kernel are sent even after the process ends.
   // Of an answer above the size of the send buffer, the rest may be cut.
+  // Until now, the queue has paced the answers to other daemons.
   void SendQueuedAnswers() {
+    daemon_listener_.StartTurns();
     sender_.SendAll();
     router_.EndDelayingRequests();
     RunAt(stop_deadline_, [this] { EndRequests(); });
@@ -620,6 +621,8 @@
   peer_config_sync config_sync_;
   request_router router_;
   mesh_endpoint mesh_endpoint_;
+  // Both listeners write over the same link.
+  const std::shared_ptr<write_turns> turns_;
   call_server caller_listener_;
   call_server daemon_listener_;
   mesh_member published_member_;
