--- a/libs/rollout/include/rollout/version_comparison.h
+++ b/libs/rollout/include/rollout/version_comparison.h
@@ -28,9 +28,10 @@
   /// A server is bad if its mean run time is above that of the other version by
   /// this factor. Servers of one version differ by up to 1.7 from their mean.
   double time_factor = 2.5;
-  /// It must also be above that by this many milliseconds. Callers do not
-  /// notice less, and a busy VM delays the processes of a short run by several.
-  double time_margin_ms = 10;
+  /// It must also be above that by this many milliseconds: other processes of a
+  /// busy VM delay a run by a time slice of some milliseconds, which is a
+  /// multiple of a short run.
+  double time_margin_ms = 5;
   /// Failures of the whole target version from which on its servers are judged
   /// together, so that one whose few servers are judged slowly does not get
   /// much further. Below the 50 bad responses that start the time in which it
--- a/libs/rollout/tests/version_comparison_test.cc
+++ b/libs/rollout/tests/version_comparison_test.cc
@@ -84,7 +84,7 @@
   for (int i = 0; i < 10; ++i)
     Report("old-" + std::to_string(i), "v1", 200, 0, 0.15);
   for (const auto* const instance : {"n1", "n2", "n3"})
-    Report(instance, "v2", 40, 0, 11);
+    Report(instance, "v2", 40, 0, 6);
   CHECK(IsBad());
 }
 
