Stop of pomelohalld: no second response to a call that has one

A caller that pipelined a download and a request without a route, and read slowly, aborted the daemon at the end of its stop, and all other calls with it. EndForStop() took each call without a state machine for one whose request is incomplete. A call that failed in Prepare() has none either, and stays in entry_calls until its error is written. EndForStop() now leaves calls alone whose response was sent.

Fault_StopWhileAnErrorWaits_ErrorIsNotReplaced failed before with the assertion `!entry.responded' in call_session::WriteResponse.

--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -132,7 +132,7 @@
 }
 
 void entry_call::OnBodyPrefix(result<body_prefix> prefix) {
-  if (refused_for_stop_) return;
+  if (responded_) return;  // EndForStop() has refused the request.
   if (!prefix) {
     RespondWithError(
         {prefix.error().kind, prefix.error().message, run_state::kNotRun});
@@ -182,8 +182,10 @@
 }
 
 void entry_call::EndForStop() {
+  // An error that was sent without a state machine may still wait for earlier
+  // responses of the connection.
+  if (responded_) return;
   if (!state_machine_) {
-    if (std::exchange(refused_for_stop_, true)) return;
     RespondWithError({error_kind::kDraining,
                       "the daemon stops, and the request is incomplete",
                       OutcomeBeforeGrant()});
@@ -591,6 +593,7 @@
                               std::optional<error_kind> failure) {
   SetField(response.head.fields, kCallIdField,
            caller_call_id_.empty() ? call_id_ : caller_call_id_);
+  responded_ = true;
   request_->Respond(
       std::move(response),
       [self = shared_from_this(), ran, failure](response_write_result written) {
--- a/libs/caller/src/entry_call.h
+++ b/libs/caller/src/entry_call.h
@@ -112,7 +112,7 @@
   std::deque<call_action> actions_;
   bool running_actions_ = false;
   bool waiting_for_release_ = false;
-  bool refused_for_stop_ = false;
+  bool responded_ = false;  // The response was passed to request_.
   boost::asio::steady_timer timer_;
   std::optional<instant> timer_at_;
   // Set once the caller has its response or disconnected. Attempts that still
--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -296,6 +296,29 @@
   CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 1);
 }
 
+// Guards against a second response, at the end of a stop, to a call whose error
+// waits behind a response that its caller does not read.
+TEST_CASE("Fault_StopWhileAnErrorWaits_ErrorIsNotReplaced", "[fault]") {
+  // More than the socket buffers between the daemon and the caller hold.
+  constexpr std::size_t kSize = 32'000'000;
+  stopping_mesh mesh(milliseconds(1000));
+  mesh.AddBackend(1);
+  mesh.PublishSnapshot();
+  raw_client client(mesh.CallerAddress(0), 4096);
+  client.SendRequest("GET", "/file/bytes?seed=9&n=" + std::to_string(kSize));
+  client.SendRequest("GET", "/unknown");
+  mesh.WaitUntil([&] {
+    return mesh.At(0).service->Status().entry_calls == 2 &&
+           mesh.At(1).stub->Running() == 1;
+  });
+  mesh.Stop(0);
+  mesh.WaitUntilStopped();
+  mesh.WaitUntil([&] { return mesh.At(0).service->Status().entry_calls == 0; });
+  const auto errors = mesh.Status(0).errors;
+  CHECK(errors[static_cast<std::size_t>(error_kind::kNoRoute)] == 1);
+  CHECK(errors[static_cast<std::size_t>(error_kind::kDraining)] == 0);
+}
+
 // Guards against running a request that a stopping daemon cannot answer.
 TEST_CASE("Fault_RequestAtTheEndOfAStop_IsRefusedNotRun", "[fault]") {
   // Shorter than the time that is reserved for the last responses.
