Stop of pomelohalld: uploads completed after the limit get draining

An upload that was incomplete at SIGTERM and complete after the latest deadline of calls got 504 deadline_exceeded instead of 503 draining, although OPERATIONS promises the latter for what has not run. LimitToStop() lowered the deadline of a call without a state machine; StartCall() then built the machine with it, and LimitDeadline() saw no change and did not mark the call as limited. The deadline now stays until StartCall() applies the limit itself.

Fault_UploadCompleteAtTheEndOfAStop_IsRefusedNotRun failed before: 504 and deadline_exceeded.

--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -172,8 +172,9 @@
 }
 
 void entry_call::LimitToStop() {
-  deadline_ = std::min(deadline_, context_->stop->request_deadline);
+  // StartCall() applies the limit if the request is still incomplete.
   if (!state_machine_) return;
+  deadline_ = std::min(deadline_, context_->stop->request_deadline);
   state_machine_->LimitDeadline(deadline_);
   for (const auto& [number, entry] : attempts_) {
     if (entry.body) entry.body->LimitDeadline(context_->stop->body_deadline);
--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -339,6 +339,26 @@
   CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 0);
 }
 
+// Guards against "deadline exceeded" for an upload that is incomplete when a
+// stop begins and complete after the latest deadline of calls.
+TEST_CASE("Fault_UploadCompleteAtTheEndOfAStop_IsRefusedNotRun", "[fault]") {
+  // Shorter than the time that is reserved for the last responses.
+  stopping_mesh mesh(milliseconds(450));
+  mesh.AddBackend(1);
+  mesh.PublishSnapshot();
+  raw_client client(mesh.CallerAddress(0));
+  client.SendRequest("POST", "/look/1", "Content-Length: 10\r\n");
+  mesh.WaitUntil([&] { return mesh.At(0).service->Status().entry_calls == 1; });
+  mesh.Stop(0);
+  client.Send("0123456789");
+  const auto response = client.Read();
+  CHECK(response.status == 503);
+  CHECK(ErrorBody(response).at("error") == "draining");
+  CHECK(ErrorBody(response).at("ran") == "not_run");
+  mesh.WaitUntilStopped();
+  CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 0);
+}
+
 // Guarantees P7 and P5: a draining owner refuses new calls as "not run" and
 // finishes the running ones; the entry retries a refused call at another owner.
 TEST_CASE("Fault_OwnerDrains_CallsAreRetriedElsewhere", "[fault]") {
