caller: rename stop_limits to call_stop_limits

libs/sidecar has another type pomelohall::stop_limits; a program that includes both would break the one-definition rule. No change of behaviour. call_http_test builds, and its tests of a stop pass.

--- a/libs/caller/src/service_context.h
+++ b/libs/caller/src/service_context.h
@@ -28,7 +28,7 @@
 class key_claim_client;
 
 // When the calls of callers end while the daemon stops.
-struct stop_limits {
+struct call_stop_limits {
   instant request_deadline;  // Latest deadline of a call.
   instant body_deadline;     // When the body of a response must have arrived.
 };
@@ -58,7 +58,7 @@
   std::shared_ptr<owner_dispatcher> dispatcher;
   std::shared_ptr<key_claim_client> key_claims;
   bool draining = false;
-  std::optional<stop_limits> stop;  // Set while the daemon stops.
+  std::optional<call_stop_limits> stop;  // Set while the daemon stops.
   // Calls of callers in progress. They remove themselves.
   std::unordered_set<entry_call*> entry_calls;
   std::uint64_t next_call = 0;
