--- a/libs/caller/include/caller/write_turns.h
+++ b/libs/caller/include/caller/write_turns.h
@@ -11,45 +11,45 @@
 
 namespace pomelohall {
 
-// A connection whose large responses are written in turns.
+/// A connection whose large responses are written in turns.
 class turn_writer {
  public:
   virtual ~turn_writer() = default;
-  // Starts to write the response that waits for its turn. Returns false if it
-  // does not wait any more.
+  /// Starts to write the response that waits for its turn. Returns false if it
+  /// does not wait any more.
   virtual bool BeginTurn() = 0;
-  // Returns how many bytes of the response that is being written the peer has
-  // not acknowledged yet; nothing if the connection broke before it was
-  // written.
+  /// Returns how many bytes of the response that is being written the peer has
+  /// not acknowledged yet; nothing if the connection broke before it was
+  /// written.
   virtual std::optional<std::uint64_t> UnacknowledgedBytes() const = 0;
 };
 
-// Order in which a server that stops writes large responses: one after the
-// other, the smallest first. If all were written at once over a link that is
-// too slow for them, each would be cut at the end.
-//
-// A response that makes no progress or takes long does not hold up the others,
-// so that a caller that reads slowly or not at all delays them little. If the
-// rate of the link is known, further responses begin beside those that leave
-// most of it unused.
+/// Order in which servers that stop and share a link write large responses: one
+/// after the other, the smallest first. If all were written at once over a link
+/// that is too slow for them, each would be cut at the end.
+///
+/// A response that makes no progress or takes long does not hold up the others,
+/// so that a caller that reads slowly or not at all delays them little. If the
+/// rate of the link is known, further responses begin beside those that leave
+/// most of it unused.
 class write_turns {
  public:
-  // @param link_bytes_per_second Rate at which the link to the callers carries
-  //   responses; 0 if unknown.
+  /// @param link_bytes_per_second Rate at which the link carries
+  ///   responses; 0 if unknown.
   explicit write_turns(double link_bytes_per_second = 0)
       : link_bytes_per_second_(link_bytes_per_second) {}
 
-  // Sets when the connections close. Shortly before, a response that could not
-  // be written by then, at the highest rate seen and at that of the link, does
-  // not get a turn.
+  /// Sets when the connections close. Shortly before, a response that could not
+  /// be written by then, at the highest rate seen and at that of the link, does
+  /// not get a turn.
   void SetEnd(instant end) { end_ = end; }
 
-  // Returns whether the response may be written now. Otherwise BeginTurn()
-  // follows, but not if there is no time for it.
+  /// Returns whether the response may be written now. Otherwise BeginTurn()
+  /// follows, but not if there is no time for it.
   bool Request(const std::shared_ptr<turn_writer>& writer, std::uint64_t bytes,
                instant now);
 
-  // Ends turns and begins others. Call it every few milliseconds.
+  /// Ends turns and begins others. Call it every few milliseconds.
   void Poll(instant now);
 
  private:
