--- a/libs/caller/src/entry_call.cc
+++ b/libs/caller/src/entry_call.cc
@@ -132,7 +132,7 @@
 }
 
 void entry_call::OnBodyPrefix(result<body_prefix> prefix) {
-  if (refused_for_stop_) return;
+  if (responded_) return;  // EndForStop() has refused the request.
   if (!prefix) {
     RespondWithError(
         {prefix.error().kind, prefix.error().message, run_state::kNotRun});
@@ -172,8 +172,9 @@
 }
 
 void entry_call::LimitToStop() {
-  deadline_ = std::min(deadline_, context_->stop->request_deadline);
+  // StartCall() applies the limit if the request is still incomplete.
   if (!state_machine_) return;
+  deadline_ = std::min(deadline_, context_->stop->request_deadline);
   state_machine_->LimitDeadline(deadline_);
   for (const auto& [number, entry] : attempts_) {
     if (entry.body) entry.body->LimitDeadline(context_->stop->body_deadline);
@@ -182,8 +183,10 @@
 }
 
 void entry_call::EndForStop() {
+  // An error that was sent without a state machine may still wait for earlier
+  // responses of the connection.
+  if (responded_) return;
   if (!state_machine_) {
-    if (std::exchange(refused_for_stop_, true)) return;
     RespondWithError({error_kind::kDraining,
                       "the daemon stops, and the request is incomplete",
                       OutcomeBeforeGrant()});
@@ -591,6 +594,7 @@
                               std::optional<error_kind> failure) {
   SetField(response.head.fields, kCallIdField,
            caller_call_id_.empty() ? call_id_ : caller_call_id_);
+  responded_ = true;
   request_->Respond(
       std::move(response),
       [self = shared_from_this(), ran, failure](response_write_result written) {
