Read once more: one reader of the held time, simpler choice of whom to ask

No change of behaviour. RecordDelay and HeldTime parsed the same field; the memory of a stop was released in two places; AskForConfig took the reader, dropped it and took it again; a confirmation without a time was set to the earliest time twice; three tests of a refusal share their checks, with the same assertions.

--- a/libs/backend/include/backend/connection_pool.h
+++ b/libs/backend/include/backend/connection_pool.h
@@ -63,8 +63,7 @@
   std::function<bool(const response_head&)> is_refusal{};
   /// Accepts responses whose end is marked by the close of the connection. They
   /// are forwarded as chunked, and are complete unless the connection is reset
-  /// or lost.
-  /// If false, they fail with `kAnswerCutShort`.
+  /// or lost. If false, they fail with `kAnswerCutShort`.
   bool allow_close_delimited = false;
   /// Error of a call that got no connection (always not run).
   error_kind connect_error = error_kind::kNoBackendServer;
--- a/libs/http1/include/http1/response_parser.h
+++ b/libs/http1/include/http1/response_parser.h
@@ -40,9 +40,8 @@
   /// Records that a read has found the end of the connection. Returns whether
   /// the response is complete. A body that ends with the connection is complete
   /// only if the peer ended the connection properly.
-  /// @param write_failure Failure of a write on the connection; none if no
-  /// write
-  ///     has failed. The socket reports an error once: if a write got it, reads
+  /// @param write_failure Failure of a write on the connection, if one has
+  ///     failed. The socket reports an error once: if a write got it, reads
   ///     see the end of the connection instead.
   bool ParseEnd(const boost::system::error_code& write_failure);
 
--- a/libs/sidecar/src/peer_config_sync.cc
+++ b/libs/sidecar/src/peer_config_sync.cc
@@ -62,10 +62,9 @@
     OnNewerVersion(version, address);
     return;
   }
-  if (auto confirmation =
+  // Without a time, the revision still tells of a restored store.
+  if (const auto confirmation =
           FindConfirmation(fields, sent_at.value_or(instant()))) {
-    // The revision tells of a restored store, also without a time.
-    if (!sent_at) confirmation->at = instant();
     reader_.OnConfirmed(*confirmation);
   }
 }
--- a/libs/sidecar/src/routed_request.cc
+++ b/libs/sidecar/src/routed_request.cc
@@ -43,6 +43,13 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+// Returns how long another daemon had held the request when it wrote the head
+// of the answer; nothing if it does not say.
+std::optional<duration> HeldTime(const response_head& head) {
+  const auto* text = FindField(head.fields, kMeshHeldField);
+  return text == nullptr ? std::nullopt : DecodeHeldTime(*text);
+}
+
 }  // namespace
 
 routed_request::routed_request(request_router& router,
@@ -490,8 +497,11 @@
       router_.directory_.OnLoadSummary(load, now);
   }
   RecordDelay(head);
+  // The daemon wrote the answer this long after the offer, or later.
+  const auto held = std::min(HeldTime(head).value_or(duration(0)),
+                             MonotonicNow() - offered_at_);
   router_.versions_.OnPeerState(head.fields, offer_->member.address,
-                                offered_at_ + HeldTime(head));
+                                offered_at_ + held);
   if (router_.rollouts_ != nullptr) {
     router_.rollouts_->OnPeerState(head.fields);
     router_.rollouts_->OnPeerReport(head.fields, service_);
@@ -513,21 +523,11 @@
   });
 }
 
-// Returns how long the daemon beside the server has held the request when it
-// wrote the head of the answer, 0 if it does not say.
-duration routed_request::HeldTime(const response_head& head) const {
-  const auto* text = FindField(head.fields, kMeshHeldField);
-  const auto held = text == nullptr ? std::nullopt : DecodeHeldTime(*text);
-  return std::min(held.value_or(duration(0)), MonotonicNow() - offered_at_);
-}
-
 void routed_request::RecordDelay(const response_head& head) {
-  const auto* text = FindField(head.fields, kMeshHeldField);
-  if (text == nullptr) return;
   // A large answer also waits for the network link.
   const bool is_paced =
       !head.length || router_.sender_.Queue().IsPaced(*head.length);
-  const auto held = DecodeHeldTime(*text);
+  const auto held = HeldTime(head);
   if (is_paced || !held) return;
   const auto now = MonotonicNow();
   router_.directory_.OnDelay(offer_->member.name, now - offered_at_ - *held,
@@ -707,8 +707,7 @@
 void routed_request::ReadAnswerAtStop() {
   const auto bytes = answer_bytes_.value_or(kMaxBufferedAnswerBytes);
   // That of an answer to an earlier offer is too small.
-  if (stop_memory_ > 0)
-    router_.stop_memory_.Release(std::exchange(stop_memory_, 0));
+  ReleaseStopMemory();
   const auto on_granted = [waiting = weak_from_this(), bytes] {
     const auto self = waiting.lock();
     return self && self->OnStopMemory(bytes);
@@ -721,6 +720,11 @@
   ReadAnswerBody();
 }
 
+void routed_request::ReleaseStopMemory() {
+  if (stop_memory_ > 0)
+    router_.stop_memory_.Release(std::exchange(stop_memory_, 0));
+}
+
 bool routed_request::NeedsStopMemory() const {
   const auto bytes = answer_bytes_.value_or(kMaxBufferedAnswerBytes);
   return router_.stop_ &&
@@ -1007,8 +1011,7 @@
       .With("left_ms", FormatMillis(initial_time_left_))
       .With("version", table_ ? table_->Version() : 0);
   // Last, as other requests may go on.
-  if (stop_memory_ > 0)
-    router_.stop_memory_.Release(std::exchange(stop_memory_, 0));
+  ReleaseStopMemory();
 }
 
 }  // namespace pomelohall
--- a/libs/sidecar/src/routed_request.h
+++ b/libs/sidecar/src/routed_request.h
@@ -106,7 +106,6 @@
   void OnUnknownOutcome(const error& failure);
   void EndOffer(send_outcome outcome);
   // Records the time that the daemon of the current offer added to it.
-  duration HeldTime(const response_head& head) const;
   void RecordDelay(const response_head& head);
   bool AcquireRetry(run_state ran);
   bool ShouldRetry(int status);
@@ -116,6 +115,7 @@
   // Whether the answer is to be read completely because the daemon stops.
   bool NeedsStopMemory() const;
   void ReadAnswerAtStop();
+  void ReleaseStopMemory();
   // Continues with memory that the answer has waited for. Returns false if the
   // request needs none any more.
   bool OnStopMemory(std::uint64_t bytes);
--- a/libs/sidecar/src/sidecar.cc
+++ b/libs/sidecar/src/sidecar.cc
@@ -400,24 +400,23 @@
   // data centre and of all take turns: the store may turn away a whole one.
   void AskForConfig(std::size_t earlier_asks) {
     const auto now = MonotonicNow();
-    const auto reader = directory_.FastestMember(now);
+    auto reader = directory_.FastestMember(now);
+    if (reader && reader->name == settings_.name) reader = std::nullopt;
     const auto is_other = [&](const mesh_member& member) {
       return member.name != settings_.name &&
              (!reader || member.name != reader->name);
     };
-    auto peer = reader;
-    if (earlier_asks > 0 || !reader || reader->name == settings_.name) {
-      peer = std::nullopt;
-      if (earlier_asks % 2 == 1) {
-        peer = directory_.RandomMember(now, [&](const mesh_member& member) {
-          return is_other(member) &&
-                 member.data_centre == settings_.data_centre;
-        });
-      }
-      if (!peer) peer = directory_.RandomMember(now, is_other);
+    std::optional<mesh_member> peer;
+    if (earlier_asks == 0) {
+      peer = reader;
+    } else if (earlier_asks % 2 == 1) {
+      peer = directory_.RandomMember(now, [&](const mesh_member& member) {
+        return is_other(member) && member.data_centre == settings_.data_centre;
+      });
     }
+    if (!peer) peer = directory_.RandomMember(now, is_other);
     // With two daemons, the reader is the only other one.
-    if (!peer && reader && reader->name != settings_.name) peer = reader;
+    if (!peer) peer = reader;
     if (peer) config_sync_.Ask(peer->address);
   }
 
--- a/tests/http/fault_test.cc
+++ b/tests/http/fault_test.cc
@@ -75,6 +75,13 @@
   std::atomic<bool> ended_{false};
 };
 
+/// Checks the response to a request that a daemon refused as it stops.
+void CheckRefusedNotRun(const raw_response& response) {
+  CHECK(response.status == 503);
+  CHECK(ErrorBody(response).at("error") == "draining");
+  CHECK(ErrorBody(response).at("ran") == "not_run");
+}
+
 // Guarantee P4: a body that the backend server truncated must not reach the
 // caller as a complete response, and does not make its request a suspect.
 TEST_CASE("Fault_TruncatedBody_IsNotACompleteResponse", "[fault]") {
@@ -289,10 +296,7 @@
   plain.SendRequest("POST", "/order/1", "Content-Length: 10\r\n");
   mesh.WaitUntil([&] { return mesh.At(0).service->Status().entry_calls == 2; });
   mesh.Stop(0);
-  const auto refused = plain.Read();
-  CHECK(refused.status == 503);
-  CHECK(ErrorBody(refused).at("error") == "draining");
-  CHECK(ErrorBody(refused).at("ran") == "not_run");
+  CheckRefusedNotRun(plain.Read());
   const auto unknown = keyed.Read();
   CHECK(unknown.status == 503);
   CHECK(ErrorBody(unknown).at("ran") == "unknown");
@@ -335,10 +339,7 @@
       [&] { return mesh.At(0).service->Status().caller_connections == 1; });
   mesh.Stop(0);
   client.Send("Host: x\r\n\r\n");
-  const auto response = client.Read();
-  CHECK(response.status == 503);
-  CHECK(ErrorBody(response).at("error") == "draining");
-  CHECK(ErrorBody(response).at("ran") == "not_run");
+  CheckRefusedNotRun(client.Read());
   mesh.WaitUntilStopped();
   CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 0);
 }
@@ -355,10 +356,7 @@
   mesh.WaitUntil([&] { return mesh.At(0).service->Status().entry_calls == 1; });
   mesh.Stop(0);
   client.Send("0123456789");
-  const auto response = client.Read();
-  CHECK(response.status == 503);
-  CHECK(ErrorBody(response).at("error") == "draining");
-  CHECK(ErrorBody(response).at("ran") == "not_run");
+  CheckRefusedNotRun(client.Read());
   mesh.WaitUntilStopped();
   CHECK(mesh.RunOnIoThread([&] { return mesh.At(1).stub->Runs(); }) == 0);
 }
